--- /dev/null
+++ b/cmd/bramleycourse/agent.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/bramleycourse/bramleycourse/internal/agent"
+	"github.com/bramleycourse/bramleycourse/internal/config"
+	"github.com/bramleycourse/bramleycourse/internal/proc"
+)
+
+type agentCmd struct {
+	Settings string `arg:"" help:"Settings file, JSON."`
+}
+
+// Run runs an agent until it is told to stop.
+func (c *agentCmd) Run(ctx context.Context) error {
+	s, err := config.LoadAgent(c.Settings)
+	if err != nil {
+		return err
+	}
+	a, err := agent.New(s, proc.New("agent", s.Service, os.Stderr))
+	if err != nil {
+		return err
+	}
+	return ended(ctx, a.Run(ctx))
+}
--- /dev/null
+++ b/cmd/bramleycourse/main.go
@@ -0,0 +1,26 @@
+// Command bramleycourse is a layer-4 load balancer for small teams.
+package main
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+type cli struct {
+	Balancer balancerCmd `cmd:"" help:"Run a balancer."`
+	Agent    agentCmd    `cmd:"" help:"Run the agent beside an upstream."`
+	Apply    applyCmd    `cmd:"" help:"Put a declaration in force."`
+	Standin  standinCmd  `cmd:"" help:"Run a stand-in of an outside system, for tests."`
+}
+
+func main() {
+	var c cli
+	k := kong.Parse(&c, kong.Name("bramleycourse"), kong.Description("A layer-4 load balancer for small teams."), kong.UsageOnError())
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	k.BindTo(ctx, (*context.Context)(nil))
+	k.FatalIfErrorf(k.Run())
+}
--- /dev/null
+++ b/cmd/bramleycourse/standin.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/fabric"
+	"github.com/bramleycourse/bramleycourse/internal/store"
+	"github.com/bramleycourse/bramleycourse/internal/stub"
+)
+
+type standinCmd struct {
+	Platform platformCmd `cmd:"" help:"The platform's object API."`
+	Fabric   fabricCmd   `cmd:"" help:"The fabric that sprays packets over balancers."`
+	Upstream upstreamCmd `cmd:"" help:"An upstream of a service."`
+}
+
+type platformCmd struct {
+	Listen string `help:"TCP address to serve on." required:""`
+}
+
+// Run serves the object API.
+func (c *platformCmd) Run(ctx context.Context) error {
+	return serveHTTP(ctx, c.Listen, store.New())
+}
+
+type fabricCmd struct {
+	Listen  string   `help:"UDP address that callers use." required:""`
+	Targets []string `help:"UDP addresses of the balancers for the service." required:""`
+	Seed    uint64   `help:"Seed of the spraying." default:"1"`
+}
+
+// Run sprays packets.
+func (c *fabricCmd) Run(ctx context.Context) error {
+	listen, err := netip.ParseAddrPort(c.Listen)
+	if err != nil {
+		return err
+	}
+	var targets []netip.AddrPort
+	for _, t := range c.Targets {
+		a, err := netip.ParseAddrPort(t)
+		if err != nil {
+			return err
+		}
+		targets = append(targets, a)
+	}
+	f, err := fabric.New(listen, c.Seed, targets...)
+	if err != nil {
+		return err
+	}
+	return ended(ctx, f.Run(ctx))
+}
+
+type upstreamCmd struct {
+	Listen  string        `help:"TCP address to serve on." required:""`
+	Service string        `help:"Name of the service." required:""`
+	Work    time.Duration `help:"Time that a short request takes." default:"1ms"`
+}
+
+// Run serves the upstream.
+func (c *upstreamCmd) Run(ctx context.Context) error {
+	u := stub.New(c.Service, c.Work)
+	mux := http.NewServeMux()
+	mux.Handle("/", u)
+	mux.HandleFunc("/counts", func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(u.Counts()) })
+	return serveHTTP(ctx, c.Listen, mux)
+}
+
+const readHeaderTimeout = 5 * time.Second
+
+func serveHTTP(ctx context.Context, addr string, h http.Handler) error {
+	s := &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { s.Close() })
+	defer stop()
+	return ended(ctx, s.ListenAndServe())
+}
--- /dev/null
+++ b/internal/config/keys.go
@@ -0,0 +1,43 @@
+package config
+
+import (
+	"encoding/hex"
+	"fmt"
+
+	"github.com/bramleycourse/bramleycourse/internal/connid"
+)
+
+type keysFile struct {
+	Current uint8     `json:"current"`
+	Keys    []keyItem `json:"keys"`
+}
+
+type keyItem struct {
+	Number uint8  `json:"number"`
+	Secret string `json:"secret"`
+}
+
+// LoadKeys reads a keys file.
+func LoadKeys(path string) (*connid.Set, error) {
+	var f keysFile
+	if err := load(path, &f); err != nil {
+		return nil, err
+	}
+	var keys []*connid.Key
+	for i, item := range f.Keys {
+		secret, err := hex.DecodeString(item.Secret)
+		if err != nil {
+			return nil, &FieldError{fmt.Sprintf("keys[%d].secret", i), "is not hexadecimal"}
+		}
+		k, err := connid.NewKey(item.Number, secret)
+		if err != nil {
+			return nil, &FieldError{fmt.Sprintf("keys[%d]", i), err.Error()}
+		}
+		keys = append(keys, k)
+	}
+	s, err := connid.NewSet(f.Current, keys...)
+	if err != nil {
+		return nil, &FieldError{"keys", err.Error()}
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/connid/keys.go
@@ -0,0 +1,96 @@
+// Package connid encodes the address of an agent into QUIC connection IDs and
+// decodes it again, and parses the version-independent part of QUIC headers.
+package connid
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/hkdf"
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+)
+
+const (
+	// SecretSize is the length of a key's secret in octets.
+	SecretSize = 32
+	// maxKeyNumber leaves 7 unused, as the QUIC-LB draft does for unroutable IDs.
+	maxKeyNumber = 6
+)
+
+// Key holds what is derived from one secret.
+type Key struct {
+	// Number is in 0..6 and unique within a Set.
+	Number uint8
+	// ResetKey derives the stateless reset tokens.
+	ResetKey [32]byte
+	// HopKey holds the two halves of the key of the hop header's check.
+	HopKey [2]uint64
+
+	block cipher.Block
+}
+
+// NewKey derives a key from a secret.
+func NewKey(number uint8, secret []byte) (*Key, error) {
+	if number > maxKeyNumber {
+		return nil, fmt.Errorf("key number %d is greater than %d", number, maxKeyNumber)
+	}
+	if len(secret) != SecretSize {
+		return nil, fmt.Errorf("secret of key %d has %d octets, want %d", number, len(secret), SecretSize)
+	}
+	derive := func(label string, n int) ([]byte, error) {
+		return hkdf.Key(sha256.New, secret, nil, "bramleycourse "+label, n)
+	}
+	id, err := derive("connection id", 16)
+	if err != nil {
+		return nil, err
+	}
+	hop, err := derive("hop", 16)
+	if err != nil {
+		return nil, err
+	}
+	reset, err := derive("stateless reset", 32)
+	if err != nil {
+		return nil, err
+	}
+	block, err := aes.NewCipher(id)
+	if err != nil {
+		return nil, err
+	}
+	k := &Key{Number: number, block: block}
+	k.HopKey = [2]uint64{binary.LittleEndian.Uint64(hop), binary.LittleEndian.Uint64(hop[8:])}
+	copy(k.ResetKey[:], reset)
+	return k, nil
+}
+
+// Set is an immutable set of accepted keys.
+type Set struct {
+	// Current is the key for new connection IDs; never nil.
+	Current *Key
+
+	byNumber [maxKeyNumber + 1]*Key
+}
+
+// NewSet builds a set of keys; current names the key for new IDs.
+func NewSet(current uint8, keys ...*Key) (*Set, error) {
+	var s Set
+	for _, k := range keys {
+		if s.byNumber[k.Number] != nil {
+			return nil, fmt.Errorf("key number %d occurs twice", k.Number)
+		}
+		s.byNumber[k.Number] = k
+	}
+	if int(current) >= len(s.byNumber) || s.byNumber[current] == nil {
+		return nil, fmt.Errorf("current key %d is not among the keys", current)
+	}
+	s.Current = s.byNumber[current]
+	return &s, nil
+}
+
+// Key returns the key with the given number, or nil.
+func (s *Set) Key(number uint8) *Key {
+	if int(number) >= len(s.byNumber) {
+		return nil
+	}
+	return s.byNumber[number]
+}
--- /dev/null
+++ b/internal/itest/cluster.go
@@ -0,0 +1,274 @@
+// Package itest runs the product's processes behind the fabric stand-in and
+// injects faults. It is used only by its own tests.
+package itest
+
+import (
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/certs"
+	"github.com/bramleycourse/bramleycourse/internal/config"
+	"github.com/bramleycourse/bramleycourse/internal/fabric"
+	"github.com/bramleycourse/bramleycourse/internal/store"
+	"github.com/bramleycourse/bramleycourse/internal/stub"
+	"github.com/bramleycourse/bramleycourse/pkg/decl"
+)
+
+// Cluster is a set of real processes with their stand-ins.
+type Cluster struct {
+	T *testing.T
+	// Binary is the path of the product's binary.
+	Binary string
+	// Dir holds settings, certificates and logs.
+	Dir string
+	// Store is the platform stand-in behind PlatformURL.
+	Store       *store.Store
+	PlatformURL string
+	// Fabrics maps service names to the fabric stand-ins.
+	Fabrics   map[string]*fabric.Fabric
+	Authority *certs.Authority
+
+	keysFile          string
+	certFile, keyFile string
+	declaration       *decl.Declaration
+	balancers         map[string]*Process
+}
+
+// Process is one process of the product.
+type Process struct {
+	Name string
+	// Admin is the address of the admin server.
+	Admin string
+	// CallerIP is the IP that a balancer binds for callers.
+	CallerIP string
+	// Peer is the peer address of a balancer.
+	Peer string
+	// Hop is the hop address.
+	Hop string
+	// Stub is the upstream beside an agent.
+	Stub *stub.Upstream
+
+	t       *testing.T
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	err     error
+	stubSrv *httptest.Server
+}
+
+// NewCluster starts the stand-ins.
+func NewCluster(t *testing.T, binary string) *Cluster {
+	c := &Cluster{
+		T: t, Binary: binary, Dir: t.TempDir(),
+		Store:     store.New(),
+		Fabrics:   map[string]*fabric.Fabric{},
+		balancers: map[string]*Process{},
+	}
+	s := httptest.NewServer(c.Store)
+	t.Cleanup(s.Close)
+	c.PlatformURL = s.URL
+	var err error
+	c.Authority, err = certs.NewAuthority(time.Hour)
+	c.must(err)
+	c.certFile, c.keyFile, err = c.Authority.IssueFiles(c.Dir, "service")
+	c.must(err)
+	c.keysFile = filepath.Join(c.Dir, "keys.json")
+	c.must(os.WriteFile(c.keysFile, certs.KeysFile(1), 0o600))
+	return c
+}
+
+func (c *Cluster) must(err error) {
+	c.T.Helper()
+	if err != nil {
+		c.T.Fatal(err)
+	}
+}
+
+// Apply puts a declaration in force with the product's command.
+func (c *Cluster) Apply(d *decl.Declaration) {
+	c.T.Helper()
+	b, err := d.JSON()
+	c.must(err)
+	file := filepath.Join(c.Dir, "declaration.json")
+	c.must(os.WriteFile(file, b, 0o600))
+	out, err := exec.Command(c.Binary, "apply", "--platform", c.PlatformURL, file).CombinedOutput()
+	if err != nil {
+		c.T.Fatalf("apply: %v: %s", err, out)
+	}
+	c.declaration = d
+}
+
+// StartFabric starts the fabric stand-in of every declared service.
+func (c *Cluster) StartFabric(seed uint64) {
+	c.T.Helper()
+	for _, s := range c.declaration.Services {
+		f, err := fabric.New(netip.MustParseAddrPort("127.0.0.1:0"), seed)
+		c.must(err)
+		go f.Run(c.T.Context())
+		c.Fabrics[s.Name] = f
+	}
+}
+
+// SetFabricTargets makes the fabric spray over the given balancers.
+func (c *Cluster) SetFabricTargets(ps ...*Process) {
+	for _, s := range c.declaration.Services {
+		port := netip.MustParseAddrPort(s.Address).Port()
+		var targets []netip.AddrPort
+		for _, p := range ps {
+			targets = append(targets, netip.AddrPortFrom(netip.MustParseAddr(p.CallerIP), port))
+		}
+		c.Fabrics[s.Name].SetTargets(targets...)
+	}
+}
+
+// Balancer starts a balancer.
+func (c *Cluster) Balancer(name, place string, change ...func(*config.Balancer)) *Process {
+	c.T.Helper()
+	n := len(c.balancers) + 1
+	p := &Process{
+		Name: name, Admin: freeAddr(c.T), Peer: freeAddr(c.T), Hop: freeUDP(c.T),
+		CallerIP: fmt.Sprintf("127.0.1.%d", n),
+	}
+	s := &config.Balancer{
+		Name: name, Place: place, CallerIP: p.CallerIP,
+		HopAddress: p.Hop, PeerAddress: p.Peer, AdminAddress: p.Admin,
+		ConfigName:    c.declaration.Name,
+		AgentNetworks: []string{"127.0.0.0/8"},
+		KeysFile:      c.keysFile,
+		Platform:      config.Platform{URL: c.PlatformURL},
+	}
+	for _, b := range c.balancers {
+		s.Peers = append(s.Peers, b.Peer)
+	}
+	for _, f := range change {
+		f(s)
+	}
+	c.balancers[name] = p
+	c.start(p, "balancer", s)
+	return p
+}
+
+// Agent starts an agent with an upstream stand-in beside it.
+func (c *Cluster) Agent(name, service, place string, work time.Duration, change ...func(*config.Agent)) *Process {
+	c.T.Helper()
+	u := stub.New(service, work)
+	srv := httptest.NewServer(u)
+	c.T.Cleanup(srv.Close)
+	p := &Process{Name: name, Admin: freeAddr(c.T), Hop: freeUDP(c.T), Stub: u, stubSrv: srv}
+	s := &config.Agent{
+		Service: service, Place: place,
+		HopAddress: p.Hop, AdminAddress: p.Admin, Upstream: srv.URL,
+		CertFile: c.certFile, KeyFile: c.keyFile, KeysFile: c.keysFile,
+		Platform: config.Platform{URL: c.PlatformURL},
+	}
+	for _, b := range c.balancers {
+		s.Balancers = append(s.Balancers, b.Peer)
+	}
+	for _, f := range change {
+		f(s)
+	}
+	c.start(p, "agent", s)
+	return p
+}
+
+func (c *Cluster) start(p *Process, role string, settings any) {
+	c.T.Helper()
+	b, err := json.Marshal(settings)
+	c.must(err)
+	file := filepath.Join(c.Dir, p.Name+".json")
+	c.must(os.WriteFile(file, b, 0o600))
+	log, err := os.Create(filepath.Join(c.Dir, p.Name+".log"))
+	c.must(err)
+	p.t = c.T
+	p.cmd = exec.Command(c.Binary, role, file)
+	p.cmd.Stderr = log
+	p.exited = make(chan struct{})
+	c.must(p.cmd.Start())
+	go func() {
+		p.err = p.cmd.Wait()
+		log.Close()
+		close(p.exited)
+	}()
+	c.T.Cleanup(func() {
+		p.Kill()
+		if c.T.Failed() {
+			b, _ := os.ReadFile(log.Name())
+			c.T.Logf("log of %s:\n%s", p.Name, tail(b))
+		}
+	})
+}
+
+const logTail = 4000
+
+func tail(b []byte) []byte {
+	return b[max(0, len(b)-logTail):]
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) { p.cmd.Process.Signal(s) }
+
+// Kill ends the process at once and waits for it.
+func (p *Process) Kill() {
+	p.cmd.Process.Kill()
+	<-p.exited
+}
+
+// Exited is closed when the process has ended.
+func (p *Process) Exited() <-chan struct{} { return p.exited }
+
+// State decodes the state dump of the process into v.
+func (p *Process) State(v any) error {
+	client := http.Client{Timeout: 2 * time.Second}
+	resp, err := client.Get("http://" + p.Admin + "/state")
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(v)
+}
+
+// CallerTLS returns the TLS settings of a caller.
+func (c *Cluster) CallerTLS() *tls.Config {
+	return &tls.Config{RootCAs: c.Authority.Pool(), ServerName: "localhost"}
+}
+
+// Eventually waits until the condition holds and fails the test after the limit.
+func (c *Cluster) Eventually(limit time.Duration, what string, ok func() bool) {
+	c.T.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	c.T.Fatalf("not within %v: %s", limit, what)
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func freeUDP(t *testing.T) string {
+	t.Helper()
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	return c.LocalAddr().String()
+}
--- /dev/null
+++ b/internal/store/faults.go
@@ -0,0 +1,85 @@
+package store
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// Faults says how the stand-in misbehaves.
+type Faults struct {
+	// Outage makes every call fail without an answer.
+	Outage bool `json:"outage"`
+	// DelayMillis delays every call, in milliseconds.
+	DelayMillis int `json:"delayMillis"`
+	// LoseAnswers is the number of writes whose answers are lost after they take effect.
+	LoseAnswers int `json:"loseAnswers"`
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	s.faults = f
+	s.mu.Unlock()
+}
+
+// Counts returns the number of calls by kind of call.
+func (s *Store) Counts() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := make(map[string]int, len(s.counts))
+	for k, n := range s.counts {
+		c[k] = n
+	}
+	return c
+}
+
+func (s *Store) serveFaults(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet {
+		writeJSON(w, s.Counts())
+		return
+	}
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
+func (s *Store) count(r *http.Request) {
+	kind := "write"
+	if r.Method == http.MethodGet {
+		kind = "read"
+	}
+	if r.URL.Query().Has("watch") {
+		kind = "watch"
+	}
+	s.mu.Lock()
+	s.counts[kind]++
+	s.mu.Unlock()
+}
+
+// inject delays the call as set and returns false when it must fail.
+func (s *Store) inject(r *http.Request) bool {
+	s.mu.Lock()
+	f := s.faults
+	s.mu.Unlock()
+	if f.DelayMillis > 0 {
+		select {
+		case <-time.After(time.Duration(f.DelayMillis) * time.Millisecond):
+		case <-r.Context().Done():
+		}
+	}
+	return !f.Outage
+}
+
+// loseAnswer reports whether the answer to the current write is lost; the
+// caller holds the mutex.
+func (s *Store) loseAnswer() bool {
+	if s.faults.LoseAnswers == 0 {
+		return false
+	}
+	s.faults.LoseAnswers--
+	return true
+}
--- /dev/null
+++ b/pkg/decl/validate.go
@@ -0,0 +1,107 @@
+package decl
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/bramleycourse/bramleycourse/internal/ident"
+)
+
+// FieldError reports the first invalid field of a declaration.
+type FieldError struct {
+	// Path names the field, as in "services[1].address".
+	Path string
+	// Reason says what is wrong with the value.
+	Reason string
+}
+
+// Error implements error.
+func (e *FieldError) Error() string { return e.Path + ": " + e.Reason }
+
+// Validate checks the whole declaration and returns a *FieldError or nil.
+func (d *Declaration) Validate() error {
+	if d.Name == "" {
+		return &FieldError{"name", "must not be empty"}
+	}
+	places := map[string]bool{}
+	for i, p := range d.Places {
+		path := fmt.Sprintf("places[%d]", i)
+		switch {
+		case p.Name == "":
+			return &FieldError{path + ".name", "must not be empty"}
+		case p.Region == "":
+			return &FieldError{path + ".region", "must not be empty"}
+		case places[p.Name]:
+			return &FieldError{path + ".name", fmt.Sprintf("place %q occurs twice", p.Name)}
+		}
+		places[p.Name] = true
+	}
+	return d.validateServices(places)
+}
+
+func (d *Declaration) validateServices(places map[string]bool) error {
+	names := map[string]bool{}
+	addrs := map[string]bool{}
+	tags := map[ident.ServiceTag]string{}
+	for i, s := range d.Services {
+		path := fmt.Sprintf("services[%d]", i)
+		tag := ident.TagOf(ident.ServiceName(s.Name))
+		switch {
+		case s.Name == "":
+			return &FieldError{path + ".name", "must not be empty"}
+		case names[s.Name]:
+			return &FieldError{path + ".name", fmt.Sprintf("service %q occurs twice", s.Name)}
+		case tags[tag] != "":
+			return &FieldError{path + ".name", fmt.Sprintf("has the same packet tag as service %q; choose another name", tags[tag])}
+		case addrs[s.Address]:
+			return &FieldError{path + ".address", fmt.Sprintf("address %q is used by two services", s.Address)}
+		}
+		if a, err := netip.ParseAddrPort(s.Address); err != nil || !a.Addr().Is4() || a.Port() == 0 {
+			return &FieldError{path + ".address", fmt.Sprintf("%q is not an IPv4 address and port", s.Address)}
+		}
+		names[s.Name], addrs[s.Address], tags[tag] = true, true, s.Name
+		if err := s.validate(path, places); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const maxWeight = 1000
+
+func (s *Service) validate(path string, places map[string]bool) error {
+	for i, p := range s.StreamPaths {
+		if len(p) == 0 || p[0] != '/' {
+			return &FieldError{fmt.Sprintf("%s.streamPaths[%d]", path, i), fmt.Sprintf("%q does not begin with a slash", p)}
+		}
+	}
+	for i, h := range s.Shares {
+		sp := fmt.Sprintf("%s.shares[%d]", path, i)
+		switch {
+		case (h.Place == "") == (h.Group == ""):
+			return &FieldError{sp, "must have exactly one of place and group"}
+		case h.Place != "" && !places[h.Place]:
+			return &FieldError{sp + ".place", fmt.Sprintf("place %q is not declared", h.Place)}
+		case !(h.Weight >= 0 && h.Weight <= maxWeight):
+			return &FieldError{sp + ".weight", fmt.Sprintf("%v is not in 0 to %d", h.Weight, maxWeight)}
+		}
+	}
+	return s.Limits.validate(path + ".limits")
+}
+
+func (l *Limits) validate(path string) error {
+	for _, f := range []struct {
+		name       string
+		value, max int64
+	}{
+		{"slots", int64(l.Slots), 1000},
+		{"queue", int64(l.Queue), 10000},
+		{"connections", int64(l.Connections), 100000},
+		{"requestBytes", l.RequestBytes, 1 << 30},
+	} {
+		if f.value < 0 || f.value > f.max {
+			return &FieldError{path + "." + f.name, fmt.Sprintf("%d is not in 1 to %d", f.value, f.max)}
+		}
+	}
+	return nil
+}
