--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -5,14 +5,8 @@
 	"net/http"
 
 	"github.com/juju/errors"
-)
-
-// Headers of answers that the system itself gives.
-const (
-	headerOutcome = "Bramley-Outcome"
-	headerReason  = "Bramley-Reason"
 
-	outcomeUnknown = "unknown"
+	"github.com/bramleycourse/bramleycourse/internal/hdrs"
 )
 
 // handler passes requests on to the upstream.
@@ -33,8 +27,8 @@
 	h.agent.requests.Add(1)
 	resp, err := h.call(r)
 	if err != nil {
-		w.Header().Set(headerOutcome, outcomeUnknown)
-		w.Header().Set(headerReason, "upstream call failed")
+		w.Header().Set(hdrs.Outcome, hdrs.Unknown)
+		w.Header().Set(hdrs.Reason, "upstream call failed")
 		w.WriteHeader(http.StatusBadGateway)
 		return
 	}
