--- a/internal/admit/flow.go
+++ b/internal/admit/flow.go
@@ -66,7 +66,7 @@
 		return Take
 	}
 	h.Candidates[h.Position].Depth = depth
-	if h.Position+1 < h.Count {
+	if h.Position+1 < h.Count && (h.Position+1 < nearCandidates || deep(h)) {
 		pass(h, encap.NewFlow, h.Position+1)
 		return Forward
 	}
@@ -81,8 +81,28 @@
 	return Forward
 }
 
-// leastLoaded returns the position of the candidate with the lowest depth. At
-// equal depths the receiver, which is the last, saves a hop.
+const (
+	// nearCandidates is the number of candidates that a flow is offered to
+	// before the least loaded of them gets it.
+	nearCandidates = 3
+	// deepDepth is the depth at which all of them count as deep, so that the
+	// flow is offered to the remaining candidates too. The placement experiment
+	// compares it with no wider step and with one at DepthUnit.
+	deepDepth = encap.DepthUnit * 5 / 4
+)
+
+// deep says whether every candidate so far is deep.
+func deep(h *encap.Header) bool {
+	for i := range h.Position + 1 {
+		if h.Candidates[i].Depth < deepDepth {
+			return false
+		}
+	}
+	return true
+}
+
+// leastLoaded returns the position of the candidate with the lowest depth up to the receiver. At
+// equal depths the receiver saves a hop.
 func leastLoaded(h *encap.Header) uint8 {
 	best := h.Position
 	for i := range h.Position {
--- a/internal/encap/encap.go
+++ b/internal/encap/encap.go
@@ -46,8 +46,9 @@
 	// checkedPayload is the number of payload octets that the check covers.
 	checkedPayload = 32
 
-	// MaxCandidates is the number of candidates of a new flow.
-	MaxCandidates = 3
+	// MaxCandidates is the number of candidates of a new flow: the three of the
+	// placement rule and one for the wider step when all three are deep.
+	MaxCandidates = 4
 	// MaxSize is the length of the longest hop header in octets.
 	MaxSize = baseSize + listFixedSize + MaxCandidates*candidateSize + checkSize
 )
