--- /dev/null
+++ b/internal/trial/scene.go
@@ -0,0 +1,88 @@
+package trial
+
+import "math/rand/v2"
+
+// Scene is the surroundings of a run.
+type Scene struct {
+	Name string
+	// Requests is the number of requests of each flow; 0 means 1.
+	Requests int
+	// Work draws a service time with mean 1; nil means the standard distribution.
+	Work func(r *rand.Rand) float64
+	// Start changes the model before the first arrival.
+	Start func(m *model)
+}
+
+func (s Scene) requests() int { return max(s.Requests, 1) }
+
+// work draws 0.5 units with probability 0.9 and else 5.5: the mean is 1.
+func (s Scene) work(r *rand.Rand) float64 {
+	if s.Work != nil {
+		return s.Work(r)
+	}
+	if r.Float64() < 0.9 {
+		return 0.5
+	}
+	return 5.5
+}
+
+// Scenes returns the cases of the experiment; the first is the standard one.
+func Scenes() []Scene {
+	return []Scene{
+		{Name: "standard"},
+		{Name: "false load reports of the slow agent", Start: func(m *model) { m.lies = true }},
+		{Name: "one agent frozen", Start: freeze},
+		{Name: "balancers with different views", Start: differ},
+		{Name: "cold start", Start: cold},
+		{Name: "1% of 50 units", Work: skewed},
+		{Name: "20 requests per flow", Requests: 20},
+	}
+}
+
+const (
+	freezeAt = 100
+	// markedAfter is how long a frozen agent stays a candidate: the two seconds
+	// of the design's liveness rules.
+	markedAfter = 100
+	thawAfter   = 200
+)
+
+func freeze(m *model) {
+	const i = 1
+	m.after(freezeAt, func() { m.agents[i].frozen = true })
+	m.after(freezeAt+markedAfter, func() {
+		m.down[i] = true
+		m.rebuild(equal)
+	})
+	m.after(freezeAt+thawAfter, func() {
+		m.agents[i].frozen, m.down[i] = false, false
+		m.rebuild(equal)
+	})
+}
+
+// differ gives two of the three balancers views that lack one agent each.
+func differ(m *model) {
+	m.missing[0] = map[int]bool{1: true}
+	m.missing[1] = map[int]bool{2: true}
+	m.rebuild(equal)
+}
+
+const (
+	coldTime  = 100
+	coldSpeed = 0.1
+)
+
+func cold(m *model) {
+	const i = 1
+	m.agents[i].speed = coldSpeed
+	m.after(coldTime, func() { m.agents[i].speed = 1 })
+}
+
+// skewed draws 50 units with probability 0.01; the mean is 1.
+func skewed(r *rand.Rand) float64 {
+	const long, share = 50, 0.01
+	if r.Float64() < share {
+		return long
+	}
+	return (1 - long*share) / (1 - share)
+}
