--- a/internal/config/keys.go
+++ b/internal/config/keys.go
@@ -1,8 +1,11 @@
 package config
 
 import (
+	"bytes"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
+	"os"
 
 	"github.com/bramleycourse/bramleycourse/internal/connid"
 )
@@ -19,8 +22,18 @@
 
 // LoadKeys reads a keys file.
 func LoadKeys(path string) (*connid.Set, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return parseKeys(b)
+}
+
+func parseKeys(b []byte) (*connid.Set, error) {
 	var f keysFile
-	if err := load(path, &f); err != nil {
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&f); err != nil {
 		return nil, err
 	}
 	var keys []*connid.Key
--- a/internal/connid/keys.go
+++ b/internal/connid/keys.go
@@ -16,6 +16,8 @@
 	SecretSize = 32
 	// maxKeyNumber leaves 7 unused, as the QUIC-LB draft does for unroutable IDs.
 	maxKeyNumber = 6
+	// maxKeys bounds the chance that a client-chosen ID decodes.
+	maxKeys = 2
 )
 
 // Key holds what is derived from one secret.
@@ -73,6 +75,9 @@
 
 // NewSet builds a set of keys; current names the key for new IDs.
 func NewSet(current uint8, keys ...*Key) (*Set, error) {
+	if len(keys) > maxKeys {
+		return nil, fmt.Errorf("%d keys are given, at most %d are accepted", len(keys), maxKeys)
+	}
 	var s Set
 	for _, k := range keys {
 		if s.byNumber[k.Number] != nil {
@@ -94,3 +99,9 @@
 	}
 	return s.byNumber[number]
 }
+
+// Removed reports whether id has the form of an ID that Encode returns, under
+// a key that is not in the set.
+func (s *Set) Removed(id []byte) bool {
+	return len(id) == Size && id[0]&lengthMask == blockSize && s.Key(id[0]>>keyShift) == nil
+}
