--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -58,9 +58,9 @@
 	return &Pool{free: make(chan *Batch, limit), headroom: headroom, room: room}
 }
 
-// get waits while all batches are in use. Waiting readers are served in
+// Get takes a batch and waits while all batches are in use. Waiting readers are served in
 // order, so a busy socket does not starve the others.
-func (p *Pool) get() *Batch {
+func (p *Pool) Get() *Batch {
 	select {
 	case b := <-p.free:
 		return b
@@ -73,7 +73,8 @@
 	return <-p.free
 }
 
-func (p *Pool) put(b *Batch) { p.free <- b }
+// Put gives a batch back.
+func (p *Pool) Put(b *Batch) { p.free <- b }
 
 // Made returns the number of batches allocated so far.
 func (p *Pool) Made() int { return int(p.made.Load()) }
@@ -113,7 +114,7 @@
 // Release returns the batch to the pool.
 func (r *Reader) Release() {
 	if r.batch != nil {
-		r.pool.put(r.batch)
+		r.pool.Put(r.batch)
 		r.batch = nil
 	}
 }
@@ -121,7 +122,7 @@
 // tryReceive returns false when there is no packet to receive; the batch then
 // goes back to the pool while the reader waits.
 func (r *Reader) tryReceive(fd uintptr) bool {
-	r.batch = r.pool.get()
+	r.batch = r.pool.Get()
 	r.errno = r.batch.receive(fd)
 	if r.errno == 0 {
 		return true
--- a/internal/relay/data.go
+++ b/internal/relay/data.go
@@ -1,111 +1,115 @@
 package relay
 
 import (
-	"context"
+	"errors"
 	"net"
 	"net/netip"
-	"sync/atomic"
+	"time"
 
+	"github.com/bramleycourse/bramleycourse/internal/batch"
 	"github.com/bramleycourse/bramleycourse/internal/connid"
 	"github.com/bramleycourse/bramleycourse/internal/encap"
-	"github.com/bramleycourse/bramleycourse/internal/ident"
 )
 
-const (
-	socketBuffer = 4 << 20
-	// maxPacket covers a 1500-octet MTU and the hop header.
-	maxPacket = 2048
-)
-
-// counters counts packets by outcome.
-type counters struct {
-	established, newFlows, replies         atomic.Uint64
-	malformed, unknownID, noEndpoint       atomic.Uint64
-	foreignNetwork, hopRefused, noSuchPort atomic.Uint64
-}
+// receiveRetryDelay follows a failed read on an open socket.
+const receiveRetryDelay = 10 * time.Millisecond
 
-func (c *counters) values() map[string]uint64 {
-	return map[string]uint64{
-		"established":    c.established.Load(),
-		"newFlows":       c.newFlows.Load(),
-		"replies":        c.replies.Load(),
-		"malformed":      c.malformed.Load(),
-		"unknownID":      c.unknownID.Load(),
-		"noEndpoint":     c.noEndpoint.Load(),
-		"foreignNetwork": c.foreignNetwork.Load(),
-		"hopRefused":     c.hopRefused.Load(),
-		"noSuchPort":     c.noSuchPort.Load(),
+// readBatches hands the batches of a socket to forward until the socket is closed.
+func (b *Balancer) readBatches(c *batch.Conn, forward func(*batch.Batch)) {
+	r := batch.NewReader(c, b.pool)
+	defer r.Release()
+	for {
+		m, err := r.Read()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			b.counts.totals[receiveFailed].Add(1)
+			time.Sleep(receiveRetryDelay)
+			continue
+		}
+		forward(m)
 	}
 }
 
-// port receives the packets of the callers of one service.
-type port struct {
-	service ident.ServiceTag
-	address netip.AddrPort
-	conn    *net.UDPConn
-	done    chan struct{}
+func (b *Balancer) readPort(p *port) {
+	defer close(p.done)
+	f := portPath{b: b, port: p}
+	b.readBatches(p.conn, f.forward)
 }
 
-// openPort starts to receive for a service.
-func (b *Balancer) openPort(tag ident.ServiceTag, a netip.AddrPort) (*port, error) {
-	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
-	if err != nil {
-		return nil, err
-	}
-	c.SetReadBuffer(socketBuffer)
-	p := &port{service: tag, address: a, conn: c, done: make(chan struct{})}
-	go b.readPort(p)
-	return p, nil
+// portPath forwards the packets of one port to agents.
+type portPath struct {
+	b       *Balancer
+	port    *port
+	decoder connid.Decoder
+	head    encap.Header
+	count   batchCount
 }
 
-func (b *Balancer) readPort(p *port) {
-	defer close(p.done)
-	var (
-		buf [encap.MaxSize + maxPacket]byte
-		dec connid.Decoder
-		h   encap.Header
-	)
-	for {
-		n, from, err := p.conn.ReadFromUDPAddrPort(buf[encap.MaxSize:])
-		if err != nil {
-			return
+// forward sends each packet of a batch on behind a hop header.
+func (f *portPath) forward(m *batch.Batch) {
+	now := time.Now().UnixNano()
+	keys := f.b.keys.Load()
+	for i := range m.Len() {
+		f.head.Caller = m.From(i)
+		to, o := f.route(keys, m.Packet(i))
+		if len(m.Packet(i)) > maxPacket {
+			o = tooLong
 		}
-		h.Caller = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
-		to, ok := b.route(p, &dec, &h, buf[encap.MaxSize:encap.MaxSize+n])
-		if !ok {
+		f.count.add(o, f.head.Caller)
+		if o.refused() {
 			continue
 		}
-		start := encap.MaxSize - h.Size()
-		h.Put(b.keys.Load().Current, buf[start:encap.MaxSize+n])
-		b.hop.WriteToUDPAddrPort(buf[start:encap.MaxSize+n], to)
+		if o == newFlow {
+			f.b.noteNewFlow(to, now)
+		}
+		p := m.WithHead(i, f.head.Size())
+		f.head.Put(keys.Current, p)
+		m.Add(p, to)
+	}
+	if n := m.Send(f.b.hop); n > 0 {
+		f.count.counts[sendFailed] += uint32(n)
 	}
+	f.count.flush(&f.b.counts)
 }
 
 // route fills the hop header for a packet and returns the agent's address.
-func (b *Balancer) route(p *port, dec *connid.Decoder, h *encap.Header, packet []byte) (netip.AddrPort, bool) {
+func (f *portPath) route(keys *connid.Set, packet []byte) (netip.AddrPort, outcome) {
 	q, ok := connid.ParseHeader(packet)
 	if !ok {
-		b.counts.malformed.Add(1)
-		return netip.AddrPort{}, false
+		return netip.AddrPort{}, malformed
 	}
-	if t, ok := dec.Decode(b.keys.Load(), q.ID); ok && b.allowed(t.Endpoint.Addr.Addr()) {
-		b.counts.established.Add(1)
-		h.Kind, h.Service, h.Instance, h.Count = encap.Established, t.Service, t.Endpoint.Instance, 0
-		return t.Endpoint.Addr, true
+	refusal := unknownID
+	if t, ok := f.decoder.Decode(keys, q.ID); ok {
+		if t.Service != f.port.service {
+			return netip.AddrPort{}, wrongService
+		}
+		if f.b.allowed(t.Endpoint.Addr.Addr()) {
+			f.head.Kind, f.head.Service = encap.Established, t.Service
+			f.head.Instance, f.head.Count = t.Endpoint.Instance, 0
+			return t.Endpoint.Addr, established
+		}
+		refusal = foreignNetwork
+	} else if keys.Removed(q.ID) {
+		refusal = unknownKey
 	}
 	if !q.Opening {
-		b.counts.unknownID.Add(1)
-		return netip.AddrPort{}, false
+		return netip.AddrPort{}, refusal
 	}
-	b.table.Load().Candidates(p.service, q.ID, h)
+	return f.place(q.ID)
+}
+
+// place fills the hop header for a packet that starts a flow.
+func (f *portPath) place(id []byte) (netip.AddrPort, outcome) {
+	h := &f.head
+	f.b.table.Load().Candidates(f.port.service, id, h)
 	if h.Count == 0 {
-		b.counts.noEndpoint.Add(1)
-		return netip.AddrPort{}, false
+		return netip.AddrPort{}, noEndpoint
 	}
-	b.counts.newFlows.Add(1)
-	h.Kind, h.Service, h.Balancer = encap.NewFlow, p.service, b.hopAddr
+	h.Kind, h.Service, h.Balancer = encap.NewFlow, f.port.service, f.b.hopAddr
 	h.Instance = h.Candidates[0].Endpoint.Instance
-	return h.Candidates[0].Endpoint.Addr, true
+	return h.Candidates[0].Endpoint.Addr, newFlow
 }
 
 func (b *Balancer) allowed(a netip.Addr) bool {
@@ -114,37 +118,5 @@
 			return true
 		}
 	}
-	b.counts.foreignNetwork.Add(1)
 	return false
 }
-
-// readHop forwards the agents' replies to the callers.
-func (b *Balancer) readHop(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { b.hop.Close() })
-	defer stop()
-	var (
-		buf [encap.MaxSize + maxPacket]byte
-		h   encap.Header
-	)
-	for {
-		n, _, err := b.hop.ReadFromUDPAddrPort(buf[:])
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		if err != nil {
-			return err
-		}
-		payload, fault := h.Parse(b.keys.Load(), buf[:n])
-		if fault != encap.FaultNone || h.Kind != encap.Reply {
-			b.counts.hopRefused.Add(1)
-			continue
-		}
-		c := b.portConn(h.Service)
-		if c == nil {
-			b.counts.noSuchPort.Add(1)
-			continue
-		}
-		b.counts.replies.Add(1)
-		c.WriteToUDPAddrPort(payload, h.Caller)
-	}
-}
--- a/internal/relay/member.go
+++ b/internal/relay/member.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -172,7 +171,7 @@
 	}
 	for tag, p := range b.ports {
 		if wanted[tag] != p.address {
-			p.conn.Close()
+			p.close()
 			delete(b.ports, tag)
 		}
 	}
@@ -187,13 +186,5 @@
 		}
 		b.ports[tag] = p
 	}
-}
-
-func (b *Balancer) portConn(tag ident.ServiceTag) *net.UDPConn {
-	b.views.mu.Lock()
-	defer b.views.mu.Unlock()
-	if p := b.ports[tag]; p != nil {
-		return p.conn
-	}
-	return nil
+	b.publishPorts()
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,11 +10,12 @@
 
 	"github.com/juju/errors"
 
+	"github.com/bramleycourse/bramleycourse/internal/batch"
 	"github.com/bramleycourse/bramleycourse/internal/config"
-	"github.com/bramleycourse/bramleycourse/internal/connid"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/plat"
 	"github.com/bramleycourse/bramleycourse/internal/proc"
+	"github.com/bramleycourse/bramleycourse/internal/ring"
 	"github.com/bramleycourse/bramleycourse/internal/route"
 	"github.com/bramleycourse/bramleycourse/pkg/decl"
 )
@@ -24,12 +25,19 @@
 	settings *config.Balancer
 	frame    *proc.Frame
 	client   *plat.Client
-	keys     atomic.Pointer[connid.Set]
+	keys     *config.KeySource
 	table    atomic.Pointer[route.Table]
 	networks []netip.Prefix
-	hop      *net.UDPConn
+	hop      *batch.Conn
 	hopAddr  netip.AddrPort
 	counts   counters
+	pool     *batch.Pool
+	// open is the immutable map of the open ports that the data path reads.
+	open atomic.Pointer[map[ident.ServiceTag]*port]
+	// stats maps hop addresses of agents to their records; the map is immutable.
+	stats    atomic.Pointer[map[netip.AddrPort]*agentStat]
+	draining atomic.Bool
+	events   *ring.Ring[hopEvent]
 
 	// ports is owned by the configuration watch.
 	ports map[ident.ServiceTag]*port
@@ -45,7 +53,7 @@
 
 // New prepares a balancer; it binds the addresses of the settings.
 func New(s *config.Balancer, f *proc.Frame) (*Balancer, error) {
-	keys, err := config.LoadKeys(s.KeysFile)
+	keys, err := config.NewKeySource(s.KeysFile, f.Log)
 	if err != nil {
 		return nil, errors.Annotatef(err, "keys file %s", s.KeysFile)
 	}
@@ -53,9 +61,11 @@
 		settings: s,
 		frame:    f,
 		client:   plat.New(s.Platform.URL, s.Platform.Timeout()),
+		keys:     keys,
+		pool:     newPool(),
+		events:   ring.New[hopEvent](hopEvents),
 		ports:    map[ident.ServiceTag]*port{},
 	}
-	b.keys.Store(keys)
 	b.table.Store(route.NewTable(nil))
 	b.views = newMembership(b)
 	for _, n := range s.AgentNetworks {
@@ -66,12 +76,11 @@
 		b.networks = append(b.networks, p)
 	}
 	a := netip.MustParseAddrPort(s.HopAddress)
-	b.hop, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	b.hop, err = listen(a)
 	if err != nil {
 		return nil, errors.Annotatef(err, "hopAddress")
 	}
-	b.hop.SetReadBuffer(socketBuffer)
-	b.hopAddr = b.hop.LocalAddr().(*net.UDPAddr).AddrPort()
+	b.hopAddr = b.hop.Addr()
 	admin, err := net.Listen("tcp4", s.AdminAddress)
 	if err != nil {
 		return nil, errors.Annotatef(err, "adminAddress")
@@ -80,6 +89,8 @@
 	f.Add("configuration watch", b.watchConfig)
 	f.Add("endpoint watch", b.views.watch)
 	f.Add("hop reader", b.readHop)
+	f.Add("keys file", keys.Run)
+	f.Add("packet counters", b.reportCounts)
 	return b, nil
 }
 
