--- /dev/null
+++ b/internal/ticket/book_test.go
@@ -0,0 +1,188 @@
+package ticket
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	"github.com/bramleycourse/bramleycourse/internal/ident"
+)
+
+func endpoint(port uint16, i ident.Instance) ident.EndpointID {
+	return ident.EndpointID{Addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port), Instance: i}
+}
+
+// TestBook guards the decisions about single tickets against the files in testdata.
+func TestBook(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		l := Limits{Tickets: 3, AnswerBytes: 1000, TotalBytes: 1500, Unused: time.Minute, Keep: time.Minute}
+		mint := NewMint(endpoint(1, 1), []byte("key"))
+		b := NewBook(mint, l)
+		others := map[string]*Mint{
+			"agent":    NewMint(endpoint(2, 1), []byte("key")),
+			"instance": NewMint(endpoint(1, 2), []byte("key")),
+			"mac":      NewMint(endpoint(1, 1), []byte("other")),
+		}
+		start := time.Unix(0, 0)
+		now := start
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var serial, size int
+			var from string
+			d.MaybeScanArgs(t, "serial", &serial)
+			d.MaybeScanArgs(t, "size", &size)
+			d.MaybeScanArgs(t, "from", &from)
+			s := Serial(serial)
+			switch d.Cmd {
+			case "at":
+				var seconds int
+				d.ScanArgs(t, "seconds", &seconds)
+				now = start.Add(time.Duration(seconds) * time.Second)
+				return ""
+			case "issue":
+				_, reason := b.Issue(now)
+				return fmt.Sprintf("last=%d reason=%q", b.last, reason)
+			case "begin":
+				m := mint
+				if from != "" {
+					m = others[from]
+				}
+				return show(b.Begin(now, m.Text(s)))
+			case "text":
+				return show(b.Begin(now, d.Input))
+			case "call":
+				b.Call(s)
+				return ""
+			case "refuse":
+				return fmt.Sprint(b.Refuse(now, s, "queue full"))
+			case "finish":
+				return fmt.Sprint(b.Finish(now, s, &Answer{Status: 200, Body: make([]byte, size)}))
+			case "lose":
+				b.Lose(s)
+				return ""
+			case "size":
+				return fmt.Sprintf("%+v", b.Size())
+			}
+			t.Fatalf("unknown command %q", d.Cmd)
+			return ""
+		})
+	})
+}
+
+func show(d Decision) string {
+	name := map[Action]string{Run: "run", Wait: "wait", Replay: "replay", NotRun: "not-run", Unknown: "unknown"}[d.Action]
+	if d.Answer != nil {
+		return fmt.Sprintf("%s %d octets", name, len(d.Answer.Body))
+	}
+	if d.Reason != "" {
+		return fmt.Sprintf("%s: %s", name, d.Reason)
+	}
+	return name
+}
+
+// model is what callers were told and what the upstream saw.
+type model struct {
+	book               *Book
+	mint               *Mint
+	now                time.Time
+	begun, ran, denied map[Serial]bool
+}
+
+func (m *model) pick(t *rapid.T) Serial {
+	return Serial(rapid.Uint64Range(1, uint64(m.book.last)+1).Draw(t, "serial"))
+}
+
+func (m *model) begin(t *rapid.T) {
+	s := m.pick(t)
+	switch d := m.book.Begin(m.now, m.mint.Text(s)); d.Action {
+	case Run:
+		if m.begun[s] || m.denied[s] {
+			t.Fatalf("serial %d runs again: begun %v, denied %v", s, m.begun[s], m.denied[s])
+		}
+		m.begun[s] = true
+	case NotRun:
+		if m.ran[s] {
+			t.Fatalf("not-run for serial %d, which ran", s)
+		}
+		m.denied[s] = true
+	case Replay:
+		if !m.ran[s] {
+			t.Fatalf("answer for serial %d, which did not run", s)
+		}
+	}
+}
+
+// call stands for the agent, which calls the upstream once for a begun ticket
+// unless it refused it.
+func (m *model) call(t *rapid.T) {
+	s := m.pick(t)
+	if !m.begun[s] || m.ran[s] || m.denied[s] {
+		return
+	}
+	m.book.Call(s)
+	m.ran[s] = true
+}
+
+func (m *model) refuse(t *rapid.T) {
+	s := m.pick(t)
+	if !m.begun[s] || !m.book.Refuse(m.now, s, "queue full") {
+		return
+	}
+	if m.ran[s] {
+		t.Fatalf("serial %d refused after its run", s)
+	}
+	m.denied[s] = true
+}
+
+func (m *model) finish(t *rapid.T) {
+	n := rapid.IntRange(0, 1000).Draw(t, "octets")
+	m.book.Finish(m.now, m.pick(t), &Answer{Status: 200, Body: make([]byte, n)})
+}
+
+func (m *model) lose(t *rapid.T) {
+	if s := m.pick(t); m.begun[s] {
+		m.book.Lose(s)
+	}
+}
+
+// TestAtMostOnce guards R4 and R5 whatever the order of events: a serial runs
+// at most once, not-run is never said of a serial that ran, and a serial that
+// was said not to have run does not run later.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := Limits{Tickets: 6, AnswerBytes: 800, TotalBytes: 1600, Unused: 5 * time.Second, Keep: 5 * time.Second}
+		mint := NewMint(endpoint(1, 1), []byte("key"))
+		m := &model{
+			book: NewBook(mint, l), mint: mint, now: time.Unix(0, 0),
+			begun: map[Serial]bool{}, ran: map[Serial]bool{}, denied: map[Serial]bool{},
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"issue":  func(*rapid.T) { m.book.Issue(m.now) },
+			"begin":  m.begin,
+			"call":   m.call,
+			"refuse": m.refuse,
+			"finish": m.finish,
+			"lose":   m.lose,
+			"advance": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(0, 6).Draw(t, "seconds")) * time.Second)
+			},
+			"": func(t *rapid.T) { checkSize(t, m.book) },
+		})
+	})
+}
+
+// checkSize compares the fill of b with its limits and with its entries.
+func checkSize(t *rapid.T, b *Book) {
+	sum := 0
+	for _, e := range b.known {
+		if e.answer != nil {
+			sum += e.answer.size()
+		}
+	}
+	if have := b.Size(); have.Tickets > b.limits.Tickets || have.Bytes > b.limits.TotalBytes || have.Bytes != sum {
+		t.Fatalf("want at most %+v and %d octets, have %+v", b.limits, sum, have)
+	}
+}
