--- /dev/null
+++ b/internal/admit/flow.go
@@ -0,0 +1,128 @@
+package admit
+
+import (
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/encap"
+)
+
+// Action says what an agent does with a packet that starts a flow.
+type Action uint8
+
+// Actions for packets that start a flow.
+const (
+	// Take hands the packet to the agent's own QUIC server.
+	Take Action = iota + 1
+	// Forward sends the packet to h.Candidates[h.Position].
+	Forward
+	// Refuse tells the caller that the flow is refused.
+	Refuse
+)
+
+// String returns the action as a metric and log value.
+func (a Action) String() string {
+	switch a {
+	case Take:
+		return "take"
+	case Forward:
+		return "forward"
+	case Refuse:
+		return "refuse"
+	}
+	return "none"
+}
+
+// Decide decides on a NewFlow or Placed packet whose client-chosen connection
+// ID is id. For Forward it rewrites h for the next agent. Packets with the
+// same ID get the same decision for a while. A packet is forwarded at most
+// h.Count times: NewFlow only to a higher position, Placed never.
+func (g *Gate) Decide(now time.Time, id []byte, h *encap.Header) Action {
+	g.expire(now)
+	k := newFlowID(id)
+	if d, ok := g.memory.get(now, k); ok && repeat(d, h) {
+		return d.action
+	}
+	own := h.Position
+	d := decision{action: g.decide(now, h)}
+	if d.action == Forward {
+		d.kind, d.target, d.depth = h.Kind, h.Candidates[h.Position].Endpoint, h.Candidates[own].Depth
+	}
+	if d.action == Take {
+		g.opening = append(g.opening, now.Add(expectTime))
+	}
+	g.memory.put(now, k, d)
+	return d.action
+}
+
+func (g *Gate) decide(now time.Time, h *encap.Header) Action {
+	depth := g.Depth(now)
+	if h.Kind == encap.Placed {
+		if depth == encap.MaxDepth {
+			return Refuse
+		}
+		return Take
+	}
+	if depth != encap.MaxDepth && g.load() < g.limits.Slots {
+		return Take
+	}
+	h.Candidates[h.Position].Depth = depth
+	if h.Position+1 < h.Count {
+		pass(h, encap.NewFlow, h.Position+1)
+		return Forward
+	}
+	best := leastLoaded(h)
+	switch {
+	case h.Candidates[best].Depth == encap.MaxDepth:
+		return Refuse
+	case best == h.Position:
+		return Take
+	}
+	pass(h, encap.Placed, best)
+	return Forward
+}
+
+// leastLoaded returns the position of the candidate with the lowest depth. At
+// equal depths the receiver, which is the last, saves a hop.
+func leastLoaded(h *encap.Header) uint8 {
+	best := h.Position
+	for i := range h.Position {
+		if h.Candidates[i].Depth < h.Candidates[best].Depth {
+			best = i
+		}
+	}
+	return best
+}
+
+func pass(h *encap.Header, k encap.Kind, position uint8) {
+	h.Kind = k
+	h.Position = position
+	h.Instance = h.Candidates[position].Endpoint.Instance
+}
+
+// repeat applies a remembered decision to another packet of the flow. It
+// reports false when the decision does not fit the packet: a Placed packet
+// must not be forwarded, and a target that is not a later candidate has been
+// marked down or was chosen by a balancer with another view.
+func repeat(d decision, h *encap.Header) bool {
+	if d.action == Take {
+		return true
+	}
+	if h.Kind == encap.Placed {
+		return false
+	}
+	if d.action == Refuse {
+		return true
+	}
+	for i := range h.Count {
+		if h.Candidates[i].Endpoint != d.target || i == h.Position {
+			continue
+		}
+		if d.kind == encap.NewFlow && i < h.Position {
+			return false
+		}
+		h.Candidates[h.Position].Depth = d.depth
+		pass(h, d.kind, i)
+		return true
+	}
+	return false
+}
