--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -14,11 +14,14 @@
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
+	"github.com/bramleycourse/bramleycourse/internal/admit"
 	"github.com/bramleycourse/bramleycourse/internal/config"
 	"github.com/bramleycourse/bramleycourse/internal/connid"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/plat"
 	"github.com/bramleycourse/bramleycourse/internal/proc"
+	"github.com/bramleycourse/bramleycourse/internal/ticket"
+	"github.com/bramleycourse/bramleycourse/pkg/decl"
 )
 
 // Agent is one agent process.
@@ -31,7 +34,9 @@
 	tag      ident.ServiceTag
 	hop      *hopConn
 	server   *http3.Server
-	requests atomic.Uint64
+	gate     *admission
+	handler  *handler
+	refusals *reasons
 }
 
 // New prepares an agent; it binds the addresses of the settings.
@@ -57,20 +62,48 @@
 	}
 	a.self = ident.EndpointID{Addr: udp.LocalAddr().(*net.UDPAddr).AddrPort(), Instance: ident.NewInstance()}
 	a.hop = newHopConn(a, udp)
+	a.refusals = newReasons(f.Log, f.Scope)
+	a.gate = newAdmission(gateLimits(decl.Limits{}.WithDefaults()), 0)
+	a.handler = newHandler(a)
+	a.Configure(&decl.Declaration{})
 	admin, err := net.Listen("tcp4", s.AdminAddress)
 	if err != nil {
 		return nil, errors.Annotatef(err, "adminAddress")
 	}
 	f.Admin(admin, func() any { return a.State() })
 	a.server = &http3.Server{
-		Handler:   newHandler(a),
-		TLSConfig: http3.ConfigureTLSConfig(&tls.Config{Certificates: []tls.Certificate{cert}}),
+		Handler:        a.handler,
+		MaxHeaderBytes: maxHeaderBytes,
+		TLSConfig:      http3.ConfigureTLSConfig(&tls.Config{Certificates: []tls.Certificate{cert}}),
 	}
 	f.Add("QUIC server", a.serve)
 	f.Add("announcement", a.announce)
 	return a, nil
 }
 
+func newHandler(a *Agent) *handler {
+	h := &handler{
+		gate:      a.gate,
+		desk:      newDesk(a.self),
+		refusals:  a.refusals,
+		requested: func(context.Context) {},
+	}
+	h.upstream = newUpstream(a.settings.Upstream, func(error) {})
+	return h
+}
+
+// Configure puts the agent's service of a declaration in force. A service that
+// the declaration does not hold gets the default limits.
+func (a *Agent) Configure(d *decl.Declaration) {
+	for _, s := range d.Services {
+		if s.Name == a.settings.Service {
+			a.handler.configure(s)
+			return
+		}
+	}
+	a.handler.configure(decl.Service{Name: a.settings.Service})
+}
+
 // Run runs the agent until the context ends.
 func (a *Agent) Run(ctx context.Context) error {
 	a.frame.Log.WithField("endpoint", a.self).Info("agent started")
@@ -78,7 +111,9 @@
 }
 
 const (
-	idleTimeout = 60 * time.Second
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
+	idleTimeout    = 60 * time.Second
 	// packetSize leaves room for the hop header in a 1500-octet MTU.
 	packetSize = 1280
 )
@@ -125,18 +160,24 @@
 
 // State is the state dump of an agent.
 type State struct {
-	Endpoint string            `json:"endpoint"`
-	Service  string            `json:"service"`
-	Requests uint64            `json:"requests"`
-	Counts   map[string]uint64 `json:"counts"`
+	Endpoint  string            `json:"endpoint"`
+	Service   string            `json:"service"`
+	Requests  uint64            `json:"requests"`
+	Admission admit.Stats       `json:"admission"`
+	Tickets   ticket.Size       `json:"tickets"`
+	Refused   map[string]uint64 `json:"refused"`
+	Counts    map[string]uint64 `json:"counts"`
 }
 
 // State returns the current state dump.
 func (a *Agent) State() State {
 	return State{
-		Endpoint: a.self.String(),
-		Service:  a.settings.Service,
-		Requests: a.requests.Load(),
-		Counts:   a.hop.values(),
+		Endpoint:  a.self.String(),
+		Service:   a.settings.Service,
+		Requests:  a.handler.requests.Load(),
+		Admission: a.gate.stats(),
+		Tickets:   a.handler.desk.size(),
+		Refused:   a.refusals.values(),
+		Counts:    a.hop.values(),
 	}
 }
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -1,66 +1,226 @@
 package agent
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"path"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 
+	"github.com/bramleycourse/bramleycourse/internal/admit"
 	"github.com/bramleycourse/bramleycourse/internal/hdrs"
+	"github.com/bramleycourse/bramleycourse/pkg/decl"
 )
 
-// handler passes requests on to the upstream.
+// Reasons of refusals and failures, besides the verdicts of the gate.
+const (
+	reasonTarget      = "request target is not a path"
+	reasonTimeout     = "timeout header is invalid"
+	reasonBody        = "request body too long"
+	reasonMethod      = "method not allowed"
+	reasonUnreachable = "upstream unreachable"
+	reasonFailed      = "upstream call failed"
+	reasonLate        = "deadline passed"
+	reasonBrokenOff   = "answer broken off"
+)
+
+// queueLimit bounds the wait for a slot of a request without a deadline.
+const queueLimit = 30 * time.Second
+
+// handler admits requests and passes them on to the upstream.
 type handler struct {
-	agent    *Agent
-	upstream *http.Client
+	upstream *upstream
+	gate     *admission
+	desk     *desk
+	refusals *reasons
+	// service is the declared service; replaced when a configuration comes into force.
+	service atomic.Pointer[decl.Service]
+	// requested is called with the context of each request.
+	requested func(ctx context.Context)
+	requests  atomic.Uint64
 }
 
-func newHandler(a *Agent) *handler {
-	return &handler{agent: a, upstream: &http.Client{
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+// configure puts a declared service in force.
+func (h *handler) configure(s decl.Service) {
+	s.Limits = s.Limits.WithDefaults()
+	h.service.Store(&s)
+	h.gate.setLimits(gateLimits(s.Limits))
 }
 
-// ServeHTTP calls the upstream and copies its answer. An answer that the
-// upstream breaks off is broken off towards the caller too.
+func gateLimits(l decl.Limits) admit.Limits {
+	return admit.Limits{Slots: l.Slots, Queue: l.Queue, Connections: l.Connections}
+}
+
+// ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.agent.requests.Add(1)
-	resp, err := h.call(r)
+	h.requests.Add(1)
+	h.requested(r.Context())
+	if !strings.HasPrefix(r.URL.RequestURI(), "/") || r.Method == http.MethodConnect {
+		h.refuse(w, http.StatusBadRequest, reasonTarget)
+		return
+	}
+	d, ok := timeout(r)
+	if !ok {
+		h.refuse(w, http.StatusBadRequest, reasonTimeout)
+		return
+	}
+	var deadline time.Time
+	if d > 0 {
+		deadline = time.Now().Add(d)
+	}
+	switch {
+	case r.URL.Path == hdrs.TicketPath:
+		h.issue(w, r)
+	case r.Header.Get(hdrs.Ticket) != "":
+		h.serveTicket(w, r, deadline)
+	default:
+		h.serve(w, r, deadline)
+	}
+}
+
+// serve runs a request that may be repeated by its caller's own judgement.
+func (h *handler) serve(w http.ResponseWriter, r *http.Request, deadline time.Time) {
+	o, ok := h.outgoing(w, r, deadline, false)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	if !deadline.IsZero() {
+		late := time.AfterFunc(time.Until(deadline), func() { cancel(context.DeadlineExceeded) })
+		defer late.Stop()
+	}
+	if !h.streams(r.URL.Path) {
+		if v := h.enter(ctx, deadline); v != admit.Run {
+			h.refuse(w, http.StatusServiceUnavailable, string(v))
+			return
+		}
+		defer h.gate.leave()
+	}
+	resp, err := h.upstream.call(ctx, o)
 	if err != nil {
-		w.Header().Set(hdrs.Outcome, hdrs.Unknown)
-		w.Header().Set(hdrs.Reason, "upstream call failed")
-		w.WriteHeader(http.StatusBadGateway)
+		h.fail(w, ctx, err)
 		return
 	}
 	defer resp.Body.Close()
-	for k, v := range resp.Header {
-		w.Header()[k] = v
+	h.answer(w, resp)
+}
+
+// outgoing prepares the request to the upstream. If it returns false, the
+// request was answered or its caller has left.
+func (h *handler) outgoing(w http.ResponseWriter, r *http.Request, deadline time.Time, whole bool) (*outgoing, bool) {
+	body, n, err := requestBody(r, h.service.Load().Limits.RequestBytes, whole)
+	var tooLong *bodySizeError
+	if errors.As(err, &tooLong) {
+		h.refuse(w, http.StatusRequestEntityTooLarge, reasonBody)
+		return nil, false
 	}
-	w.WriteHeader(resp.StatusCode)
-	if err := copyFlush(w, resp.Body); err != nil {
+	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	return &outgoing{
+		method: r.Method, uri: r.URL.RequestURI(), host: r.Host,
+		header: requestHeader(r, deadline, time.Now()),
+		body:   body, length: n,
+	}, true
 }
 
-func (h *handler) call(r *http.Request) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(r.Context(), r.Method, h.agent.settings.Upstream+r.URL.RequestURI(), r.Body)
-	if err != nil {
-		return nil, errors.Trace(err)
+// enter waits for a slot; a request without a deadline waits for queueLimit.
+func (h *handler) enter(ctx context.Context, deadline time.Time) admit.Verdict {
+	if deadline.IsZero() {
+		deadline = time.Now().Add(queueLimit)
 	}
-	req.ContentLength = r.ContentLength
-	for k, v := range r.Header {
-		req.Header[k] = v
+	return h.gate.enter(ctx, deadline)
+}
+
+// streams says whether a path holds no slot. The path is cleaned first, so
+// that dot segments do not lead around the slots.
+func (h *handler) streams(p string) bool {
+	c := path.Clean(p)
+	if strings.HasSuffix(p, "/") && c != "/" {
+		c += "/"
 	}
-	return h.upstream.Do(req)
+	for _, prefix := range h.service.Load().StreamPaths {
+		if strings.HasPrefix(c, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// refuse answers a request for which the upstream was not called.
+func (h *handler) refuse(w http.ResponseWriter, status int, reason string) {
+	h.refusals.add("notRun", reason)
+	own(w, status, hdrs.NotRun, reason)
+}
+
+// unknown answers a request that the upstream may have run.
+func (h *handler) unknown(w http.ResponseWriter, status int, reason string) {
+	h.refusals.add("unknown", reason)
+	own(w, status, hdrs.Unknown, reason)
+}
+
+// own writes an answer of the system itself.
+func own(w http.ResponseWriter, status int, outcome, reason string) {
+	w.Header().Set(hdrs.Outcome, outcome)
+	w.Header().Set(hdrs.Reason, reason)
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
+
+// fail answers a request whose call of the upstream failed.
+func (h *handler) fail(w http.ResponseWriter, ctx context.Context, err error) {
+	var c *callError
+	if errors.As(err, &c) && !c.called {
+		h.refuse(w, http.StatusServiceUnavailable, notCalledReason(ctx))
+		return
+	}
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		h.unknown(w, http.StatusGatewayTimeout, reasonLate)
+		return
+	}
+	h.unknown(w, http.StatusBadGateway, reasonFailed)
+}
+
+func notCalledReason(ctx context.Context) string {
+	if ctx.Err() != nil {
+		return string(admit.Deadline)
+	}
+	return reasonUnreachable
+}
+
+// answer copies an answer of the upstream. One that breaks off is broken off
+// towards the caller too, so that it never looks complete.
+func (h *handler) answer(w http.ResponseWriter, resp *http.Response) {
+	writeHeader(w, resp.StatusCode, answerHeader(resp.Header))
+	if err := copyFlush(w, resp.Body); err != nil {
+		h.refusals.add("reset", reasonBrokenOff)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func writeHeader(w http.ResponseWriter, status int, h http.Header) {
+	for k, v := range h {
+		w.Header()[k] = v
+	}
+	w.WriteHeader(status)
 }
 
 const copySize = 16 << 10
 
+var copyBuffers = sync.Pool{New: func() any { return new([copySize]byte) }}
+
 func copyFlush(w http.ResponseWriter, r io.Reader) error {
-	b := make([]byte, copySize)
+	b := copyBuffers.Get().(*[copySize]byte)
+	defer copyBuffers.Put(b)
 	c := http.NewResponseController(w)
 	for {
-		n, err := r.Read(b)
+		n, err := r.Read(b[:])
 		if n > 0 {
 			if _, err := w.Write(b[:n]); err != nil {
 				return err
--- /dev/null
+++ b/internal/agent/handler_test.go
@@ -0,0 +1,416 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bramleycourse/bramleycourse/internal/certs"
+	"github.com/bramleycourse/bramleycourse/internal/hdrs"
+	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/pkg/decl"
+)
+
+func quietLog() *logrus.Entry {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return logrus.NewEntry(l)
+}
+
+// serverTLS returns the TLS settings of a server and of its callers.
+func serverTLS(t testing.TB) (server, caller *tls.Config) {
+	t.Helper()
+	ca, err := certs.NewAuthority(time.Hour)
+	must(t, err)
+	certFile, keyFile, err := ca.IssueFiles(t.TempDir(), "service")
+	must(t, err)
+	cert, err := tls.LoadX509KeyPair(certFile, keyFile)
+	must(t, err)
+	server = http3.ConfigureTLSConfig(&tls.Config{Certificates: []tls.Certificate{cert}})
+	return server, &tls.Config{RootCAs: ca.Pool(), ServerName: "localhost"}
+}
+
+func must(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// front is a handler behind a real HTTP/3 server.
+type front struct {
+	t       *testing.T
+	handler *handler
+	client  *http.Client
+	base    string
+}
+
+func newFront(t *testing.T, upstreamURL string, s decl.Service) *front {
+	h := &handler{
+		gate:      newAdmission(gateLimits(s.Limits.WithDefaults()), 0),
+		desk:      newDesk(ident.EndpointID{Addr: netip.MustParseAddrPort("127.0.0.1:1"), Instance: 1}),
+		refusals:  newReasons(quietLog(), tally.NoopScope),
+		upstream:  newUpstream(upstreamURL, func(error) {}),
+		requested: func(context.Context) {},
+	}
+	h.configure(s)
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	must(t, err)
+	server, caller := serverTLS(t)
+	srv := &http3.Server{Handler: h, TLSConfig: server, MaxHeaderBytes: maxHeaderBytes}
+	go srv.Serve(conn)
+	tr := &http3.Transport{TLSClientConfig: caller, QUICConfig: &quic.Config{}}
+	t.Cleanup(func() {
+		tr.Close()
+		srv.Close()
+		conn.Close()
+	})
+	return &front{t: t, handler: h, client: &http.Client{Transport: tr}, base: "https://" + conn.LocalAddr().String()}
+}
+
+// result is an answer as a caller sees it.
+type result struct {
+	status          int
+	outcome, reason string
+	body            string
+	err             error
+}
+
+// do sends a request; header holds pairs of names and values.
+func (f *front) do(ctx context.Context, method, path string, body io.Reader, header ...string) result {
+	req, err := http.NewRequestWithContext(ctx, method, f.base+path, body)
+	if err != nil {
+		return result{err: err}
+	}
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return result{err: err}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return result{resp.StatusCode, resp.Header.Get(hdrs.Outcome), resp.Header.Get(hdrs.Reason), string(b), err}
+}
+
+func (f *front) ticket() string {
+	f.t.Helper()
+	r := f.do(f.t.Context(), http.MethodPost, hdrs.TicketPath, nil)
+	var a ticketAnswer
+	if r.err != nil || r.status != http.StatusCreated || json.Unmarshal([]byte(r.body), &a) != nil {
+		f.t.Fatalf("want a ticket, have %+v", r)
+	}
+	return a.Ticket
+}
+
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not within 10 s: %s", what)
+}
+
+// fickleUpstream answers the first request of each connection and closes the
+// connection after it has read the second, as an upstream does that ends its
+// idle connections. With closeFirst it never answers. It returns the number of
+// requests that it read.
+func fickleUpstream(t *testing.T, closeFirst bool) (string, *atomic.Int64) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	must(t, err)
+	t.Cleanup(func() { l.Close() })
+	var seen atomic.Int64
+	serve := func(c net.Conn) {
+		defer c.Close()
+		r := bufio.NewReader(c)
+		for n := 0; ; n++ {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, req.Body)
+			seen.Add(1)
+			if n > 0 || closeFirst {
+				return
+			}
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return "http://" + l.Addr().String(), &seen
+}
+
+// TestUpstreamCalledOnce guards against requests that net/http sends again by
+// itself when a connection ends before the answer.
+func TestUpstreamCalledOnce(t *testing.T) {
+	for _, closeFirst := range []bool{false, true} {
+		url, seen := fickleUpstream(t, closeFirst)
+		f := newFront(t, url, decl.Service{})
+		for i, method := range []string{"GET", "GET", "PUT", "PUT", "DELETE", "POST", "POST", "GET"} {
+			var body io.Reader
+			if method == "PUT" || method == "POST" {
+				body = strings.NewReader("x")
+			}
+			r := f.do(t.Context(), method, "/", body, "Idempotency-Key", "1")
+			want := result{status: 200, body: "ok"}
+			if closeFirst {
+				want = result{status: 502, outcome: hdrs.Unknown, reason: reasonFailed}
+			}
+			if r != want {
+				t.Errorf("%s: want %+v, have %+v", method, want, r)
+			}
+			if have := seen.Load(); have != int64(i+1) {
+				t.Fatalf("closeFirst %v: requests at the upstream after %s: want %d, have %d", closeFirst, method, i+1, have)
+			}
+		}
+	}
+}
+
+// testUpstream is an upstream with one path for each behaviour.
+type testUpstream struct {
+	calls   atomic.Int64
+	release chan struct{}
+	mu      sync.Mutex
+	header  http.Header
+}
+
+func (u *testUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	u.calls.Add(1)
+	u.mu.Lock()
+	u.header = r.Header.Clone()
+	u.mu.Unlock()
+	switch r.URL.Path {
+	case "/hold", "/feeds/hold":
+		select {
+		case <-u.release:
+		case <-r.Context().Done():
+		}
+	case "/cut":
+		w.Header().Set("Content-Length", "100")
+		io.WriteString(w, "part")
+		http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	case "/long":
+		w.Write(make([]byte, 200<<10))
+		return
+	case "/forge":
+		w.Header().Set(hdrs.Outcome, hdrs.NotRun)
+		w.Header().Set("Connection", "X-Private")
+		w.Header().Set("X-Private", "1")
+	}
+	io.Copy(w, r.Body)
+}
+
+func newTestUpstream(t *testing.T) (*testUpstream, string) {
+	u := &testUpstream{release: make(chan struct{})}
+	srv := httptest.NewServer(u)
+	t.Cleanup(srv.Close)
+	return u, srv.URL
+}
+
+// onlyReader hides the length of a body.
+type onlyReader struct{ io.Reader }
+
+// TestOutcomes guards what callers are told, and that the upstream was called
+// exactly when they are not told not-run (R4).
+func TestOutcomes(t *testing.T) {
+	u, url := newTestUpstream(t)
+	f := newFront(t, url, decl.Service{StreamPaths: []string{"/feeds/"}, Limits: decl.Limits{RequestBytes: 100 << 10}})
+	long, big := strings.Repeat("x", 100<<10+1), strings.Repeat("x", 100<<10)
+	for _, c := range []struct {
+		name, method, path string
+		body               io.Reader
+		header             []string
+		want               result
+		calls              int64
+	}{
+		{"body", "POST", "/", strings.NewReader("abc"), nil, result{status: 200, body: "abc"}, 1},
+		{"longest body", "POST", "/", strings.NewReader(big), nil, result{status: 200, body: big}, 1},
+		{"longest body of unknown length", "POST", "/", onlyReader{strings.NewReader(big)}, nil, result{status: 200, body: big}, 1},
+		{"body too long", "POST", "/", strings.NewReader(long), nil, result{status: 413, outcome: hdrs.NotRun, reason: reasonBody}, 0},
+		{"deadline", "GET", "/hold", nil, []string{hdrs.Timeout, "50"}, result{status: 504, outcome: hdrs.Unknown, reason: reasonLate}, 1},
+		{"timeout header", "GET", "/", nil, []string{hdrs.Timeout, "soon"}, result{status: 400, outcome: hdrs.NotRun, reason: reasonTimeout}, 0},
+		{"forged outcome", "GET", "/forge", nil, nil, result{status: 200}, 1},
+		{"unknown ticket", "POST", "/", nil, []string{hdrs.Ticket, "x"}, result{status: 409, outcome: hdrs.Unknown, reason: "ticket malformed"}, 0},
+		{"ticket by GET", "GET", hdrs.TicketPath, nil, nil, result{status: 405, outcome: hdrs.NotRun, reason: reasonMethod}, 0},
+	} {
+		before := u.calls.Load()
+		if have := f.do(t.Context(), c.method, c.path, c.body, c.header...); have != c.want {
+			t.Errorf("%s: want %.200v, have %.200v", c.name, c.want, have)
+		}
+		if have := u.calls.Load() - before; have != c.calls {
+			t.Errorf("%s: calls of the upstream: want %d, have %d", c.name, c.calls, have)
+		}
+	}
+	// A reset stream may lose what was sent before it.
+	if r := f.do(t.Context(), "GET", "/cut", nil); r.err == nil || !strings.HasPrefix("part", r.body) {
+		t.Errorf("answer that breaks off: want an error after at most %q, have %+v", "part", r)
+	}
+	if r := f.do(t.Context(), "GET", "/", nil, "X-Long", strings.Repeat("x", 2*maxHeaderBytes)); r.err == nil && r.status != 431 {
+		t.Errorf("header above the limit: want an error or 431, have %+v", r)
+	}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	must(t, err)
+	l.Close()
+	f = newFront(t, "http://"+l.Addr().String(), decl.Service{})
+	want := result{status: 503, outcome: hdrs.NotRun, reason: reasonUnreachable}
+	if have := f.do(t.Context(), "GET", "/", nil); have != want {
+		t.Errorf("upstream that cannot be reached: want %+v, have %+v", want, have)
+	}
+}
+
+// TestForwardedHeader guards against a caller that claims another address, and
+// against fields of one hop that reach the next.
+func TestForwardedHeader(t *testing.T) {
+	u, url := newTestUpstream(t)
+	f := newFront(t, url, decl.Service{})
+	r := f.do(t.Context(), "GET", "/forge", nil, "X-Forwarded-For", "1.2.3.4", "Forwarded", "for=1.2.3.4",
+		"X-Real-Ip", "1.2.3.4", "X-Kept", "1", hdrs.Timeout, "60000")
+	if r.status != 200 {
+		t.Fatalf("want status 200, have %+v", r)
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for name, want := range map[string]string{
+		"X-Forwarded-For": "127.0.0.1", "X-Forwarded-Proto": "https", "X-Forwarded-Host": strings.TrimPrefix(f.base, "https://"),
+		"Forwarded": "", "X-Real-Ip": "", "X-Kept": "1",
+	} {
+		if have := u.header.Get(name); have != want {
+			t.Errorf("%s at the upstream: want %q, have %q", name, want, have)
+		}
+	}
+	if have := u.header.Get(hdrs.Timeout); len(have) != len("59999") || have > "60000" {
+		t.Errorf("%s at the upstream: want less than 60000, have %q", hdrs.Timeout, have)
+	}
+}
+
+// TestSlots guards the order of admission: a full slot makes the next request
+// wait, a full queue refuses it, and feeds need no slot.
+func TestSlots(t *testing.T) {
+	u, url := newTestUpstream(t)
+	f := newFront(t, url, decl.Service{StreamPaths: []string{"/feeds/"}, Limits: decl.Limits{Slots: 1, Queue: 1}})
+	results := make(chan result, 3)
+	get := func(path string) { results <- f.do(t.Context(), "GET", path, nil) }
+	go get("/hold")
+	eventually(t, "first request running", func() bool { return u.calls.Load() == 1 })
+	go get("/hold")
+	eventually(t, "second request waiting", func() bool { return f.handler.gate.stats().Queued == 1 })
+	for path, want := range map[string]result{
+		"/":                   {status: 503, outcome: hdrs.NotRun, reason: "queueFull"},
+		"/feeds/../":          {status: 503, outcome: hdrs.NotRun, reason: "queueFull"},
+		"/feeds/%2e%2e/other": {status: 503, outcome: hdrs.NotRun, reason: "queueFull"},
+		"/feeds/prices":       {status: 200},
+	} {
+		if have := f.do(t.Context(), "GET", path, nil); have != want {
+			t.Errorf("%s with a full queue: want %+v, have %+v", path, want, have)
+		}
+	}
+	go get("/feeds/hold")
+	eventually(t, "feed running", func() bool { return u.calls.Load() == 3 })
+	close(u.release)
+	for range 3 {
+		if r := <-results; r.status != 200 {
+			t.Errorf("want status 200, have %+v", r)
+		}
+	}
+	eventually(t, "slots free", func() bool { return f.handler.gate.stats().Running == 0 })
+}
+
+// TestTickets guards R5: concurrent repetitions, a caller that leaves and a
+// long answer each lead to one run.
+func TestTickets(t *testing.T) {
+	u, url := newTestUpstream(t)
+	f := newFront(t, url, decl.Service{})
+	post := func(ctx context.Context, path, text string) result {
+		return f.do(ctx, "POST", path, strings.NewReader("x"), hdrs.Ticket, text)
+	}
+	text := f.ticket()
+	ctx, leave := context.WithCancel(t.Context())
+	left := make(chan result)
+	go func() { left <- post(ctx, "/hold", text) }()
+	eventually(t, "request running", func() bool { return u.calls.Load() == 1 })
+	leave()
+	if r := <-left; !errors.Is(r.err, context.Canceled) {
+		t.Fatalf("want the caller to leave, have %+v", r)
+	}
+	var wait sync.WaitGroup
+	have := make([]result, 10)
+	for i := range have {
+		wait.Go(func() { have[i] = post(t.Context(), "/hold", text) })
+	}
+	eventually(t, "repetitions received", func() bool { return f.handler.requests.Load() == 12 })
+	close(u.release)
+	wait.Wait()
+	have = append(have, post(t.Context(), "/hold", text))
+	for i, r := range have {
+		if want := (result{status: 200, body: "x"}); r != want {
+			t.Errorf("repetition %d: want %+v, have %+v", i, want, r)
+		}
+	}
+	text = f.ticket()
+	if r := post(t.Context(), "/long", text); r.status != 200 || len(r.body) != 200<<10 {
+		t.Errorf("long answer: want 200 with 204800 octets, have %d with %d", r.status, len(r.body))
+	}
+	want := result{status: 409, outcome: hdrs.Unknown, reason: "ticket no longer stored"}
+	if r := post(t.Context(), "/long", text); r != want {
+		t.Errorf("repetition of a long answer: want %+v, have %+v", want, r)
+	}
+	if n := u.calls.Load(); n != 2 {
+		t.Errorf("calls of the upstream: want 2, have %d", n)
+	}
+}
+
+// TestTicketRefusal guards R4 for tickets: a refusal uses the ticket up, and
+// the request does not run when it is repeated later.
+func TestTicketRefusal(t *testing.T) {
+	u, url := newTestUpstream(t)
+	f := newFront(t, url, decl.Service{Limits: decl.Limits{Slots: 1, Queue: 1}})
+	text := f.ticket()
+	held := make(chan result, 2)
+	for range 2 {
+		go func() { held <- f.do(t.Context(), "GET", "/hold", nil) }()
+	}
+	eventually(t, "queue full", func() bool { s := f.handler.gate.stats(); return s.Running == 1 && s.Queued == 1 })
+	want := result{status: 503, outcome: hdrs.NotRun, reason: "queueFull"}
+	for i := range 2 {
+		if r := f.do(t.Context(), "POST", "/", nil, hdrs.Ticket, text); r != want {
+			t.Errorf("attempt %d: want %+v, have %+v", i, want, r)
+		}
+		if i == 0 {
+			close(u.release)
+			<-held
+			<-held
+		}
+	}
+	if n := u.calls.Load(); n != 2 {
+		t.Errorf("calls of the upstream: want 2, have %d", n)
+	}
+}
