--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -57,30 +57,6 @@
 	Platform Platform `json:"platform"`
 }
 
-// Agent holds the settings of an agent.
-type Agent struct {
-	// Service is the name of the service that the upstream belongs to; not empty.
-	Service string `json:"service"`
-	// Place is the agent's availability zone; not empty.
-	Place string `json:"place"`
-	// Group labels the upstream for weighted shares; may be empty.
-	Group string `json:"group"`
-	// HopAddress is the UDP address for the hop from the balancers, IPv4 "ip:port".
-	HopAddress string `json:"hopAddress"`
-	// AdminAddress is the TCP address of the admin server, "ip:port".
-	AdminAddress string `json:"adminAddress"`
-	// Upstream is the base URL of the upstream on this VM; not empty.
-	Upstream string `json:"upstream"`
-	// Balancers lists peer addresses of balancers to begin with.
-	Balancers []string `json:"balancers"`
-	// CertFile and KeyFile hold the certificate shown to callers, PEM.
-	CertFile string `json:"certFile"`
-	KeyFile  string `json:"keyFile"`
-	// KeysFile is the path of the keys file; not empty.
-	KeysFile string   `json:"keysFile"`
-	Platform Platform `json:"platform"`
-}
-
 func load(path string, v any) error {
 	b, err := os.ReadFile(path)
 	if err != nil {
@@ -131,23 +107,6 @@
 	return &b, b.Platform.check()
 }
 
-// LoadAgent reads and checks the settings of an agent.
-func LoadAgent(path string) (*Agent, error) {
-	var a Agent
-	if err := load(path, &a); err != nil {
-		return nil, err
-	}
-	for _, f := range []struct{ path, value string }{
-		{"hopAddress", a.HopAddress},
-		{"adminAddress", a.AdminAddress},
-	} {
-		if err := checkAddr(f.path, f.value); err != nil {
-			return nil, err
-		}
-	}
-	return &a, a.Platform.check()
-}
-
 // Timeout returns the bound on one call.
 func (p *Platform) Timeout() time.Duration {
 	return time.Duration(p.RequestTimeoutMillis) * time.Millisecond
