--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -7,11 +7,8 @@
 	"crypto/tls"
 	"net"
 	"net/netip"
-	"sync/atomic"
-	"time"
 
 	"github.com/juju/errors"
-	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
 	"github.com/bramleycourse/bramleycourse/internal/admit"
@@ -20,6 +17,7 @@
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/plat"
 	"github.com/bramleycourse/bramleycourse/internal/proc"
+	"github.com/bramleycourse/bramleycourse/internal/reply"
 	"github.com/bramleycourse/bramleycourse/internal/ticket"
 	"github.com/bramleycourse/bramleycourse/pkg/decl"
 )
@@ -29,7 +27,8 @@
 	settings *config.Agent
 	frame    *proc.Frame
 	client   *plat.Client
-	keys     *connid.Set
+	// keys returns the accepted keys; it is safe for concurrent use.
+	keys     func() *connid.Set
 	self     ident.EndpointID
 	tag      ident.ServiceTag
 	hop      *hopConn
@@ -53,7 +52,7 @@
 		settings: s,
 		frame:    f,
 		client:   plat.New(s.Platform.URL, s.Platform.Timeout()),
-		keys:     keys,
+		keys:     func() *connid.Set { return keys },
 		tag:      ident.TagOf(ident.ServiceName(s.Service)),
 	}
 	udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(s.HopAddress)))
@@ -61,9 +60,9 @@
 		return nil, errors.Annotatef(err, "hopAddress")
 	}
 	a.self = ident.EndpointID{Addr: udp.LocalAddr().(*net.UDPAddr).AddrPort(), Instance: ident.NewInstance()}
-	a.hop = newHopConn(a, udp)
+	a.hop = newHopConn(a, udp, replyPolicy(s))
 	a.refusals = newReasons(f.Log, f.Scope)
-	a.gate = newAdmission(gateLimits(decl.Limits{}.WithDefaults()), 0)
+	a.gate = newAdmission(gateLimits(decl.Limits{}.WithDefaults()), s.SlowStart())
 	a.handler = newHandler(a)
 	a.Configure(&decl.Declaration{})
 	admin, err := net.Listen("tcp4", s.AdminAddress)
@@ -74,19 +73,29 @@
 	a.server = &http3.Server{
 		Handler:        a.handler,
 		MaxHeaderBytes: maxHeaderBytes,
+		IdleTimeout:    emptyTimeout,
 		TLSConfig:      http3.ConfigureTLSConfig(&tls.Config{Certificates: []tls.Certificate{cert}}),
 	}
 	f.Add("QUIC server", a.serve)
+	f.Add("slow start", a.gate.warm)
+	f.Add("balancer pings", a.hop.ping)
 	f.Add("announcement", a.announce)
 	return a, nil
 }
 
+func replyPolicy(s *config.Agent) reply.Policy {
+	if s.ReplyPolicy == config.ReplyPerPacket {
+		return reply.PerPacket
+	}
+	return reply.PerCaller
+}
+
 func newHandler(a *Agent) *handler {
 	h := &handler{
 		gate:      a.gate,
 		desk:      newDesk(a.self),
 		refusals:  a.refusals,
-		requested: func(context.Context) {},
+		requested: a.flowRequested,
 	}
 	h.upstream = newUpstream(a.settings.Upstream, func(error) {})
 	return h
@@ -104,33 +113,19 @@
 	a.handler.configure(decl.Service{Name: a.settings.Service})
 }
 
+// serving says whether the agent takes new work.
+func (a *Agent) serving() bool { return !a.gate.stats().Draining }
+
 // Run runs the agent until the context ends.
 func (a *Agent) Run(ctx context.Context) error {
 	a.frame.Log.WithField("endpoint", a.self).Info("agent started")
 	return a.frame.Run(ctx)
 }
 
-const (
-	// maxHeaderBytes bounds the header of a request.
-	maxHeaderBytes = 64 << 10
-	idleTimeout    = 60 * time.Second
-	// packetSize leaves room for the hop header in a 1500-octet MTU.
-	packetSize = 1280
-)
-
 func (a *Agent) serve(ctx context.Context) error {
-	reset := quic.StatelessResetKey(a.keys.Current.ResetKey)
-	t := &quic.Transport{
-		Conn:                  a.hop,
-		ConnectionIDGenerator: &idSource{agent: a},
-		StatelessResetKey:     &reset,
-	}
+	t := a.transport()
 	defer t.Close()
-	l, err := t.ListenEarly(a.server.TLSConfig, &quic.Config{
-		MaxIdleTimeout:          idleTimeout,
-		InitialPacketSize:       packetSize,
-		DisablePathMTUDiscovery: true,
-	})
+	l, err := t.ListenEarly(a.server.TLSConfig, quicConfig())
 	if err != nil {
 		return err
 	}
@@ -143,21 +138,6 @@
 	return err
 }
 
-// idSource makes connection IDs that name the agent.
-type idSource struct {
-	agent   *Agent
-	counter atomic.Uint32
-}
-
-// GenerateConnectionID implements quic.ConnectionIDGenerator.
-func (s *idSource) GenerateConnectionID() (quic.ConnectionID, error) {
-	id := s.agent.keys.Encode(connid.Target{Endpoint: s.agent.self, Service: s.agent.tag}, s.counter.Add(1))
-	return quic.ConnectionIDFromBytes(id[:]), nil
-}
-
-// ConnectionIDLen implements quic.ConnectionIDGenerator.
-func (s *idSource) ConnectionIDLen() int { return connid.Size }
-
 // State is the state dump of an agent.
 type State struct {
 	Endpoint  string            `json:"endpoint"`
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -6,8 +6,12 @@
 	"time"
 
 	"github.com/bramleycourse/bramleycourse/internal/admit"
+	"github.com/bramleycourse/bramleycourse/internal/encap"
 )
 
+// slowStartStep is how often the usable slots are raised during a slow start.
+const slowStartStep = 100 * time.Millisecond
+
 // admission guards the gate with one mutex and lets requests wait for it.
 type admission struct {
 	mu   sync.Mutex
@@ -45,6 +49,29 @@
 	a.gate.SetLimits(now, a.usable(now))
 }
 
+// warm raises the usable slots until the slow start is over.
+func (a *admission) warm(ctx context.Context) error {
+	t := time.NewTicker(slowStartStep)
+	defer t.Stop()
+	for a.step() {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (a *admission) step() (more bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	a.gate.SetLimits(now, a.usable(now))
+	return now.Sub(a.started) < a.slowStart
+}
+
 // enter waits for a slot. After admit.Run the caller must call leave. When the
 // context ends first the verdict is admit.Deadline.
 func (a *admission) enter(ctx context.Context, deadline time.Time) admit.Verdict {
@@ -81,8 +108,40 @@
 	a.gate.Finish(a.now())
 }
 
+func (a *admission) setDraining() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.gate.SetDraining(true)
+}
+
+func (a *admission) decide(id []byte, h *encap.Header) admit.Action {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.gate.Decide(a.now(), id, h)
+}
+
+// flow reports an event of a flow to the gate.
+func (a *admission) flow(event func(*admit.Gate, time.Time)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	event(a.gate, a.now())
+}
+
 func (a *admission) stats() admit.Stats {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.gate.Stats(a.now())
 }
+
+// openFlow counts a new flow unless the agent takes none.
+func (a *admission) openFlow() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	s := a.gate.Stats(now)
+	if s.Draining || s.Connections >= a.limits.Connections {
+		return false
+	}
+	a.gate.FlowOpened(now)
+	return true
+}
--- a/internal/agent/hop.go
+++ b/internal/agent/hop.go
@@ -1,106 +1,231 @@
 package agent
 
 import (
+	"errors"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/bramleycourse/bramleycourse/internal/admit"
+	"github.com/bramleycourse/bramleycourse/internal/connid"
 	"github.com/bramleycourse/bramleycourse/internal/encap"
+	"github.com/bramleycourse/bramleycourse/internal/reply"
 )
 
 const (
 	socketBuffer = 4 << 20
 	maxPacket    = 2048
+	// maxCallers bounds the cache of caller addresses.
+	maxCallers = 8192
 )
 
 // hopConn is the net.PacketConn under the QUIC server. It unwraps packets from
-// balancers, checks service and instance, and wraps replies.
+// balancers, checks service and instance, places new flows and wraps replies.
+// ReadFrom is called by one goroutine.
 type hopConn struct {
 	agent *Agent
 	udp   *net.UDPConn
-	// last is the balancer that delivered most recently.
-	last atomic.Pointer[netip.AddrPort]
+	// callers caches the addresses that ReadFrom returns, which quic-go keeps.
+	callers map[netip.AddrPort]*net.UDPAddr
+	resets  rateLimit
 
-	delivered, wrongService, wrongInstance, refused atomic.Uint64
+	mu  sync.Mutex
+	set *reply.Set
+
+	delivered, forwarded, probes, resetsSent, replies atomic.Uint64
 }
 
-func newHopConn(a *Agent, udp *net.UDPConn) *hopConn {
+func newHopConn(a *Agent, udp *net.UDPConn, p reply.Policy) *hopConn {
 	udp.SetReadBuffer(socketBuffer)
-	return &hopConn{agent: a, udp: udp}
+	udp.SetWriteBuffer(socketBuffer)
+	return &hopConn{
+		agent:   a,
+		udp:     udp,
+		callers: map[netip.AddrPort]*net.UDPAddr{},
+		resets:  rateLimit{perSecond: maxResets},
+		set:     reply.New(reply.WithPolicy(p)),
+	}
 }
 
 func (c *hopConn) values() map[string]uint64 {
 	return map[string]uint64{
-		"delivered":     c.delivered.Load(),
-		"wrongService":  c.wrongService.Load(),
-		"wrongInstance": c.wrongInstance.Load(),
-		"hopRefused":    c.refused.Load(),
+		"delivered": c.delivered.Load(),
+		"forwarded": c.forwarded.Load(),
+		"probes":    c.probes.Load(),
+		"resets":    c.resetsSent.Load(),
+		"replies":   c.replies.Load(),
 	}
 }
 
+func (c *hopConn) refuse(reason string) { c.agent.refusals.add("packet", reason) }
+
+// hopBuffer holds one packet with its hop header.
+type hopBuffer [encap.MaxSize + maxPacket]byte
+
+var hopBuffers = sync.Pool{New: func() any { return new(hopBuffer) }}
+
 // ReadFrom implements net.PacketConn. The address is the caller's.
 func (c *hopConn) ReadFrom(p []byte) (int, net.Addr, error) {
-	var (
-		buf [encap.MaxSize + maxPacket]byte
-		h   encap.Header
-	)
+	buf := hopBuffers.Get().(*hopBuffer)
+	defer hopBuffers.Put(buf)
+	var h encap.Header
 	for {
 		n, from, err := c.udp.ReadFromUDPAddrPort(buf[:])
 		if err != nil {
 			return 0, nil, err
 		}
-		payload, fault := h.Parse(c.agent.keys, buf[:n])
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		payload, fault := h.Parse(c.agent.keys(), buf[:n])
 		if fault != encap.FaultNone {
-			c.refused.Add(1)
+			c.refuse(string(fault))
 			continue
 		}
-		if !c.accepts(&h) {
+		if !c.accept(&h, buf[:n], payload, from) {
+			continue
+		}
+		if len(payload) > len(p) {
+			c.refuse("longPacket")
 			continue
 		}
-		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
-		c.last.Store(&from)
 		c.delivered.Add(1)
-		return copy(p, payload), net.UDPAddrFromAddrPort(h.Caller), nil
+		return copy(p, payload), c.caller(h.Caller), nil
 	}
 }
 
-func (c *hopConn) accepts(h *encap.Header) bool {
-	switch {
-	case h.Service != c.agent.tag:
-		c.wrongService.Add(1)
+// caller returns the address of a caller as a net.Addr.
+func (c *hopConn) caller(a netip.AddrPort) net.Addr {
+	if u := c.callers[a]; u != nil {
+		return u
+	}
+	if len(c.callers) >= maxCallers {
+		clear(c.callers)
+	}
+	u := net.UDPAddrFromAddrPort(a)
+	c.callers[a] = u
+	return u
+}
+
+// accept handles a packet from the hop; it returns true for one that goes to
+// the QUIC server. The packet consists of the header and the payload.
+func (c *hopConn) accept(h *encap.Header, packet, payload []byte, from netip.AddrPort) bool {
+	switch h.Kind {
+	case encap.Probe:
+		c.answerProbe(from)
+		return false
+	case encap.Pong:
+		c.pong(payload, from)
+		return false
+	case encap.Established, encap.NewFlow, encap.Placed:
+	default:
+		c.refuse("unexpectedKind")
+		return false
+	}
+	if h.Service != c.agent.tag {
+		c.refuse("wrongService")
 		return false
-	case h.Instance != c.agent.self.Instance:
-		c.wrongInstance.Add(1)
+	}
+	if h.Kind == encap.Established {
+		c.heard(from)
+		return c.established(h, payload, from)
+	}
+	c.heard(h.Balancer) // the sender may be another agent
+	return c.newFlow(h, packet, payload)
+}
+
+// established accepts a packet of this instance. One of an earlier instance is
+// never given to the QUIC server; its caller learns that the flow is lost.
+func (c *hopConn) established(h *encap.Header, payload []byte, from netip.AddrPort) bool {
+	if h.Instance != c.agent.self.Instance {
+		c.refuse("wrongInstance")
+		c.reset(h, payload, from)
 		return false
-	case h.Kind != encap.Established && h.Kind != encap.NewFlow && h.Kind != encap.Placed:
-		c.refused.Add(1)
+	}
+	if _, ok := connid.ParseHeader(payload); !ok {
+		c.refuse("malformed")
 		return false
 	}
 	return true
 }
 
-// WriteTo implements net.PacketConn. The packet goes to the caller through a balancer.
+// newFlow decides about a packet that starts a flow. One that is refused goes
+// to the QUIC server too, which tells the caller so.
+func (c *hopConn) newFlow(h *encap.Header, packet, payload []byte) bool {
+	if h.Instance != c.agent.self.Instance {
+		c.refuse("wrongInstance")
+		return false
+	}
+	q, ok := connid.ParseHeader(payload)
+	if !ok || !q.Opening {
+		c.refuse("malformed")
+		return false
+	}
+	switch c.agent.gate.decide(q.ID, h) {
+	case admit.Take:
+		return true
+	case admit.Forward:
+		c.forward(h, packet)
+		return false
+	default:
+		c.refuse("flowRefused")
+		return true
+	}
+}
+
+// forward sends a packet to the candidate at h.Position. The header keeps its length.
+func (c *hopConn) forward(h *encap.Header, packet []byte) {
+	to := h.Candidates[h.Position].Endpoint.Addr
+	h.Put(c.agent.keys().Current, packet)
+	if _, err := c.udp.WriteToUDPAddrPort(packet, to); err != nil {
+		c.refuse("forwardFailed")
+		return
+	}
+	c.forwarded.Add(1)
+}
+
+func (c *hopConn) heard(from netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.set.Delivered(time.Now(), from)
+}
+
+// WriteTo implements net.PacketConn. The packet goes to the caller through a
+// balancer. A packet that cannot be sent is counted and lost, because quic-go
+// closes the connection on an error.
 func (c *hopConn) WriteTo(p []byte, to net.Addr) (int, error) {
-	via := c.last.Load()
-	if via == nil {
+	caller := to.(*net.UDPAddr).AddrPort()
+	caller = netip.AddrPortFrom(caller.Addr().Unmap(), caller.Port())
+	c.mu.Lock()
+	via, ok := c.set.Choose(time.Now(), caller)
+	c.mu.Unlock()
+	if !ok {
+		c.refuse("noBalancer")
 		return len(p), nil
 	}
-	h := encap.Header{
-		Kind:     encap.Reply,
-		Service:  c.agent.tag,
-		Instance: c.agent.self.Instance,
-		Caller:   to.(*net.UDPAddr).AddrPort(),
-	}
-	b := make([]byte, h.Size()+len(p))
-	copy(b[h.Size():], p)
-	h.Put(c.agent.keys.Current, b)
-	if _, err := c.udp.WriteToUDPAddrPort(b, *via); err != nil {
-		return 0, err
+	if err := c.send(encap.Reply, caller, p, via); err != nil {
+		if errors.Is(err, net.ErrClosed) {
+			return 0, err
+		}
+		c.refuse("writeFailed")
+		return len(p), nil
 	}
+	c.replies.Add(1)
 	return len(p), nil
 }
 
+// send sends a payload with a hop header of the agent's own service and instance.
+func (c *hopConn) send(k encap.Kind, caller netip.AddrPort, payload []byte, to netip.AddrPort) error {
+	h := encap.Header{Kind: k, Service: c.agent.tag, Instance: c.agent.self.Instance, Caller: caller}
+	buf := hopBuffers.Get().(*hopBuffer)
+	defer hopBuffers.Put(buf)
+	n := h.Size()
+	n += copy(buf[n:], payload)
+	h.Put(c.agent.keys().Current, buf[:n])
+	_, err := c.udp.WriteToUDPAddrPort(buf[:n], to)
+	return err
+}
+
 // Close implements net.PacketConn.
 func (c *hopConn) Close() error { return c.udp.Close() }
 
@@ -115,3 +240,9 @@
 
 // SetWriteDeadline implements net.PacketConn.
 func (c *hopConn) SetWriteDeadline(t time.Time) error { return c.udp.SetWriteDeadline(t) }
+
+// SetReadBuffer lets quic-go set the size of the socket's buffer.
+func (c *hopConn) SetReadBuffer(n int) error { return c.udp.SetReadBuffer(max(n, socketBuffer)) }
+
+// SetWriteBuffer lets quic-go set the size of the socket's buffer.
+func (c *hopConn) SetWriteBuffer(n int) error { return c.udp.SetWriteBuffer(max(n, socketBuffer)) }
--- /dev/null
+++ b/internal/agent/hop_test.go
@@ -0,0 +1,320 @@
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"github.com/bramleycourse/bramleycourse/internal/certs"
+	"github.com/bramleycourse/bramleycourse/internal/config"
+	"github.com/bramleycourse/bramleycourse/internal/connid"
+	"github.com/bramleycourse/bramleycourse/internal/encap"
+	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/proc"
+	"github.com/bramleycourse/bramleycourse/pkg/decl"
+)
+
+// bench holds the files that the agents of a test share, and a balancer.
+type bench struct {
+	t                 testing.TB
+	dir               string
+	certFile, keyFile string
+	caller            *tls.Config
+	keys              *connid.Set
+	// front receives the callers' packets, and hop those of the agents.
+	front, hop *net.UDPConn
+	mu         sync.Mutex
+	candidates []ident.EndpointID
+	// answers holds probe answers with their state octet.
+	answers chan answer
+}
+
+type answer struct {
+	header encap.Header
+	state  byte
+}
+
+func newBench(t testing.TB) *bench {
+	b := &bench{t: t, dir: t.TempDir(), answers: make(chan answer, 100)}
+	ca, err := certs.NewAuthority(time.Hour)
+	must(t, err)
+	b.certFile, b.keyFile, err = ca.IssueFiles(b.dir, "service")
+	must(t, err)
+	b.writeKeys(1)
+	b.keys, err = config.LoadKeys(filepath.Join(b.dir, "keys.json"))
+	must(t, err)
+	b.caller = &tls.Config{RootCAs: ca.Pool(), ServerName: "localhost", NextProtos: []string{http3.NextProtoH3}}
+	b.front, b.hop = listenUDP(t), listenUDP(t)
+	go b.forward()
+	go b.back()
+	return b
+}
+
+func listenUDP(t testing.TB) *net.UDPConn {
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	must(t, err)
+	c.SetReadBuffer(socketBuffer)
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func addrOf(c *net.UDPConn) netip.AddrPort { return c.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+func (b *bench) forward() {
+	var (
+		buf [maxPacket]byte
+		dec connid.Decoder
+	)
+	for {
+		n, from, err := b.front.ReadFromUDPAddrPort(buf[:])
+		if err != nil {
+			return
+		}
+		q, ok := connid.ParseHeader(buf[:n])
+		if !ok {
+			continue
+		}
+		h := encap.Header{Kind: encap.Established, Caller: from}
+		if t, ok := dec.Decode(b.keys, q.ID); ok {
+			h.Service, h.Instance = t.Service, t.Endpoint.Instance
+			b.send(&h, buf[:n], t.Endpoint.Addr)
+			continue
+		}
+		b.mu.Lock()
+		h.Kind, h.Service, h.Balancer, h.Count = encap.NewFlow, ident.TagOf("listas"), addrOf(b.hop), uint8(len(b.candidates))
+		for i, c := range b.candidates {
+			h.Candidates[i].Endpoint = c
+		}
+		b.mu.Unlock()
+		h.Instance = h.Candidates[0].Endpoint.Instance
+		b.send(&h, buf[:n], h.Candidates[0].Endpoint.Addr)
+	}
+}
+
+func (b *bench) send(h *encap.Header, payload []byte, to netip.AddrPort) {
+	p := append(make([]byte, h.Size()), payload...)
+	h.Put(b.keys.Current, p)
+	b.hop.WriteToUDPAddrPort(p, to)
+}
+
+func (b *bench) back() {
+	var (
+		buf [2 * maxPacket]byte
+		h   encap.Header
+	)
+	for {
+		n, _, err := b.hop.ReadFromUDPAddrPort(buf[:])
+		if err != nil {
+			return
+		}
+		payload, fault := h.Parse(b.keys, buf[:n])
+		switch {
+		case fault != encap.FaultNone:
+		case h.Kind == encap.Reply:
+			b.front.WriteToUDPAddrPort(payload, h.Caller)
+		case h.Kind == encap.ProbeAnswer:
+			b.answers <- answer{h, payload[0]}
+		}
+	}
+}
+
+// agent starts an agent at an address and makes it the last candidate. Its
+// announcement is not run.
+func (b *bench) agent(addr, upstreamURL string, s decl.Service) *Agent {
+	b.t.Helper()
+	a, err := New(&config.Agent{
+		Service: "listas", HopAddress: addr, AdminAddress: "127.0.0.1:0", Upstream: upstreamURL,
+		CertFile: b.certFile, KeyFile: b.keyFile,
+		KeysFile: filepath.Join(b.dir, "keys.json"),
+	}, proc.New("agent", "listas", io.Discard))
+	must(b.t, err)
+	a.frame.Log = quietLog()
+	a.handler.configure(s)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { a.serve(ctx); close(ended) }()
+	b.t.Cleanup(func() { stop(); <-ended })
+	b.mu.Lock()
+	b.candidates = append(b.candidates, a.self)
+	b.mu.Unlock()
+	return a
+}
+
+// client returns a caller with a connection of its own.
+func (b *bench) client() *http.Client {
+	tr := &http3.Transport{TLSClientConfig: b.caller}
+	b.t.Cleanup(func() { tr.Close() })
+	return &http.Client{Transport: tr, Timeout: 5 * time.Second}
+}
+
+func (b *bench) get(c *http.Client, path string) (int, error) {
+	resp, err := c.Get("https://" + addrOf(b.front).String() + path)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+// TestEarlierInstance guards against a flow that goes on at a new instance: its
+// caller gets a stateless reset that quic-go accepts, and no handler sees it.
+// The second round uses an instance that started before a key rotation.
+func TestEarlierInstance(t *testing.T) {
+	for _, current := range []int{1, 2} {
+		b := newBench(t)
+		u, url := newTestUpstream(t)
+		old := b.agent("127.0.0.1:0", url, decl.Service{})
+		conn, err := quic.DialAddr(t.Context(), addrOf(b.front).String(), b.caller, nil)
+		must(t, err)
+		eventually(t, "flow open", func() bool { return old.gate.stats().Connections == 1 })
+		addr := old.self.Addr.String()
+		old.hop.udp.Close()
+		b.writeKeys(current)
+		eventually(t, "address free", func() bool {
+			c, err := net.ListenPacket("udp4", addr)
+			if err == nil {
+				c.Close()
+			}
+			return err == nil
+		})
+		next := b.agent(addr, url, decl.Service{})
+		s, err := conn.OpenStream()
+		must(t, err)
+		s.Write([]byte("x"))
+		select {
+		case <-conn.Context().Done():
+		case <-time.After(5 * time.Second):
+			t.Fatal("no reset in 5 s")
+		}
+		var reset *quic.StatelessResetError
+		if err := context.Cause(conn.Context()); !errors.As(err, &reset) {
+			t.Errorf("key %d: want a stateless reset, have %v", current, err)
+		}
+		if n := next.hop.delivered.Load(); n != 0 || u.calls.Load() != 0 {
+			t.Errorf("key %d: packets of an earlier instance given to the QUIC server: want 0, have %d", current, n)
+		}
+	}
+}
+
+// writeKeys writes a keys file with the keys 1 and 2.
+func (b *bench) writeKeys(current int) {
+	b.t.Helper()
+	text := fmt.Sprintf(`{"current": %d, "keys": [{"number": 1, "secret": "%064x"}, {"number": 2, "secret": "%064x"}]}`, current, 1, 2)
+	must(b.t, os.WriteFile(filepath.Join(b.dir, "keys.json"), []byte(text), 0o600))
+}
+
+// TestPlacement guards the hand-over between agents and the connection limit.
+func TestPlacement(t *testing.T) {
+	b := newBench(t)
+	u, url := newTestUpstream(t)
+	first := b.agent("127.0.0.1:0", url, decl.Service{Limits: decl.Limits{Slots: 1, Connections: 2}})
+	second := b.agent("127.0.0.1:0", url, decl.Service{Limits: decl.Limits{Slots: 2, Connections: 1}})
+	ended := make(chan error, 1)
+	one := b.client()
+	go func() {
+		_, err := b.get(one, "/hold")
+		ended <- err
+	}()
+	eventually(t, "first agent busy", func() bool { return first.gate.stats().Running == 1 && u.calls.Load() == 1 })
+	if status, err := b.get(b.client(), "/"); err != nil || status != 200 {
+		t.Fatalf("flow that the busy agent hands over: want 200, have %d, %v", status, err)
+	}
+	if x, y := first.gate.stats().Connections, second.gate.stats().Connections; x != 1 || y != 1 {
+		t.Fatalf("connections of the two agents: want 1 and 1, have %d and %d", x, y)
+	}
+	close(u.release)
+	must(t, <-ended)
+	if status, err := b.get(b.client(), "/"); err != nil || status != 200 {
+		t.Fatalf("flow at the first agent: want 200, have %d, %v", status, err)
+	}
+	start := time.Now()
+	_, err := b.get(b.client(), "/")
+	var refused *quic.TransportError
+	if !errors.As(err, &refused) || refused.ErrorCode != quic.ConnectionRefused {
+		t.Errorf("both agents at their connection limit: want a refused connection, have %v after %v", err, time.Since(start))
+	}
+}
+
+// TestHopPackets guards the checks of the hop: each refused packet is counted
+// under its own reason and reaches no handler, and a probe is answered with the
+// agent's own identity.
+func TestHopPackets(t *testing.T) {
+	b := newBench(t)
+	_, url := newTestUpstream(t)
+	a := b.agent("127.0.0.1:0", url, decl.Service{})
+	caller := netip.MustParseAddrPort("192.0.2.1:1234")
+	short := append([]byte{0x40}, make([]byte, 60)...)
+	for _, c := range []struct {
+		reason  string
+		header  encap.Header
+		payload []byte
+	}{
+		{"wrongService", encap.Header{Kind: encap.Established, Service: a.tag + 1, Instance: a.self.Instance}, short},
+		{"wrongInstance", encap.Header{Kind: encap.Established, Service: a.tag, Instance: a.self.Instance + 1}, short},
+		{"unexpectedKind", encap.Header{Kind: encap.Reply, Service: a.tag, Instance: a.self.Instance}, short},
+		{"malformed", encap.Header{Kind: encap.Established, Service: a.tag, Instance: a.self.Instance}, short[:3]},
+		{"malformed", encap.Header{Kind: encap.Placed, Service: a.tag, Instance: a.self.Instance, Count: 1}, short},
+	} {
+		before := a.refusals.values()["packet."+c.reason]
+		c.header.Caller = caller
+		b.send(&c.header, c.payload, a.self.Addr)
+		eventually(t, c.reason, func() bool { return a.refusals.values()["packet."+c.reason] == before+1 })
+	}
+	b.hop.WriteToUDPAddrPort([]byte("short"), a.self.Addr)
+	eventually(t, "truncated", func() bool { return a.refusals.values()["packet.truncated"] == 1 })
+	if n := a.hop.delivered.Load(); n != 0 {
+		t.Errorf("packets given to the QUIC server: want 0, have %d", n)
+	}
+	for _, want := range []byte{stateServing, stateDraining} {
+		b.send(&encap.Header{Kind: encap.Probe, Service: a.tag + 1, Instance: a.self.Instance + 1}, nil, a.self.Addr)
+		have := <-b.answers
+		if have.header.Service != a.tag || have.header.Instance != a.self.Instance || have.state != want {
+			t.Errorf("probe answer: want service %d, instance %d, state %d, have %+v", a.tag, a.self.Instance, want, have)
+		}
+		a.gate.setDraining()
+	}
+}
+
+// TestHopAllocations guards the packet path against allocations.
+func TestHopAllocations(t *testing.T) {
+	b := newBench(t)
+	udp := listenUDP(t)
+	a := &Agent{keys: func() *connid.Set { return b.keys }, tag: 7, refusals: newReasons(quietLog(), nil)}
+	a.self = ident.EndpointID{Addr: addrOf(udp), Instance: 9}
+	a.hop = newHopConn(a, udp, 0)
+	h := encap.Header{Kind: encap.Established, Service: 7, Instance: 9, Caller: netip.MustParseAddrPort("192.0.2.1:1234")}
+	packet := make([]byte, h.Size()+1200)
+	packet[h.Size()] = 0x40
+	h.Put(b.keys.Current, packet)
+	p := make([]byte, maxPacket)
+	var n atomic.Int64
+	allocs := testing.AllocsPerRun(200, func() {
+		b.hop.WriteToUDPAddrPort(packet, a.self.Addr)
+		size, from, err := a.hop.ReadFrom(p)
+		if err != nil || size != 1200 {
+			t.Fatalf("want 1200 octets, have %d, %v", size, err)
+		}
+		if _, err := a.hop.WriteTo(p[:size], from); err != nil {
+			t.Fatal(err)
+		}
+		n.Add(1)
+	})
+	if allocs > 0 {
+		t.Errorf("allocations for a packet in and one out: want 0, have %v", allocs)
+	}
+}
