--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -7,18 +7,19 @@
 	"crypto/tls"
 	"net"
 	"net/netip"
-	"sync/atomic"
-	"time"
 
 	"github.com/juju/errors"
-	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
+	"github.com/bramleycourse/bramleycourse/internal/admit"
 	"github.com/bramleycourse/bramleycourse/internal/config"
 	"github.com/bramleycourse/bramleycourse/internal/connid"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/plat"
 	"github.com/bramleycourse/bramleycourse/internal/proc"
+	"github.com/bramleycourse/bramleycourse/internal/reply"
+	"github.com/bramleycourse/bramleycourse/internal/ticket"
+	"github.com/bramleycourse/bramleycourse/pkg/decl"
 )
 
 // Agent is one agent process.
@@ -26,12 +27,15 @@
 	settings *config.Agent
 	frame    *proc.Frame
 	client   *plat.Client
-	keys     *connid.Set
+	// keys returns the accepted keys; it is safe for concurrent use.
+	keys     func() *connid.Set
 	self     ident.EndpointID
 	tag      ident.ServiceTag
 	hop      *hopConn
 	server   *http3.Server
-	requests atomic.Uint64
+	gate     *admission
+	handler  *handler
+	refusals *reasons
 }
 
 // New prepares an agent; it binds the addresses of the settings.
@@ -48,7 +52,7 @@
 		settings: s,
 		frame:    f,
 		client:   plat.New(s.Platform.URL, s.Platform.Timeout()),
-		keys:     keys,
+		keys:     func() *connid.Set { return keys },
 		tag:      ident.TagOf(ident.ServiceName(s.Service)),
 	}
 	udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(s.HopAddress)))
@@ -56,46 +60,72 @@
 		return nil, errors.Annotatef(err, "hopAddress")
 	}
 	a.self = ident.EndpointID{Addr: udp.LocalAddr().(*net.UDPAddr).AddrPort(), Instance: ident.NewInstance()}
-	a.hop = newHopConn(a, udp)
+	a.hop = newHopConn(a, udp, replyPolicy(s))
+	a.refusals = newReasons(f.Log, f.Scope)
+	a.gate = newAdmission(gateLimits(decl.Limits{}.WithDefaults()), s.SlowStart())
+	a.handler = newHandler(a)
+	a.Configure(&decl.Declaration{})
 	admin, err := net.Listen("tcp4", s.AdminAddress)
 	if err != nil {
 		return nil, errors.Annotatef(err, "adminAddress")
 	}
 	f.Admin(admin, func() any { return a.State() })
 	a.server = &http3.Server{
-		Handler:   newHandler(a),
-		TLSConfig: http3.ConfigureTLSConfig(&tls.Config{Certificates: []tls.Certificate{cert}}),
+		Handler:        a.handler,
+		MaxHeaderBytes: maxHeaderBytes,
+		IdleTimeout:    emptyTimeout,
+		TLSConfig:      http3.ConfigureTLSConfig(&tls.Config{Certificates: []tls.Certificate{cert}}),
 	}
 	f.Add("QUIC server", a.serve)
+	f.Add("slow start", a.gate.warm)
+	f.Add("balancer pings", a.hop.ping)
 	f.Add("announcement", a.announce)
 	return a, nil
 }
 
+func replyPolicy(s *config.Agent) reply.Policy {
+	if s.ReplyPolicy == config.ReplyPerPacket {
+		return reply.PerPacket
+	}
+	return reply.PerCaller
+}
+
+func newHandler(a *Agent) *handler {
+	h := &handler{
+		gate:      a.gate,
+		desk:      newDesk(a.self),
+		refusals:  a.refusals,
+		requested: a.flowRequested,
+	}
+	h.upstream = newUpstream(a.settings.Upstream, func(error) {})
+	return h
+}
+
+// Configure puts the agent's service of a declaration in force. A service that
+// the declaration does not hold gets the default limits.
+func (a *Agent) Configure(d *decl.Declaration) {
+	for _, s := range d.Services {
+		if s.Name == a.settings.Service {
+			a.handler.configure(s)
+			return
+		}
+	}
+	a.handler.configure(decl.Service{Name: a.settings.Service})
+}
+
+// serving says whether the agent takes new work.
+func (a *Agent) serving() bool { return !a.gate.stats().Draining }
+
 // Run runs the agent until the context ends.
 func (a *Agent) Run(ctx context.Context) error {
 	a.frame.Log.WithField("endpoint", a.self).Info("agent started")
 	return a.frame.Run(ctx)
 }
 
-const (
-	idleTimeout = 60 * time.Second
-	// packetSize leaves room for the hop header in a 1500-octet MTU.
-	packetSize = 1280
-)
-
 func (a *Agent) serve(ctx context.Context) error {
-	reset := quic.StatelessResetKey(a.keys.Current.ResetKey)
-	t := &quic.Transport{
-		Conn:                  a.hop,
-		ConnectionIDGenerator: &idSource{agent: a},
-		StatelessResetKey:     &reset,
-	}
+	t := a.transport()
 	defer t.Close()
-	l, err := t.ListenEarly(a.server.TLSConfig, &quic.Config{
-		MaxIdleTimeout:          idleTimeout,
-		InitialPacketSize:       packetSize,
-		DisablePathMTUDiscovery: true,
-	})
+	l, err := t.ListenEarly(a.server.TLSConfig, quicConfig())
 	if err != nil {
 		return err
 	}
@@ -108,35 +138,26 @@
 	return err
 }
 
-// idSource makes connection IDs that name the agent.
-type idSource struct {
-	agent   *Agent
-	counter atomic.Uint32
-}
-
-// GenerateConnectionID implements quic.ConnectionIDGenerator.
-func (s *idSource) GenerateConnectionID() (quic.ConnectionID, error) {
-	id := s.agent.keys.Encode(connid.Target{Endpoint: s.agent.self, Service: s.agent.tag}, s.counter.Add(1))
-	return quic.ConnectionIDFromBytes(id[:]), nil
-}
-
-// ConnectionIDLen implements quic.ConnectionIDGenerator.
-func (s *idSource) ConnectionIDLen() int { return connid.Size }
-
 // State is the state dump of an agent.
 type State struct {
-	Endpoint string            `json:"endpoint"`
-	Service  string            `json:"service"`
-	Requests uint64            `json:"requests"`
-	Counts   map[string]uint64 `json:"counts"`
+	Endpoint  string            `json:"endpoint"`
+	Service   string            `json:"service"`
+	Requests  uint64            `json:"requests"`
+	Admission admit.Stats       `json:"admission"`
+	Tickets   ticket.Size       `json:"tickets"`
+	Refused   map[string]uint64 `json:"refused"`
+	Counts    map[string]uint64 `json:"counts"`
 }
 
 // State returns the current state dump.
 func (a *Agent) State() State {
 	return State{
-		Endpoint: a.self.String(),
-		Service:  a.settings.Service,
-		Requests: a.requests.Load(),
-		Counts:   a.hop.values(),
+		Endpoint:  a.self.String(),
+		Service:   a.settings.Service,
+		Requests:  a.handler.requests.Load(),
+		Admission: a.gate.stats(),
+		Tickets:   a.handler.desk.size(),
+		Refused:   a.refusals.values(),
+		Counts:    a.hop.values(),
 	}
 }
