--- /dev/null
+++ b/internal/view/marks.go
@@ -0,0 +1,89 @@
+package view
+
+import "time"
+
+const (
+	// MarkTime is how long a down mark holds after its receipt.
+	MarkTime = 3 * time.Second
+	// maxMarksPerKey bounds the balancers whose marks on one key are kept; two
+	// balancers probe each endpoint, and a few more during changes.
+	maxMarksPerKey = 8
+)
+
+// Mark says that a balancer holds a process to be down, or no longer does.
+type Mark struct {
+	Target Key
+	// By is the balancer that made the mark.
+	By Key
+	// Seq orders the marks of one balancer on one target.
+	Seq  uint64
+	Down bool
+}
+
+type markState struct {
+	seq     uint64
+	down    bool
+	expires time.Duration
+}
+
+// Marks holds the down marks of all balancers. Expiry uses only the receiver's
+// clock. It is not safe for concurrent use.
+type Marks struct {
+	byKey map[Key]map[Key]markState
+}
+
+// NewMarks returns an empty set of marks.
+func NewMarks() *Marks { return &Marks{byKey: map[Key]map[Key]markState{}} }
+
+// Put adopts a mark if it is newer than the one held from the same balancer
+// and reports whether it did. A caller forwards only adopted marks.
+func (m *Marks) Put(now time.Duration, k Mark) bool {
+	by := m.byKey[k.Target]
+	old, held := by[k.By]
+	if held && k.Seq <= old.seq || !held && len(by) >= maxMarksPerKey {
+		return false
+	}
+	if by == nil {
+		if len(m.byKey) >= MaxEntries {
+			return false
+		}
+		by = map[Key]markState{}
+		m.byKey[k.Target] = by
+	}
+	by[k.By] = markState{seq: k.Seq, down: k.Down, expires: now + MarkTime}
+	return true
+}
+
+// Down reports whether an unexpired down mark of a balancer other than self exists.
+func (m *Marks) Down(now time.Duration, target, self Key) bool {
+	for by, s := range m.byKey[target] {
+		if by != self && s.down && now < s.expires {
+			return true
+		}
+	}
+	return false
+}
+
+// Expire removes expired marks and returns the targets that lost a down mark.
+func (m *Marks) Expire(now time.Duration) []Key {
+	var changed []Key
+	for target, by := range m.byKey {
+		lost := false
+		for k, s := range by {
+			if now >= s.expires {
+				lost = lost || s.down
+				delete(by, k)
+			}
+		}
+		if lost {
+			changed = append(changed, target)
+		}
+		if len(by) == 0 {
+			delete(m.byKey, target)
+		}
+	}
+	return changed
+}
+
+// Len returns the number of marked keys.
+func (m *Marks) Len() int { return len(m.byKey) }
