--- a/internal/view/marks.go
+++ b/internal/view/marks.go
@@ -10,20 +10,34 @@
 	maxMarksPerKey = 8
 )
 
-// Mark says that a balancer holds a process to be down, or no longer does.
+// Condition is what a balancer found out about a process.
+type Condition uint8
+
+// Conditions; a worse one has a higher value.
+const (
+	// Clear takes an earlier mark of the same balancer back.
+	Clear Condition = iota
+	// Refusing means that the process answers and takes no new work. Own
+	// evidence of life says nothing against it.
+	Refusing
+	// Down means that the process does not answer.
+	Down
+)
+
+// Mark says in which condition a balancer found a process.
 type Mark struct {
 	Target Key
 	// By is the balancer that made the mark.
 	By Key
 	// Seq orders the marks of one balancer on one target.
-	Seq  uint64
-	Down bool
+	Seq       uint64
+	Condition Condition
 }
 
 type markState struct {
-	seq     uint64
-	down    bool
-	expires time.Duration
+	seq       uint64
+	condition Condition
+	expires   time.Duration
 }
 
 // Marks holds the down marks of all balancers. Expiry uses only the receiver's
@@ -40,7 +54,7 @@
 func (m *Marks) Put(now time.Duration, k Mark) bool {
 	by := m.byKey[k.Target]
 	old, held := by[k.By]
-	if held && k.Seq <= old.seq || !held && len(by) >= maxMarksPerKey {
+	if held && k.Seq <= old.seq || k.Condition > Down || !held && len(by) >= maxMarksPerKey {
 		return false
 	}
 	if by == nil {
@@ -50,28 +64,29 @@
 		by = map[Key]markState{}
 		m.byKey[k.Target] = by
 	}
-	by[k.By] = markState{seq: k.Seq, down: k.Down, expires: now + MarkTime}
+	by[k.By] = markState{seq: k.Seq, condition: k.Condition, expires: now + MarkTime}
 	return true
 }
 
-// Down reports whether an unexpired down mark of a balancer other than self exists.
-func (m *Marks) Down(now time.Duration, target, self Key) bool {
+// Of returns the worst unexpired condition that a balancer other than self reported.
+func (m *Marks) Of(now time.Duration, target, self Key) Condition {
+	worst := Clear
 	for by, s := range m.byKey[target] {
-		if by != self && s.down && now < s.expires {
-			return true
+		if by != self && now < s.expires {
+			worst = max(worst, s.condition)
 		}
 	}
-	return false
+	return worst
 }
 
-// Expire removes expired marks and returns the targets that lost a down mark.
+// Expire removes expired marks and returns the targets that lost a mark.
 func (m *Marks) Expire(now time.Duration) []Key {
 	var changed []Key
 	for target, by := range m.byKey {
 		lost := false
 		for k, s := range by {
 			if now >= s.expires {
-				lost = lost || s.down
+				lost = lost || s.condition != Clear
 				delete(by, k)
 			}
 		}
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -131,26 +131,26 @@
 	by := Key{Name: "b1", Hop: netip.MustParseAddrPort("10.0.1.1:7000")}
 	m := NewMarks()
 	for _, c := range []struct {
-		now        time.Duration
-		seq        uint64
-		down       bool
-		want, news bool
+		now       time.Duration
+		seq       uint64
+		set, want Condition
+		news      bool
 	}{
-		{0, 1, true, true, true},
-		{time.Second, 1, true, true, false},
-		{2 * time.Second, 2, true, true, true},
-		{4900 * time.Millisecond, 2, true, true, false},
-		{5 * time.Second, 2, true, false, false},
-		{5 * time.Second, 3, true, true, true},
-		{5 * time.Second, 4, false, false, true},
-		{5 * time.Second, 3, true, false, false},
+		{0, 1, Down, Down, true},
+		{time.Second, 1, Down, Down, false},
+		{2 * time.Second, 2, Refusing, Refusing, true},
+		{4900 * time.Millisecond, 2, Down, Refusing, false},
+		{5 * time.Second, 2, Down, Clear, false},
+		{5 * time.Second, 3, Down, Down, true},
+		{5 * time.Second, 4, Clear, Clear, true},
+		{5 * time.Second, 3, Down, Clear, false},
 	} {
-		news := m.Put(c.now, Mark{Target: target, By: by, Seq: c.seq, Down: c.down})
-		if have := m.Down(c.now, target, Key{}); have != c.want || news != c.news {
-			t.Errorf("at %v seq %d: want down %v news %v, have %v %v", c.now, c.seq, c.want, c.news, have, news)
+		news := m.Put(c.now, Mark{Target: target, By: by, Seq: c.seq, Condition: c.set})
+		if have := m.Of(c.now, target, Key{}); have != c.want || news != c.news {
+			t.Errorf("at %v seq %d: want condition %v news %v, have %v %v", c.now, c.seq, c.want, c.news, have, news)
 		}
 	}
-	if m.Down(5*time.Second, target, by) {
+	if m.Of(5*time.Second, target, by) != Clear {
 		t.Error("a balancer's own mark must not count as one of others")
 	}
 	if m.Expire(time.Minute); m.Len() != 0 {
