--- /dev/null
+++ b/internal/peer/handle.go
@@ -0,0 +1,302 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/view"
+)
+
+// run serves a session until it ends.
+func (n *Node) run(s *session) {
+	if !n.join(s) {
+		n.refusedSessions.Add(1)
+		s.close()
+		return
+	}
+	go s.writeLoop()
+	for {
+		f, err := s.read(s.limit())
+		if err != nil {
+			break
+		}
+		if err := n.handle(s, f); err != nil {
+			n.refusedFrames.Add(1)
+			break
+		}
+	}
+	s.close()
+	n.leave(s)
+}
+
+// join registers a session and sends what the other process needs at first.
+func (n *Node) join(s *session) bool {
+	n.mu.Lock()
+	if !n.room(s) {
+		n.mu.Unlock()
+		return false
+	}
+	n.sessions[s] = struct{}{}
+	news := n.merge([]view.Item{s.remote}, s)
+	if n.conf.Generation > 0 && !s.remote.Key.IsBalancer() {
+		s.send(n.configFrame())
+	}
+	if !s.remote.Key.IsBalancer() {
+		s.send(entryFrames(n.balancers(), nil)...)
+		n.correct(s)
+	} else if s.dialed {
+		s.send(n.digestFrame())
+	}
+	n.mu.Unlock()
+	n.viewChanged(news)
+	return true
+}
+
+// room reports whether the limits leave room for a session; the caller holds
+// the mutex.
+func (n *Node) room(s *session) bool {
+	if s.remote.Key == n.self.Key {
+		return false
+	}
+	if s.dialed {
+		return true
+	}
+	balancers, agents := 0, 0
+	for o := range n.sessions {
+		switch {
+		case o.dialed:
+		case o.remote.Key.IsBalancer():
+			balancers++
+		default:
+			agents++
+		}
+	}
+	if s.remote.Key.IsBalancer() {
+		return balancers < maxBalancerSessions
+	}
+	return agents < maxAgentSessions
+}
+
+func (n *Node) balancers() []view.Item {
+	var is []view.Item
+	for _, e := range n.view.Entries() {
+		if e.Key.IsBalancer() {
+			is = append(is, view.Item{Entry: e})
+		}
+	}
+	return is
+}
+
+// correct tells an agent which version of its entry the view holds when that
+// is not the one it announced, so that it announces a higher one.
+func (n *Node) correct(s *session) {
+	if i, ok := n.view.Item(n.now(), s.remote.Key); ok && i.Entry != s.remote.Entry {
+		s.send(entryFrames([]view.Item{i}, nil)...)
+	}
+}
+
+// leave removes a session and reports an agent that broke off.
+func (n *Node) leave(s *session) {
+	n.mu.Lock()
+	delete(n.sessions, s)
+	if s.queue.Overflow() > 0 {
+		n.slowSessions.Add(1)
+	}
+	k := s.remote.Key
+	broken := !k.IsBalancer()
+	for o := range n.sessions {
+		broken = broken && o.remote.Key != k
+	}
+	if e, ok := n.view.Get(k); !ok || e.State == view.Gone {
+		broken = false
+	}
+	n.mu.Unlock()
+	if broken && n.o.OnAgentBroken != nil {
+		n.o.OnAgentBroken(k)
+	}
+}
+
+func (n *Node) handle(s *session, f *Frame) error {
+	if !s.remote.Key.IsBalancer() {
+		return n.handleAgent(s, f)
+	}
+	switch b := f.Body.(type) {
+	case *Frame_Digest:
+		n.handleDigest(s, b.Digest)
+	case *Frame_Buckets:
+		return n.handleBuckets(s, b.Buckets)
+	case *Frame_Entries:
+		return n.handleEntries(s, b.Entries)
+	case *Frame_Marks:
+		return n.handleMarks(s, b.Marks)
+	case *Frame_Config:
+		if n.o.OnConfig != nil {
+			n.o.OnConfig(b.Config.GetValue())
+		}
+	default:
+		return &FrameError{kindOf(f), "is not expected here"}
+	}
+	return nil
+}
+
+// handleAgent accepts from an agent nothing but versions of its own entry.
+func (n *Node) handleAgent(s *session, f *Frame) error {
+	es := f.GetEntries().GetEntries()
+	if len(es) != 1 {
+		return &FrameError{kindOf(f), "is not expected from an agent"}
+	}
+	i, err := getItem(es[0])
+	if err != nil {
+		return err
+	}
+	if i.Key != s.remote.Key {
+		return &FrameError{"entries", "an agent announced another endpoint"}
+	}
+	n.mu.Lock()
+	s.remote = i
+	news := n.merge([]view.Item{i}, s)
+	n.correct(s)
+	n.mu.Unlock()
+	n.viewChanged(news)
+	return nil
+}
+
+func (n *Node) digest() *Digest {
+	return &Digest{Root: n.view.Root(), Generation: uint64(n.conf.Generation), ConfigHash: n.conf.hash}
+}
+
+func (n *Node) digestFrame() packet {
+	return encode(&Frame{Body: &Frame_Digest{n.digest()}})
+}
+
+func (n *Node) handleDigest(s *session, d *Digest) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.compareConfig(s, d)
+	own := n.digest()
+	if own.Root == d.GetRoot() && own.Generation >= d.GetGeneration() {
+		return
+	}
+	b := &Buckets{Digest: own}
+	if own.Root != d.GetRoot() {
+		h := n.view.Digest()
+		b.Hashes = h[:]
+	}
+	s.send(encode(&Frame{Body: &Frame_Buckets{b}}))
+}
+
+// compareConfig sends the configuration to a process with a lower generation
+// and reports other content under the same one; the caller holds the mutex.
+func (n *Node) compareConfig(s *session, d *Digest) {
+	g := ident.Generation(d.GetGeneration())
+	switch {
+	case g < n.conf.Generation:
+		s.send(n.configFrame())
+	case g > 0 && g == n.conf.Generation && d.GetConfigHash() != n.conf.hash:
+		if n.lastConflict == d.GetConfigHash() {
+			return
+		}
+		n.lastConflict = d.GetConfigHash()
+		n.configConflicts.Add(1)
+		if n.o.OnConflict != nil {
+			go n.o.OnConflict(g)
+		}
+	}
+}
+
+func (n *Node) handleBuckets(s *session, b *Buckets) error {
+	if len(b.GetHashes()) != 0 && len(b.GetHashes()) != view.Buckets {
+		return &FrameError{"buckets", "has a wrong number of hashes"}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.compareConfig(s, b.GetDigest())
+	if len(b.GetHashes()) == 0 {
+		return nil
+	}
+	differing := n.view.Differing([view.Buckets]uint64(b.GetHashes()))
+	if len(differing) == 0 {
+		return nil
+	}
+	wanted := make([]uint32, len(differing))
+	for i, d := range differing {
+		wanted[i] = uint32(d)
+	}
+	s.send(entryFrames(n.view.Items(n.now(), differing), wanted)...)
+	return nil
+}
+
+func (n *Node) handleEntries(s *session, m *Entries) error {
+	if len(m.GetEntries()) > maxItems || len(m.GetWanted()) > view.Buckets {
+		return &FrameError{"entries", "has too many items"}
+	}
+	is := make([]view.Item, 0, len(m.GetEntries()))
+	for _, e := range m.GetEntries() {
+		i, err := getItem(e)
+		if err != nil {
+			return err
+		}
+		is = append(is, i)
+	}
+	n.mu.Lock()
+	if len(m.GetWanted()) > 0 {
+		var buckets []int
+		for _, w := range m.GetWanted() {
+			buckets = append(buckets, int(w))
+		}
+		s.send(entryFrames(n.view.Items(n.now(), buckets), nil)...)
+	}
+	news := n.merge(is, s)
+	n.mu.Unlock()
+	n.viewChanged(news)
+	return nil
+}
+
+func (n *Node) handleMarks(s *session, m *Marks) error {
+	if len(m.GetMarks()) > maxItems {
+		return &FrameError{"marks", "has too many items"}
+	}
+	ms, err := getMarks(m)
+	if err != nil {
+		return err
+	}
+	var news []view.Mark
+	n.mu.Lock()
+	for _, k := range ms {
+		_, known := n.view.Get(k.Target)
+		if known && k.By != n.self.Key && n.marks.Put(n.now(), k) {
+			news = append(news, k)
+		}
+	}
+	n.marksForwarded.Add(uint64(len(news)))
+	n.sendMarks(news, s)
+	n.mu.Unlock()
+	n.viewChanged(len(news) > 0)
+	return nil
+}
+
+const exchangeInterval = time.Second
+
+// exchange sends the digest to the dialed peers, refreshes the own marks and
+// removes what expired; called once per exchangeInterval.
+func (n *Node) exchange() {
+	n.mu.Lock()
+	p := n.digestFrame()
+	for s := range n.sessions {
+		if s.dialed {
+			s.send(p)
+		}
+	}
+	var ms []view.Mark
+	for k, m := range n.own {
+		n.markSeq++
+		m.Seq = n.markSeq
+		n.own[k] = m
+		ms = append(ms, m)
+	}
+	n.sendMarks(ms, nil)
+	n.view.Expire(n.now())
+	expired := n.marks.Expire(n.now())
+	n.mu.Unlock()
+	n.viewChanged(len(expired) > 0)
+}
--- /dev/null
+++ b/internal/peer/node.go
@@ -0,0 +1,305 @@
+package peer
+
+import (
+	"bytes"
+	"crypto/tls"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/view"
+)
+
+const (
+	// maxBalancerSessions bounds accepted sessions of balancers; each balancer
+	// opens 3, so 64 leaves room for an uneven choice.
+	maxBalancerSessions = 64
+	// maxAgentSessions bounds accepted sessions of agents: 9,000 sessions over
+	// 440 balancers give 21 each, and all 4,500 agents may meet 10 balancers.
+	maxAgentSessions = 1024
+	// maxPending bounds connections that have not said hello.
+	maxPending = 64
+	maxSeeds   = 8
+)
+
+// Options configures a Node. Function fields are called without locks and must
+// not block; nil fields are not called.
+type Options struct {
+	// Self is the balancer's own entry at its start.
+	Self view.Entry
+	// Seeds are peer addresses of balancers to begin with.
+	Seeds []string
+	// TLS is nil for plain TCP.
+	TLS *tls.Config
+	// Scope receives the metrics; may be nil.
+	Scope tally.Scope
+	// OnView is called after the view or the marks have changed.
+	OnView func()
+	// OnConfig receives a configuration of a peer; the receiver checks it and
+	// calls SetConfig if it is in force.
+	OnConfig func(value []byte)
+	// OnConflict reports that a peer has other content under the generation in force.
+	OnConflict func(ident.Generation)
+	// OnAgentBroken reports that the last session of an agent broke before the
+	// agent said that it is gone.
+	OnAgentBroken func(view.Key)
+}
+
+// Config is a configuration in force.
+type Config struct {
+	Generation ident.Generation
+	Value      []byte
+	hash       uint64
+}
+
+// Node is the balancer's side of all sessions.
+type Node struct {
+	o       Options
+	traffic *traffic
+	start   time.Time
+
+	mu       sync.Mutex
+	self     view.Item
+	view     *view.View
+	marks    *view.Marks
+	own      map[view.Key]view.Mark
+	markSeq  uint64
+	conf     Config
+	sessions map[*session]struct{}
+	dialers  map[string]*dialer
+	// selfAddrs are seeds that turned out to be this balancer.
+	selfAddrs map[string]bool
+
+	pending                          atomic.Int64
+	refusedSessions, refusedFrames   atomic.Uint64
+	slowSessions, configConflicts    atomic.Uint64
+	lastConflict                     uint64
+	entriesForwarded, marksForwarded atomic.Uint64
+}
+
+// NewNode returns a node whose view holds only its own entry.
+func NewNode(o Options) *Node {
+	if o.Self.Seq == 0 {
+		o.Self.Seq = 1
+	}
+	o.Seeds = append([]string(nil), o.Seeds...)
+	rand.Shuffle(len(o.Seeds), func(i, j int) { o.Seeds[i], o.Seeds[j] = o.Seeds[j], o.Seeds[i] })
+	n := &Node{
+		o:         o,
+		traffic:   newTraffic(o.Scope),
+		start:     time.Now(),
+		self:      view.Item{Entry: o.Self},
+		view:      view.New(),
+		marks:     view.NewMarks(),
+		own:       map[view.Key]view.Mark{},
+		sessions:  map[*session]struct{}{},
+		dialers:   map[string]*dialer{},
+		selfAddrs: map[string]bool{},
+	}
+	n.view.Merge(0, n.self)
+	return n
+}
+
+func (n *Node) now() time.Duration { return time.Since(n.start) }
+
+// Merge adds entries from another source than a session and passes on news.
+func (n *Node) Merge(is ...view.Item) {
+	n.mu.Lock()
+	news := n.merge(is, nil)
+	n.mu.Unlock()
+	n.viewChanged(news)
+}
+
+// merge adds entries, passes on the news to all sessions but from, and
+// reports whether there were any. The caller holds the mutex.
+func (n *Node) merge(is []view.Item, from *session) bool {
+	var news []view.Item
+	for _, i := range is {
+		if i.Key == n.self.Key && !n.outranks(&i) {
+			continue
+		}
+		if n.view.Merge(n.now(), i) {
+			news = append(news, i)
+		}
+	}
+	n.push(news, from)
+	return len(news) > 0
+}
+
+// outranks replaces a version of the own entry that this process did not make
+// by a higher one.
+func (n *Node) outranks(i *view.Item) bool {
+	if i.Seq < n.self.Seq || i.Entry == n.self.Entry {
+		return false
+	}
+	n.self.Seq = i.Seq + 1
+	*i = n.self
+	return true
+}
+
+// push sends entries to the balancers. An agent gets those of balancers and,
+// when another process changed it, its own.
+func (n *Node) push(news []view.Item, from *session) {
+	if len(news) == 0 {
+		return
+	}
+	n.entriesForwarded.Add(uint64(len(news)))
+	all := entryFrames(news, nil)
+	var forAgents []packet
+	var bs []view.Item
+	for _, i := range news {
+		if i.Key.IsBalancer() {
+			bs = append(bs, i)
+		}
+	}
+	if len(bs) > 0 {
+		forAgents = entryFrames(bs, nil)
+	}
+	for s := range n.sessions {
+		switch {
+		case s == from:
+		case s.remote.Key.IsBalancer():
+			s.send(all...)
+		default:
+			s.send(forAgents...)
+			for _, i := range news {
+				if i.Key == s.remote.Key {
+					s.send(entryFrames([]view.Item{i}, nil)...)
+				}
+			}
+		}
+	}
+}
+
+func (n *Node) viewChanged(changed bool) {
+	if changed && n.o.OnView != nil {
+		n.o.OnView()
+	}
+}
+
+// SetState changes the state of the balancer's own entry.
+func (n *Node) SetState(s view.State) {
+	n.mu.Lock()
+	n.self.State = s
+	n.self.Seq++
+	news := n.view.Merge(n.now(), n.self)
+	n.push([]view.Item{n.self}, nil)
+	n.mu.Unlock()
+	n.viewChanged(news)
+}
+
+// Self returns the balancer's own entry.
+func (n *Node) Self() view.Entry {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.self.Entry
+}
+
+// Entries returns the entries that are not gone.
+func (n *Node) Entries() []view.Entry {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.view.Entries()
+}
+
+// Get returns the entry of a key, which may be gone.
+func (n *Node) Get(k view.Key) (view.Entry, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.view.Get(k)
+}
+
+// Root returns the root hash of the view.
+func (n *Node) Root() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.view.Root()
+}
+
+// SetGone moves the given version of an entry of another process to the state
+// gone. It does nothing when the owner has announced a newer one.
+func (n *Node) SetGone(e view.Entry) {
+	e.State = view.Gone
+	n.Merge(view.Item{Entry: e})
+}
+
+// Mark sets what this balancer itself found out about a process.
+func (n *Node) Mark(k view.Key, c view.Condition) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.own[k].Condition == c {
+		return
+	}
+	n.markSeq++
+	m := view.Mark{Target: k, By: n.self.Key, Seq: n.markSeq, Condition: c}
+	if c == view.Clear {
+		delete(n.own, k)
+	} else {
+		n.own[k] = m
+	}
+	n.sendMarks([]view.Mark{m}, nil)
+}
+
+// MarkOf returns the worst condition that other balancers report of a process.
+func (n *Node) MarkOf(k view.Key) view.Condition {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.marks.Of(n.now(), k, n.self.Key)
+}
+
+// sendMarks sends marks of one balancer to all balancers but from; the caller
+// holds the mutex.
+func (n *Node) sendMarks(ms []view.Mark, from *session) {
+	for len(ms) > 0 {
+		count := min(len(ms), maxItems)
+		p := marksFrame(ms[0].By, ms[:count])
+		ms = ms[count:]
+		for s := range n.sessions {
+			if s != from && s.remote.Key.IsBalancer() {
+				s.send(p)
+			}
+		}
+	}
+}
+
+// SetConfig stores a configuration that is in force and passes it on if its
+// generation is higher than that of the one held.
+func (n *Node) SetConfig(g ident.Generation, value []byte) {
+	c := Config{g, value, configHash(value)}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if g <= n.conf.Generation {
+		return
+	}
+	n.conf = c
+	p := n.configFrame()
+	for s := range n.sessions {
+		s.send(p)
+	}
+}
+
+// Generation returns the generation of the configuration held.
+func (n *Node) Generation() ident.Generation {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.conf.Generation
+}
+
+// configHash ignores white space, which JSON encoders on the way may change.
+func configHash(value []byte) uint64 {
+	var b bytes.Buffer
+	if json.Compact(&b, value) != nil {
+		return xxhash.Sum64(value)
+	}
+	return xxhash.Sum64(b.Bytes())
+}
+
+func (n *Node) configFrame() packet {
+	return encode(&Frame{Body: &Frame_Config{&ConfigMessage{Value: n.conf.Value}}})
+}
--- /dev/null
+++ b/internal/peer/node_test.go
@@ -0,0 +1,282 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/certs"
+	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/view"
+)
+
+func eventually(t *testing.T, limit time.Duration, what string, ok func() bool) time.Duration {
+	t.Helper()
+	for begin := time.Now(); ; time.Sleep(time.Millisecond) {
+		if ok() {
+			return time.Since(begin)
+		}
+		if time.Since(begin) > limit {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+// started is a node that runs until stop is called.
+type started struct {
+	*Node
+	addr string
+	stop context.CancelFunc
+}
+
+func startNode(t *testing.T, n int, change func(*Options), seeds ...string) *started {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := netip.MustParseAddrPort(l.Addr().String())
+	hop := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(n)}), 7000)
+	o := Options{
+		Self: view.Entry{
+			Key:   view.Key{Name: fmt.Sprint("b", n), Hop: hop, Instance: ident.Instance(n + 1)},
+			State: view.Serving, Place: "recife", Peer: addr, Admin: hop,
+		},
+		Seeds: seeds,
+	}
+	if change != nil {
+		change(&o)
+	}
+	s := &started{addr: l.Addr().String()}
+	o.OnConfig = func(value []byte) { s.SetConfig(ident.Generation(len(value)), value) }
+	s.Node = NewNode(o)
+	ctx, cancel := context.WithCancel(t.Context())
+	s.stop = cancel
+	go s.Serve(ctx, l)
+	go s.Run(ctx)
+	return s
+}
+
+func startNodes(t *testing.T, count int) []*started {
+	t.Helper()
+	var ns []*started
+	for i := range count {
+		if i == 0 {
+			ns = append(ns, startNode(t, i, nil))
+		} else {
+			ns = append(ns, startNode(t, i, nil, ns[0].addr))
+		}
+	}
+	eventually(t, 20*time.Second, "all views equal", func() bool { return equal(ns, count) })
+	return ns
+}
+
+func equal(ns []*started, entries int) bool {
+	for _, n := range ns {
+		if n.Root() != ns[0].Root() || len(n.Entries()) != entries {
+			return false
+		}
+	}
+	return true
+}
+
+func endpointItem(n int) view.Item {
+	a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 7000)
+	return view.Item{Entry: view.Entry{
+		Key:   view.Key{Hop: a, Instance: ident.Instance(1<<23 + n)},
+		State: view.Serving, Seq: 1, Service: "listas", Place: "fortaleza",
+	}}
+}
+
+// TestTenBalancers guards the exchange between balancers: a change must reach
+// all within a second although each one keeps only 3 sessions, a configuration
+// must never be replaced by a lower one, a failed balancer must be marked, and entries must return when their owner is alive.
+func TestTenBalancers(t *testing.T) {
+	ns := startNodes(t, 10)
+	eventually(t, 10*time.Second, "3 sessions each", func() bool {
+		for _, n := range ns {
+			if len(n.State().Sessions) < peersPerBalancer {
+				return false
+			}
+		}
+		return true
+	})
+	for i := range 5 {
+		ns[i].Merge(endpointItem(i))
+		d := eventually(t, time.Second, "change everywhere", func() bool { return equal(ns, 11+i) })
+		t.Logf("a change reached 10 balancers in %v", d)
+	}
+	for _, size := range []int{9, 5} {
+		ns[size].SetConfig(ident.Generation(size), make([]byte, size))
+	}
+	eventually(t, time.Second, "the higher generation everywhere", func() bool {
+		for _, n := range ns {
+			if n.Generation() != 9 {
+				return false
+			}
+		}
+		return true
+	})
+	ns[3].stop()
+	k := ns[3].Self().Key
+	eventually(t, 10*time.Second, "mark of the stopped balancer", func() bool {
+		return ns[8].MarkOf(k) == view.Down || ns[9].MarkOf(k) == view.Down
+	})
+	e, _ := ns[5].Get(ns[4].Self().Key)
+	ns[5].SetGone(e)
+	eventually(t, 5*time.Second, "owner announced itself again", func() bool {
+		have, _ := ns[6].Get(e.Key)
+		return have.State == view.Serving && have.Seq > e.Seq
+	})
+}
+
+// TestIdleTraffic guards the control budget of 21 KB/s: an idle exchange sends
+// digests only, whatever the size of the view.
+func TestIdleTraffic(t *testing.T) {
+	for _, count := range []int{10, 1000} {
+		ns := startNodes(t, 4)
+		var is []view.Item
+		full := 0
+		for i := range count {
+			is = append(is, endpointItem(i))
+		}
+		for _, p := range entryFrames(is, nil) {
+			full += len(p.b)
+		}
+		ns[0].Merge(is...)
+		eventually(t, 5*time.Second, "all entries everywhere", func() bool { return equal(ns, count+4) })
+		before, begin := ns[1].State().Traffic, time.Now()
+		eventually(t, 5*time.Second, "three digests to each peer", func() bool {
+			return ns[1].State().Traffic.Sent["digest"] >= before.Sent["digest"]+3*3*20
+		})
+		after, seconds := ns[1].State().Traffic, time.Since(begin).Seconds()
+		rate := float64(after.WireSent-before.WireSent) / seconds
+		t.Logf("%d entries: %.0f octets/s sent idle; full state %d octets (%d each), %d octets/s to 3 peers",
+			count, rate, full, full/count, 3*full)
+		if rate > 1000 {
+			t.Errorf("%d entries: want at most 1000 octets/s, have %.0f", count, rate)
+		}
+		if n := after.Sent["entries"] - before.Sent["entries"]; n != 0 {
+			t.Errorf("%d entries: want no entries sent while idle, have %d octets", count, n)
+		}
+		for _, n := range ns {
+			n.stop()
+		}
+	}
+}
+
+// TestAgentSessions guards what an agent depends on: the configuration and the
+// balancers over two sessions, its changes in all views, and a broken session
+// that is told apart from a farewell.
+func TestAgentSessions(t *testing.T) {
+	var broken atomic.Int32
+	change := func(o *Options) { o.OnAgentBroken = func(view.Key) { broken.Add(1) } }
+	first := startNode(t, 0, change)
+	ns := []*started{first, startNode(t, 1, change, first.addr), startNode(t, 2, change, first.addr)}
+	ns[2].SetConfig(3, []byte("123"))
+	var configs, balancers atomic.Int32
+	self := endpointItem(1).Entry
+	c := NewClient(ClientOptions{
+		Self: self, Seeds: []string{first.addr},
+		OnConfig:    func([]byte) { configs.Add(1) },
+		OnBalancers: func(es []view.Entry) { balancers.Store(int32(len(es))) },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go c.Run(ctx)
+	eventually(t, 10*time.Second, "two sessions, balancers and configuration", func() bool {
+		return len(c.State().Sessions) == sessionsPerAgent && balancers.Load() == 3 && configs.Load() >= 2
+	})
+	all := func(s view.State) func() bool {
+		return func() bool {
+			for _, n := range ns {
+				if e, _ := n.Get(self.Key); e.State != s {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	eventually(t, 5*time.Second, "endpoint in all views", all(view.Serving))
+	e, _ := first.Get(self.Key)
+	first.SetGone(e)
+	eventually(t, 5*time.Second, "agent announced itself again", all(view.Serving))
+	c.SetState(view.Draining)
+	eventually(t, time.Second, "drain in all views", all(view.Draining))
+	cancel()
+	eventually(t, 5*time.Second, "broken session reported", func() bool { return broken.Load() == 2 })
+}
+
+// TestStrangers guards the bounds on what a process that is not one of ours
+// can make a balancer hold.
+func TestStrangers(t *testing.T) {
+	a, err := certs.NewAuthority(time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	cert, key, err := a.IssueFiles(dir, "peer")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ca := filepath.Join(dir, "ca.crt")
+	if err := os.WriteFile(ca, a.PEM, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	secure, err := LoadTLS(cert, key, ca)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := startNode(t, 0, func(o *Options) { o.TLS = secure })
+	traffic := newTraffic(nil)
+	if s, err := dial(t.Context(), n.addr, nil, traffic, endpointItem(1)); err == nil {
+		s.close()
+		t.Error("a process without a certificate was admitted")
+	}
+	s, err := dial(t.Context(), n.addr, secure, traffic, endpointItem(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.write(entryFrames([]view.Item{endpointItem(2)}, nil)[0])
+	eventually(t, 5*time.Second, "session ended", func() bool { return len(n.State().Sessions) == 0 })
+	if _, ok := n.Get(endpointItem(2).Key); ok {
+		t.Error("an agent announced another endpoint")
+	}
+	for range maxPending + 10 {
+		c, err := net.Dial("tcp4", n.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	eventually(t, 5*time.Second, "connections over the limit refused", func() bool {
+		return n.State().Counts["refusedSessions"] >= 10
+	})
+}
+
+// FuzzFrame guards the parser against messages of any content.
+func FuzzFrame(f *testing.F) {
+	f.Add(entryFrames([]view.Item{endpointItem(1)}, []uint32{3})[0].b[lengthSize:])
+	f.Add(marksFrame(endpointItem(1).Key, []view.Mark{{Target: endpointItem(2).Key, Seq: 1, Condition: view.Down}}).b[lengthSize:])
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := parseFrame(b)
+		if err != nil {
+			return
+		}
+		n := NewNode(Options{Self: view.Entry{Key: view.Key{Name: "b", Hop: netip.MustParseAddrPort("10.1.0.1:1")}, State: view.Serving}})
+		for _, k := range []view.Key{endpointItem(1).Key, {Name: "c", Hop: n.self.Key.Hop}} {
+			s := &session{remote: view.Item{Entry: view.Entry{Key: k}}}
+			s.prepare()
+			n.handle(s, m)
+		}
+		if n.view.Len() > len(b) {
+			t.Fatalf("%d entries out of %d octets", n.view.Len(), len(b))
+		}
+	})
+}
--- /dev/null
+++ b/internal/peer/state.go
@@ -0,0 +1,35 @@
+package peer
+
+// State is the part of a state dump about sessions.
+type State struct {
+	Sessions map[string]bool   `json:"sessions"`
+	Counts   map[string]uint64 `json:"counts"`
+	Traffic  Traffic           `json:"traffic"`
+	// Marks maps processes to what this balancer itself found out.
+	Marks map[string]string `json:"marks"`
+}
+
+// State returns the current state dump; Sessions maps keys to whether this
+// side dialed.
+func (n *Node) State() State {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	st := State{Sessions: map[string]bool{}, Traffic: n.traffic.values(), Marks: map[string]string{}}
+	for s := range n.sessions {
+		st.Sessions[s.remote.Key.String()] = s.dialed
+	}
+	for k, m := range n.own {
+		st.Marks[k.String()] = m.Condition.String()
+	}
+	st.Counts = map[string]uint64{
+		"entries":          uint64(n.view.Len()),
+		"refusedEntries":   n.view.Refused(),
+		"refusedSessions":  n.refusedSessions.Load(),
+		"refusedFrames":    n.refusedFrames.Load(),
+		"slowSessions":     n.slowSessions.Load(),
+		"configConflicts":  n.configConflicts.Load(),
+		"entriesForwarded": n.entriesForwarded.Load(),
+		"marksForwarded":   n.marksForwarded.Load(),
+	}
+	return st
+}
--- /dev/null
+++ b/internal/peer/traffic.go
@@ -0,0 +1,86 @@
+package peer
+
+import (
+	"net"
+	"sync/atomic"
+
+	"github.com/uber-go/tally/v4"
+)
+
+var kinds = []string{"hello", "digest", "buckets", "entries", "marks", "config", "unknown"}
+
+// traffic counts octets per kind of message, and what sessions write to and
+// read from TCP with yamux and TLS around the messages.
+type traffic struct {
+	sent, received map[string]*meter
+	// wireSent and wireReceived count octets of TCP payload.
+	wireSent, wireReceived meter
+}
+
+// meter counts locally and for the metrics.
+type meter struct {
+	total   atomic.Uint64
+	counter tally.Counter
+}
+
+func (m *meter) add(n int) {
+	m.total.Add(uint64(n))
+	m.counter.Inc(int64(n))
+}
+
+func newTraffic(s tally.Scope) *traffic {
+	if s == nil {
+		s = tally.NoopScope
+	}
+	t := &traffic{sent: map[string]*meter{}, received: map[string]*meter{}}
+	counter := func(name, kind string) tally.Counter {
+		return s.Tagged(map[string]string{"kind": kind}).Counter(name)
+	}
+	for _, k := range kinds {
+		t.sent[k] = &meter{counter: counter("peer_bytes_sent", k)}
+		t.received[k] = &meter{counter: counter("peer_bytes_received", k)}
+	}
+	t.wireSent.counter = counter("peer_bytes_sent", "wire")
+	t.wireReceived.counter = counter("peer_bytes_received", "wire")
+	return t
+}
+
+// Traffic is the part of a state dump that counts octets by kind of message.
+type Traffic struct {
+	Sent         map[string]uint64 `json:"sent"`
+	Received     map[string]uint64 `json:"received"`
+	WireSent     uint64            `json:"wireSent"`
+	WireReceived uint64            `json:"wireReceived"`
+}
+
+func (t *traffic) values() Traffic {
+	v := Traffic{
+		Sent: map[string]uint64{}, Received: map[string]uint64{},
+		WireSent: t.wireSent.total.Load(), WireReceived: t.wireReceived.total.Load(),
+	}
+	for _, k := range kinds {
+		v.Sent[k] = t.sent[k].total.Load()
+		v.Received[k] = t.received[k].total.Load()
+	}
+	return v
+}
+
+// countedConn counts what passes a TCP connection.
+type countedConn struct {
+	net.Conn
+	t *traffic
+}
+
+// Read implements net.Conn.
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.t.wireReceived.add(n)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.t.wireSent.add(n)
+	return n, err
+}
--- a/internal/view/marks.go
+++ b/internal/view/marks.go
@@ -24,6 +24,11 @@
 	Down
 )
 
+// String returns the lower-case name of the condition.
+func (c Condition) String() string {
+	return [...]string{"clear", "refusing", "down"}[min(c, Down)]
+}
+
 // Mark says in which condition a balancer found a process.
 type Mark struct {
 	Target Key
