--- a/internal/health/assign.go
+++ b/internal/health/assign.go
@@ -4,38 +4,34 @@
 // removals are returned as actions.
 package health
 
-import (
-	"encoding/binary"
-
-	"github.com/cespare/xxhash/v2"
-
-	"github.com/bramleycourse/bramleycourse/internal/view"
-)
+import "math/bits"
 
 // probersPerEndpoint is the number of balancers that probe each endpoint, so
 // that the failure of one leaves no endpoint without a prober.
 const probersPerEndpoint = 2
 
-// Assigned reports whether self is among the probers of an endpoint. Every
-// balancer that knows the same live balancers computes the same probers.
-func Assigned(self, endpoint view.Key, balancers []view.Key) bool {
+// Assigned reports whether self is among the probers of an endpoint. The
+// arguments are hashes of keys; balancers holds those of all live balancers.
+// Every balancer that knows the same ones computes the same probers.
+func Assigned(self, endpoint uint64, balancers []uint64) bool {
 	own := Rank(self, endpoint)
 	better := 0
 	for _, b := range balancers {
-		if b == self {
-			continue
-		}
-		if r := Rank(b, endpoint); r > own || r == own && b.String() < self.String() {
+		if b != self && Rank(b, endpoint) > own {
 			better++
 		}
 	}
 	return better < probersPerEndpoint
 }
 
-// Rank is the rendezvous rank of a balancer for a key; the highest is first.
-func Rank(balancer, key view.Key) uint64 {
-	var b [16]byte
-	binary.BigEndian.PutUint64(b[:], balancer.Hash())
-	binary.BigEndian.PutUint64(b[8:], key.Hash())
-	return xxhash.Sum64(b[:])
+// Rank is the rendezvous rank of a balancer for a key, both given as hashes;
+// the highest is first. At the target size there are 4,500 x 440 pairs, so it
+// is the finalizer of MurmurHash3 and not a hash over the keys.
+func Rank(balancer, key uint64) uint64 {
+	x := balancer ^ bits.RotateLeft64(key, 32)
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
 }
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -115,21 +115,21 @@
 // TestAssigned guards the spread of probers: each endpoint has exactly two,
 // and the failure of a balancer moves only its own endpoints.
 func TestAssigned(t *testing.T) {
-	var balancers []view.Key
+	var balancers []uint64
 	for i := range 10 {
 		k := key(i + 100)
 		k.Name = fmt.Sprint("b", i)
-		balancers = append(balancers, k)
+		balancers = append(balancers, k.Hash())
 	}
-	load := map[view.Key]int{}
+	load := map[uint64]int{}
 	for i := range 200 {
 		for j, b := range balancers {
-			before := Assigned(b, key(i), balancers)
+			before := Assigned(b, key(i).Hash(), balancers)
 			if before {
 				load[b]++
 			}
-			if j > 0 && before && !Assigned(b, key(i), balancers[1:]) {
-				t.Fatalf("endpoint %d left prober %s, which did not fail", i, b.Name)
+			if j > 0 && before && !Assigned(b, key(i).Hash(), balancers[1:]) {
+				t.Fatalf("endpoint %d left prober %x, which did not fail", i, b)
 			}
 		}
 	}
@@ -137,7 +137,7 @@
 	for b, n := range load {
 		total += n
 		if n < 20 || n > 60 {
-			t.Errorf("%s probes %d of 200 endpoints, want about 40", b.Name, n)
+			t.Errorf("%x probes %d of 200 endpoints, want about 40", b, n)
 		}
 	}
 	if total != 400 {
--- a/internal/peer/choose.go
+++ b/internal/peer/choose.go
@@ -15,14 +15,30 @@
 // successor in the ring of key hashes, which connects the graph whatever the
 // others are; rendezvous ranks give the rest, which keep paths short.
 func Choose(self view.Key, balancers []view.Key) []view.Key {
-	others := slices.DeleteFunc(slices.Clone(balancers), func(k view.Key) bool { return k == self })
-	if len(others) <= peersPerBalancer {
-		return others
+	type ranked struct {
+		key  view.Key
+		hash uint64
+		rank uint64
 	}
-	// Unsigned subtraction gives the distance around the ring.
 	own := self.Hash()
-	next := slices.MinFunc(others, func(a, b view.Key) int { return cmp.Compare(a.Hash()-own, b.Hash()-own) })
-	others = slices.DeleteFunc(others, func(k view.Key) bool { return k == next })
-	slices.SortFunc(others, func(a, b view.Key) int { return cmp.Compare(health.Rank(b, self), health.Rank(a, self)) })
-	return append([]view.Key{next}, others[:peersPerBalancer-1]...)
+	var others []ranked
+	for _, k := range balancers {
+		if h := k.Hash(); k != self {
+			others = append(others, ranked{k, h, health.Rank(h, own)})
+		}
+	}
+	var chosen []view.Key
+	if len(others) > peersPerBalancer {
+		// Unsigned subtraction gives the distance around the ring.
+		next := slices.MinFunc(others, func(a, b ranked) int { return cmp.Compare(a.hash-own, b.hash-own) })
+		chosen = append(chosen, next.key)
+		others = slices.DeleteFunc(others, func(r ranked) bool { return r.key == next.key })
+	}
+	slices.SortFunc(others, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
+	for _, r := range others {
+		if len(chosen) < peersPerBalancer {
+			chosen = append(chosen, r.key)
+		}
+	}
+	return chosen
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -31,6 +31,9 @@
 	Scope tally.Scope
 	// OnConfig receives a configuration, possibly one that was received before.
 	OnConfig func(value []byte)
+	// OnSelf receives the own entry when its sequence number was raised because
+	// another process had changed it.
+	OnSelf func(view.Entry)
 	// OnBalancers receives all known balancers that are not gone.
 	OnBalancers func([]view.Entry)
 }
@@ -101,6 +104,9 @@
 			have++
 		}
 	}
+	if have >= sessionsPerAgent {
+		return
+	}
 	for _, addr := range c.candidates() {
 		if have >= sessionsPerAgent {
 			return
@@ -117,9 +123,10 @@
 // candidates returns the addresses of balancers, the best first: serving ones
 // by rendezvous rank, then seeds, which may not be in the list yet.
 func (c *Client) candidates() []string {
-	es := slices.DeleteFunc(c.view.Entries(), func(e view.Entry) bool { return e.State != view.Serving })
+	es := slices.DeleteFunc(c.view.Balancers(), func(e view.Entry) bool { return e.State != view.Serving })
+	own := c.self.Key.Hash()
 	slices.SortFunc(es, func(a, b view.Entry) int {
-		return cmp.Compare(health.Rank(b.Key, c.self.Key), health.Rank(a.Key, c.self.Key))
+		return cmp.Compare(health.Rank(b.Key.Hash(), own), health.Rank(a.Key.Hash(), own))
 	})
 	var addrs []string
 	for _, e := range es {
@@ -135,7 +142,7 @@
 }
 
 func (c *Client) draining(addr string) bool {
-	return slices.ContainsFunc(c.view.Entries(), func(e view.Entry) bool {
+	return slices.ContainsFunc(c.view.Balancers(), func(e view.Entry) bool {
 		return e.Peer.String() == addr && e.State != view.Serving
 	})
 }
@@ -218,13 +225,14 @@
 // process did not make is answered with a higher one.
 func (c *Client) entries(is []view.Item) {
 	c.mu.Lock()
-	news := false
+	news, raised := false, false
 	for _, i := range is {
 		switch {
 		case i.Key == c.self.Key:
 			if i.Seq >= c.self.Seq && i.Entry != c.self.Entry {
 				c.self.Seq = i.Seq + 1
 				c.push()
+				raised = true
 			}
 		case i.Key.IsBalancer():
 			news = c.view.Merge(time.Since(c.start), i) || news
@@ -232,7 +240,11 @@
 	}
 	c.view.Expire(time.Since(c.start))
 	es := c.view.Entries()
+	self := c.self.Entry
 	c.mu.Unlock()
+	if raised && c.o.OnSelf != nil {
+		c.o.OnSelf(self)
+	}
 	if news && c.o.OnBalancers != nil {
 		c.o.OnBalancers(es)
 	}
@@ -246,16 +258,16 @@
 	}
 }
 
-// SetState changes the state of the own entry and pushes it at once.
-func (c *Client) SetState(s view.State) {
+// SetState changes the state of the own entry, pushes it at once and returns it.
+func (c *Client) SetState(s view.State) view.Entry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.self.State == s {
-		return
+	if c.self.State != s {
+		c.self.State = s
+		c.self.Seq++
+		c.push()
 	}
-	c.self.State = s
-	c.self.Seq++
-	c.push()
+	return c.self.Entry
 }
 
 // Flush waits until all queued messages are written or the context ends.
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -86,6 +86,10 @@
 func (n *Node) manage(ctx context.Context) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.managed == n.changes {
+		return
+	}
+	n.managed = n.changes
 	wanted := n.wanted()
 	for addr, d := range n.dialers {
 		if !wanted[addr] {
@@ -177,6 +181,7 @@
 func (n *Node) setConnected(d *dialer, v bool) {
 	n.mu.Lock()
 	d.connected = v
+	n.changes++
 	n.mu.Unlock()
 }
 
@@ -199,6 +204,7 @@
 	if s.remote.Key == n.Self().Key {
 		n.mu.Lock()
 		n.selfAddrs[addr] = true
+		n.changes++
 		n.mu.Unlock()
 		return
 	}
@@ -214,7 +220,7 @@
 	for _, k := range n.at(addr) {
 		n.Mark(k, view.Down)
 	}
-	n.viewChanged(true)
+	n.viewChanged(worse)
 }
 
 func (n *Node) closeAll() {
--- a/internal/peer/handle.go
+++ b/internal/peer/handle.go
@@ -38,6 +38,7 @@
 	}
 	n.sessions[s] = struct{}{}
 	news := n.merge([]view.Item{s.remote}, s)
+	n.changes++
 	if n.conf.Generation > 0 && !s.remote.Key.IsBalancer() {
 		s.send(n.configFrame())
 	}
@@ -79,10 +80,8 @@
 
 func (n *Node) balancers() []view.Item {
 	var is []view.Item
-	for _, e := range n.view.Entries() {
-		if e.Key.IsBalancer() {
-			is = append(is, view.Item{Entry: e})
-		}
+	for _, e := range n.view.Balancers() {
+		is = append(is, view.Item{Entry: e})
 	}
 	return is
 }
@@ -99,6 +98,7 @@
 func (n *Node) leave(s *session) {
 	n.mu.Lock()
 	delete(n.sessions, s)
+	n.changes++
 	if s.queue.Overflow() > 0 {
 		n.slowSessions.Add(1)
 	}
@@ -269,9 +269,10 @@
 		}
 	}
 	n.marksForwarded.Add(uint64(len(news)))
+	n.changes++
 	n.sendMarks(news, s)
 	n.mu.Unlock()
-	n.viewChanged(len(news) > 0)
+	n.viewChanged(marksChange(news))
 	return nil
 }
 
@@ -297,6 +298,7 @@
 	n.sendMarks(ms, nil)
 	n.view.Expire(n.now())
 	expired := n.marks.Expire(n.now())
+	n.changes += uint64(len(expired))
 	n.mu.Unlock()
-	n.viewChanged(len(expired) > 0)
+	n.viewChanged(changedIf(len(expired) > 0))
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -39,8 +39,12 @@
 	TLS *tls.Config
 	// Scope receives the metrics; may be nil.
 	Scope tally.Scope
-	// OnView is called after the view or the marks have changed.
-	OnView func()
+	// OnView is called after the view or the marks have changed; urgent means
+	// that something may have become unusable.
+	OnView func(urgent bool)
+	// OnSelf receives the own entry when its sequence number was raised because
+	// another process had changed it.
+	OnSelf func(view.Entry)
 	// OnConfig receives a configuration of a peer; the receiver checks it and
 	// calls SetConfig if it is in force.
 	OnConfig func(value []byte)
@@ -73,6 +77,9 @@
 	conf     Config
 	sessions map[*session]struct{}
 	dialers  map[string]*dialer
+	// changes counts what the choice of peers depends on; managed is its value
+	// at the last choice.
+	changes, managed uint64
 	// selfAddrs are seeds that turned out to be this balancer.
 	selfAddrs map[string]bool
 
@@ -101,6 +108,7 @@
 		sessions:  map[*session]struct{}{},
 		dialers:   map[string]*dialer{},
 		selfAddrs: map[string]bool{},
+		changes:   1,
 	}
 	n.view.Merge(0, n.self)
 	return n
@@ -117,19 +125,53 @@
 }
 
 // merge adds entries, passes on the news to all sessions but from, and
-// reports whether there were any. The caller holds the mutex.
-func (n *Node) merge(is []view.Item, from *session) bool {
+// says what changed. The caller holds the mutex.
+func (n *Node) merge(is []view.Item, from *session) change {
 	var news []view.Item
+	c := unchanged
 	for _, i := range is {
 		if i.Key == n.self.Key && !n.outranks(&i) {
 			continue
 		}
-		if n.view.Merge(n.now(), i) {
-			news = append(news, i)
+		if !n.view.Merge(n.now(), i) {
+			continue
+		}
+		news = append(news, i)
+		c = max(c, changed)
+		if i.State != view.Serving {
+			c = worse
 		}
 	}
+	n.changes += uint64(len(news))
 	n.push(news, from)
-	return len(news) > 0
+	return c
+}
+
+// change says what an update did to the view.
+type change uint8
+
+const (
+	unchanged change = iota
+	changed
+	// worse means that something may have become unusable.
+	worse
+)
+
+func changedIf(b bool) change {
+	if b {
+		return changed
+	}
+	return unchanged
+}
+
+func marksChange(ms []view.Mark) change {
+	c := changedIf(len(ms) > 0)
+	for _, m := range ms {
+		if m.Condition != view.Clear {
+			c = worse
+		}
+	}
+	return c
 }
 
 // outranks replaces a version of the own entry that this process did not make
@@ -140,6 +182,9 @@
 	}
 	n.self.Seq = i.Seq + 1
 	*i = n.self
+	if n.o.OnSelf != nil {
+		go n.o.OnSelf(n.self.Entry)
+	}
 	return true
 }
 
@@ -177,21 +222,23 @@
 	}
 }
 
-func (n *Node) viewChanged(changed bool) {
-	if changed && n.o.OnView != nil {
-		n.o.OnView()
+func (n *Node) viewChanged(c change) {
+	if c != unchanged && n.o.OnView != nil {
+		n.o.OnView(c == worse)
 	}
 }
 
-// SetState changes the state of the balancer's own entry.
-func (n *Node) SetState(s view.State) {
+// SetState changes the state of the balancer's own entry and returns it.
+func (n *Node) SetState(s view.State) view.Entry {
 	n.mu.Lock()
 	n.self.State = s
 	n.self.Seq++
-	news := n.view.Merge(n.now(), n.self)
+	n.view.Merge(n.now(), n.self)
 	n.push([]view.Item{n.self}, nil)
+	e := n.self.Entry
 	n.mu.Unlock()
-	n.viewChanged(news)
+	n.viewChanged(worse)
+	return e
 }
 
 // Self returns the balancer's own entry.
@@ -237,6 +284,7 @@
 		return
 	}
 	n.markSeq++
+	n.changes++
 	m := view.Mark{Target: k, By: n.self.Key, Seq: n.markSeq, Condition: c}
 	if c == view.Clear {
 		delete(n.own, k)
--- a/internal/view/entry.go
+++ b/internal/view/entry.go
@@ -39,6 +39,17 @@
 // MarshalText implements encoding.TextMarshaler.
 func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *State) UnmarshalText(b []byte) error {
+	for v := Serving; v <= Gone; v++ {
+		if v.String() == string(b) {
+			*s = v
+			return nil
+		}
+	}
+	return fmt.Errorf("state %q is not serving, draining or gone", b)
+}
+
 // Key identifies one run of an endpoint or of a balancer.
 type Key struct {
 	// Name is the balancer's name; empty for an endpoint.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -127,6 +127,17 @@
 	return es
 }
 
+// Balancers returns the entries of balancers that are not gone, in no order.
+func (v *View) Balancers() []Entry {
+	var es []Entry
+	for k, r := range v.records {
+		if k.IsBalancer() && r.entry.State != Gone {
+			es = append(es, r.entry)
+		}
+	}
+	return es
+}
+
 func (k Key) compare(o Key) int {
 	return cmp.Or(
 		cmp.Compare(k.Name, o.Name),
