--- a/internal/store/faults.go
+++ b/internal/store/faults.go
@@ -83,3 +83,13 @@
 	s.faults.LoseAnswers--
 	return true
 }
+
+// lose ends the call without an answer; the caller holds the mutex.
+func (s *Store) lose() {
+	if s.AfterLost != nil {
+		s.mu.Unlock()
+		s.AfterLost()
+		s.mu.Lock()
+	}
+	panic(http.ErrAbortHandler)
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -37,6 +37,10 @@
 	changed chan struct{}
 	faults  Faults
 	counts  map[string]int
+
+	// AfterLost, when set, is called after a write took effect and before its
+	// answer is lost, without locks. It must be set before the first call.
+	AfterLost func()
 }
 
 // New returns an empty store.
@@ -121,7 +125,7 @@
 	s.objects[k][name] = o
 	s.record(change{k, o})
 	if s.loseAnswer() {
-		panic(http.ErrAbortHandler)
+		s.lose()
 	}
 	w.Header().Set("ETag", etag(o.Version))
 	writeJSON(w, plat.Object{Name: name, Version: o.Version})
@@ -137,7 +141,7 @@
 	delete(s.objects[k], name)
 	s.record(change{k, plat.Object{Name: name, Version: s.version, Deleted: true}})
 	if s.loseAnswer() {
-		panic(http.ErrAbortHandler)
+		s.lose()
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
