--- /dev/null
+++ b/internal/config/accept.go
@@ -0,0 +1,74 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/juju/errors"
+
+	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/pkg/decl"
+)
+
+// Accepted is a configuration as the platform holds it.
+type Accepted struct {
+	Generation  ident.Generation  `json:"generation"`
+	Declaration *decl.Declaration `json:"declaration"`
+	// Value is the JSON of the object without white space; equal
+	// configurations have equal values.
+	Value []byte `json:"-"`
+}
+
+type configObject struct {
+	Generation  ident.Generation `json:"generation"`
+	Writer      string           `json:"writer"`
+	Declaration json.RawMessage  `json:"declaration"`
+}
+
+// ParseAccepted decodes and validates a configuration object with the given
+// name, whole or not at all. An error names the field.
+func ParseAccepted(name string, value []byte) (*Accepted, error) {
+	var o configObject
+	if err := decodeStrict(value, &o); err != nil {
+		return nil, err
+	}
+	if o.Generation == 0 {
+		return nil, &FieldError{"generation", "must be greater than 0"}
+	}
+	d, err := decl.Parse(o.Declaration)
+	if err != nil {
+		return nil, errors.Annotatef(err, "declaration")
+	}
+	if name != "" && d.Name != name {
+		return nil, &FieldError{"declaration.name", "is not " + name}
+	}
+	var b bytes.Buffer
+	if err := json.Compact(&b, value); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return &Accepted{Generation: o.Generation, Declaration: d, Value: b.Bytes()}, nil
+}
+
+// decodeStrict decodes one JSON value. Unknown fields and data behind the
+// value are errors.
+func decodeStrict(b []byte, v any) error {
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return fieldError(err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return &FieldError{"(end)", "there is data behind the JSON value"}
+	}
+	return nil
+}
+
+// fieldError names the field of a value that has the wrong type.
+func fieldError(err error) error {
+	var t *json.UnmarshalTypeError
+	if errors.As(err, &t) && t.Field != "" {
+		return &FieldError{t.Field, "has a JSON " + t.Value + " where " + t.Type.String() + " is expected"}
+	}
+	return err
+}
--- /dev/null
+++ b/internal/config/balancer.go
@@ -0,0 +1,177 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+const (
+	// maxDrainLimit covers feeds that stay open for days, in seconds.
+	maxDrainLimit = 7 * 24 * 3600
+	maxPeers      = 64
+	maxNetworks   = 256
+	maxNameLength = 63
+)
+
+// Balancer holds the settings of a balancer.
+type Balancer struct {
+	// Name is unique among the balancers; 1 to 63 letters, digits, "-", "." or "_".
+	Name string `json:"name"`
+	// Place is the balancer's availability zone; 1 to 63 octets.
+	Place string `json:"place"`
+	// CallerIP replaces the IP of each service's declared address when it is set.
+	CallerIP string `json:"callerIP"`
+	// HopAddress is the UDP address for the hop to the agents, IPv4 "ip:port".
+	// Agents send replies there, so the IP must not be 0.0.0.0.
+	HopAddress string `json:"hopAddress"`
+	// PeerAddress is the TCP address for sessions of peers and agents, IPv4
+	// "ip:port". It is announced, so it must be neither 0.0.0.0 nor port 0.
+	PeerAddress string `json:"peerAddress"`
+	// AdminAddress is the TCP address of the admin server, IPv4 "ip:port".
+	AdminAddress string `json:"adminAddress"`
+	// ConfigName names the configuration object on the platform; default "main".
+	ConfigName string `json:"configName"`
+	// Peers lists up to 64 peer addresses of other balancers to begin with.
+	Peers []string `json:"peers"`
+	// PeerTLS turns on mutual TLS for sessions of peers and agents.
+	PeerTLS *PeerTLS `json:"peerTLS,omitempty"`
+	// AgentNetworks lists 1 to 256 IPv4 prefixes that agents' addresses are in.
+	AgentNetworks []string `json:"agentNetworks"`
+	// KeysFile is the path of the keys file; not empty.
+	KeysFile string `json:"keysFile"`
+	// DrainLimitSeconds ends a drain that takes longer; 0 to 604800, default 0,
+	// which means no limit.
+	DrainLimitSeconds int      `json:"drainLimitSeconds"`
+	Platform          Platform `json:"platform"`
+}
+
+// PeerTLS names the files of mutual TLS between our processes, PEM; none is empty.
+type PeerTLS struct {
+	CertFile string `json:"certFile"`
+	KeyFile  string `json:"keyFile"`
+	// CAFile holds the authority that signs only our processes' certificates.
+	CAFile string `json:"caFile"`
+}
+
+func (p *PeerTLS) check() error {
+	if p == nil {
+		return nil
+	}
+	for _, f := range []struct{ path, value string }{
+		{"peerTLS.certFile", p.CertFile},
+		{"peerTLS.keyFile", p.KeyFile},
+		{"peerTLS.caFile", p.CAFile},
+	} {
+		if f.value == "" {
+			return &FieldError{f.path, "must not be empty"}
+		}
+	}
+	return nil
+}
+
+// LoadBalancer reads and checks the settings of a balancer.
+func LoadBalancer(path string) (*Balancer, error) {
+	b := Balancer{ConfigName: "main"}
+	if err := load(path, &b); err != nil {
+		return nil, err
+	}
+	return &b, b.check()
+}
+
+func (b *Balancer) check() error {
+	for _, f := range []func() error{b.checkNames, b.checkAddresses, b.checkNetworks, b.PeerTLS.check, b.Platform.check} {
+		if err := f(); err != nil {
+			return err
+		}
+	}
+	if b.DrainLimitSeconds < 0 || b.DrainLimitSeconds > maxDrainLimit {
+		return &FieldError{"drainLimitSeconds", fmt.Sprintf("%d is not in 0 to %d", b.DrainLimitSeconds, maxDrainLimit)}
+	}
+	return nil
+}
+
+func (b *Balancer) checkNames() error {
+	if b.KeysFile == "" {
+		return &FieldError{"keysFile", "must not be empty"}
+	}
+	for _, f := range []struct{ path, value string }{
+		{"name", b.Name},
+		{"place", b.Place},
+		{"configName", b.ConfigName},
+	} {
+		if len(f.value) == 0 || len(f.value) > maxNameLength {
+			return &FieldError{f.path, fmt.Sprintf("must have 1 to %d octets", maxNameLength)}
+		}
+	}
+	// Name and ConfigName are part of paths of the platform's API.
+	for _, f := range []struct{ path, value string }{{"name", b.Name}, {"configName", b.ConfigName}} {
+		for _, c := range f.value {
+			if !plain(c) {
+				return &FieldError{f.path, fmt.Sprintf("has the character %q", c)}
+			}
+		}
+	}
+	return nil
+}
+
+func plain(c rune) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '.' || c == '_'
+}
+
+func (b *Balancer) checkAddresses() error {
+	for _, f := range []struct{ path, value string }{
+		{"hopAddress", b.HopAddress},
+		{"peerAddress", b.PeerAddress},
+		{"adminAddress", b.AdminAddress},
+	} {
+		if err := checkAddr(f.path, f.value); err != nil {
+			return err
+		}
+	}
+	if netip.MustParseAddrPort(b.HopAddress).Addr().IsUnspecified() {
+		return &FieldError{"hopAddress", "must not be the unspecified address"}
+	}
+	if err := checkRemote("peerAddress", b.PeerAddress); err != nil {
+		return err
+	}
+	if a, err := netip.ParseAddr(b.CallerIP); b.CallerIP != "" && (err != nil || !a.Is4()) {
+		return &FieldError{"callerIP", fmt.Sprintf("%q is not an IPv4 address", b.CallerIP)}
+	}
+	if len(b.Peers) > maxPeers {
+		return &FieldError{"peers", fmt.Sprintf("has %d addresses, the limit is %d", len(b.Peers), maxPeers)}
+	}
+	for i, p := range b.Peers {
+		if err := checkRemote(fmt.Sprintf("peers[%d]", i), p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkRemote checks an address that other processes connect to.
+func checkRemote(path, v string) error {
+	a, err := netip.ParseAddrPort(v)
+	if err != nil || !a.Addr().Is4() || a.Addr().IsUnspecified() || a.Port() == 0 {
+		return &FieldError{path, fmt.Sprintf("%q is not an IPv4 address and port that others can connect to", v)}
+	}
+	return nil
+}
+
+func (b *Balancer) checkNetworks() error {
+	if n := len(b.AgentNetworks); n == 0 || n > maxNetworks {
+		return &FieldError{"agentNetworks", fmt.Sprintf("must have 1 to %d prefixes", maxNetworks)}
+	}
+	for i, n := range b.AgentNetworks {
+		p, err := netip.ParsePrefix(n)
+		if err != nil || !p.Addr().Is4() || p != p.Masked() {
+			return &FieldError{fmt.Sprintf("agentNetworks[%d]", i), fmt.Sprintf("%q is not an IPv4 prefix", n)}
+		}
+	}
+	return nil
+}
+
+// DrainLimit returns the time after which a drain is cut; 0 means never.
+func (b *Balancer) DrainLimit() time.Duration {
+	return time.Duration(b.DrainLimitSeconds) * time.Second
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,10 +3,9 @@
 package config
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"net/netip"
+	"net/url"
 	"os"
 	"time"
 
@@ -32,31 +31,6 @@
 	RequestTimeoutMillis int `json:"requestTimeoutMillis"`
 }
 
-// Balancer holds the settings of a balancer.
-type Balancer struct {
-	// Name is unique among the balancers; not empty.
-	Name string `json:"name"`
-	// Place is the balancer's availability zone; not empty.
-	Place string `json:"place"`
-	// CallerIP replaces the IP of each service's declared address when it is set.
-	CallerIP string `json:"callerIP"`
-	// HopAddress is the UDP address for the hop to the agents, "ip:port".
-	HopAddress string `json:"hopAddress"`
-	// PeerAddress is the TCP address for sessions of peers and agents, "ip:port".
-	PeerAddress string `json:"peerAddress"`
-	// AdminAddress is the TCP address of the admin server, "ip:port".
-	AdminAddress string `json:"adminAddress"`
-	// ConfigName names the configuration object on the platform; default "main".
-	ConfigName string `json:"configName"`
-	// Peers lists peer addresses of other balancers to begin with.
-	Peers []string `json:"peers"`
-	// AgentNetworks lists the prefixes that agents' addresses are in; not empty.
-	AgentNetworks []string `json:"agentNetworks"`
-	// KeysFile is the path of the keys file; not empty.
-	KeysFile string   `json:"keysFile"`
-	Platform Platform `json:"platform"`
-}
-
 // Agent holds the settings of an agent.
 type Agent struct {
 	// Service is the name of the service that the upstream belongs to; not empty.
@@ -73,6 +47,8 @@
 	Upstream string `json:"upstream"`
 	// Balancers lists peer addresses of balancers to begin with.
 	Balancers []string `json:"balancers"`
+	// PeerTLS turns on mutual TLS for sessions to balancers.
+	PeerTLS *PeerTLS `json:"peerTLS,omitempty"`
 	// CertFile and KeyFile hold the certificate shown to callers, PEM.
 	CertFile string `json:"certFile"`
 	KeyFile  string `json:"keyFile"`
@@ -86,23 +62,29 @@
 	if err != nil {
 		return err
 	}
-	dec := json.NewDecoder(bytes.NewReader(b))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(v); err != nil {
+	if err := decodeStrict(b, v); err != nil {
 		return errors.Annotatef(err, "settings file %s", path)
 	}
 	return nil
 }
 
-const defaultRequestTimeoutMillis = 2000
+const (
+	defaultRequestTimeoutMillis = 2000
+	minRequestTimeoutMillis     = 10
+	maxRequestTimeoutMillis     = 60000
+)
 
 func (p *Platform) check() error {
-	if p.URL == "" {
-		return &FieldError{"platform.url", "must not be empty"}
+	u, err := url.Parse(p.URL)
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" || u.RawQuery != "" || u.Fragment != "" {
+		return &FieldError{"platform.url", fmt.Sprintf("%q is not an http or https URL", p.URL)}
 	}
 	if p.RequestTimeoutMillis == 0 {
 		p.RequestTimeoutMillis = defaultRequestTimeoutMillis
 	}
+	if t := p.RequestTimeoutMillis; t < minRequestTimeoutMillis || t > maxRequestTimeoutMillis {
+		return &FieldError{"platform.requestTimeoutMillis", fmt.Sprintf("%d is not in %d to %d", t, minRequestTimeoutMillis, maxRequestTimeoutMillis)}
+	}
 	return nil
 }
 
@@ -113,24 +95,6 @@
 	return nil
 }
 
-// LoadBalancer reads and checks the settings of a balancer.
-func LoadBalancer(path string) (*Balancer, error) {
-	b := Balancer{ConfigName: "main"}
-	if err := load(path, &b); err != nil {
-		return nil, err
-	}
-	for _, f := range []struct{ path, value string }{
-		{"hopAddress", b.HopAddress},
-		{"peerAddress", b.PeerAddress},
-		{"adminAddress", b.AdminAddress},
-	} {
-		if err := checkAddr(f.path, f.value); err != nil {
-			return nil, err
-		}
-	}
-	return &b, b.Platform.check()
-}
-
 // LoadAgent reads and checks the settings of an agent.
 func LoadAgent(path string) (*Agent, error) {
 	var a Agent
