--- a/cmd/bramleycourse/balancer.go
+++ b/cmd/bramleycourse/balancer.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return err
 	}
-	return ended(ctx, b.Run(ctx))
+	return ended(ctx, b.Run(ctx, signals))
 }
 
 // ended turns the error of a context that was ended on purpose into nil.
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -2,52 +2,145 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
-	"net/netip"
+	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
+	"github.com/bramleycourse/bramleycourse/internal/config"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/peer"
 	"github.com/bramleycourse/bramleycourse/internal/plat"
+	"github.com/bramleycourse/bramleycourse/internal/view"
 )
 
-// endpointObject is the platform object of an agent.
-type endpointObject struct {
-	Address  netip.AddrPort    `json:"address"`
-	Instance ident.Instance    `json:"instance"`
-	Service  ident.ServiceName `json:"service"`
-	Place    ident.PlaceName   `json:"place"`
-	Group    ident.GroupName   `json:"group"`
-	Draining bool              `json:"draining"`
+// farewellTime bounds the announcement of the end.
+const farewellTime = time.Second
+
+// entryObject is the platform object of an agent.
+type entryObject struct {
+	view.Entry
+	Writer string `json:"writer"`
 }
 
-const announceRetry = 500 * time.Millisecond
+// announcer tells balancers and the platform about the agent, and receives the
+// configuration and the list of balancers. It works in the background; neither
+// start, drain nor exit waits for the platform for more than farewellTime.
+type announcer struct {
+	// OnConfig receives each configuration of a higher generation.
+	OnConfig func(*config.Accepted)
+	// OnBalancers receives the balancers that are not gone after each change.
+	OnBalancers func([]view.Entry)
 
-// announce writes the agent's object to the platform and removes it at the end.
-func (a *Agent) announce(ctx context.Context) error {
-	name := fmt.Sprintf("%s-%d-%06x", a.self.Addr.Addr(), a.self.Addr.Port(), uint32(a.self.Instance))
-	o := endpointObject{
-		Address:  a.self.Addr,
-		Instance: a.self.Instance,
-		Service:  ident.ServiceName(a.settings.Service),
-		Place:    ident.PlaceName(a.settings.Place),
-		Group:    ident.GroupName(a.settings.Group),
-	}
-	var v plat.Version
-	for {
+	agent    *Agent
+	sessions *peer.Client
+	keeper   *plat.Keeper
+
+	mu sync.Mutex
+	// generation is that of the last configuration passed on.
+	generation ident.Generation
+}
+
+// newAnnouncer returns an announcer of the agent's own entry. Its fields may be
+// set until Run is called.
+func newAnnouncer(a *Agent) (*announcer, error) {
+	var secure *tls.Config
+	if t := a.settings.PeerTLS; t != nil {
 		var err error
-		if v, err = a.client.Put(ctx, plat.KindEndpoint, name, o, 0); err == nil {
-			break
-		}
-		a.frame.Log.WithError(err).Warn("announcement failed")
-		select {
-		case <-time.After(announceRetry):
-		case <-ctx.Done():
-			return ctx.Err()
+		if secure, err = peer.LoadTLS(t.CertFile, t.KeyFile, t.CAFile); err != nil {
+			return nil, errors.Annotatef(err, "peerTLS")
 		}
 	}
+	name := fmt.Sprintf("%s-%d-%06x", a.self.Addr.Addr(), a.self.Addr.Port(), uint32(a.self.Instance))
+	n := &announcer{agent: a, keeper: plat.NewKeeper(a.client, plat.KindEndpoint, name)}
+	self := view.Entry{
+		Key: view.EndpointKey(a.self), State: view.Serving, Seq: 1,
+		Service: ident.ServiceName(a.settings.Service),
+		Group:   ident.GroupName(a.settings.Group),
+		Place:   ident.PlaceName(a.settings.Place),
+	}
+	n.sessions = peer.NewClient(peer.ClientOptions{
+		Self: self, Seeds: a.settings.Balancers, TLS: secure, Scope: a.frame.Scope,
+		OnSelf: n.write, OnConfig: n.config, OnBalancers: n.balancers,
+	})
+	n.write(self)
+	return n, nil
+}
+
+// write makes the platform object hold an entry.
+func (n *announcer) write(e view.Entry) {
+	n.keeper.Set(func(writer string) any { return entryObject{e, writer} })
+}
+
+func (n *announcer) balancers(es []view.Entry) {
+	if n.OnBalancers != nil {
+		n.OnBalancers(es)
+	}
+}
+
+// config passes on a configuration, whole or not at all, if its generation is higher.
+func (n *announcer) config(value []byte) {
+	c, err := config.ParseAccepted("", value)
+	if err != nil {
+		n.agent.frame.Log.WithError(err).Error("configuration refused")
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c.Generation <= n.generation {
+		return
+	}
+	n.generation = c.Generation
+	n.agent.frame.Log.WithField("generation", c.Generation).Info("configuration in force")
+	if n.OnConfig != nil {
+		n.OnConfig(c)
+	}
+}
+
+// SetState announces a state to balancers at once and to the platform in the
+// background. With the state gone the platform object is removed.
+func (n *announcer) SetState(s view.State) {
+	e := n.sessions.SetState(s)
+	if s == view.Gone {
+		n.keeper.Set(nil)
+		return
+	}
+	n.write(e)
+}
+
+// Generation returns the generation of the configuration in force; 0 means none.
+func (n *announcer) Generation() ident.Generation {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.generation
+}
+
+// State returns the part of a state dump about sessions.
+func (n *announcer) State() peer.State { return n.sessions.State() }
+
+// Run keeps sessions and the platform object until the context ends; then it
+// announces the end within farewellTime.
+func (n *announcer) Run(ctx context.Context) error {
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	go n.sessions.Run(life)
+	go n.keeper.Run(life)
 	<-ctx.Done()
-	end, cancel := context.WithTimeout(context.Background(), announceRetry)
+	bound, cancel := context.WithTimeout(life, farewellTime)
 	defer cancel()
-	a.client.Delete(end, plat.KindEndpoint, name, v)
+	n.SetState(view.Gone)
+	n.sessions.Flush(bound)
+	n.keeper.Wait(bound)
 	return ctx.Err()
 }
+
+// announce runs an announcer for the agent.
+func (a *Agent) announce(ctx context.Context) error {
+	n, err := newAnnouncer(a)
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
--- a/internal/agent/hop.go
+++ b/internal/agent/hop.go
@@ -55,6 +55,10 @@
 			c.refused.Add(1)
 			continue
 		}
+		if h.Kind == encap.Probe {
+			c.answerProbe(from)
+			continue
+		}
 		if !c.accepts(&h) {
 			continue
 		}
@@ -65,6 +69,14 @@
 	}
 }
 
+// answerProbe tells a balancer the agent's service, instance and state.
+func (c *hopConn) answerProbe(to netip.AddrPort) {
+	h := encap.Header{Kind: encap.ProbeAnswer, Service: c.agent.tag, Instance: c.agent.self.Instance}
+	b := make([]byte, h.Size()+1)
+	h.Put(c.agent.keys.Current, b)
+	c.udp.WriteToUDPAddrPort(b, to)
+}
+
 func (c *hopConn) accepts(h *encap.Header) bool {
 	switch {
 	case h.Service != c.agent.tag:
--- a/internal/peer/handle.go
+++ b/internal/peer/handle.go
@@ -290,6 +290,10 @@
 	}
 	var ms []view.Mark
 	for k, m := range n.own {
+		if e, ok := n.view.Get(k); !ok || e.State == view.Gone {
+			delete(n.own, k)
+			continue
+		}
 		n.markSeq++
 		m.Seq = n.markSeq
 		n.own[k] = m
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -1,5 +1,7 @@
 package peer
 
+import "github.com/bramleycourse/bramleycourse/internal/view"
+
 // State is the part of a state dump about sessions.
 type State struct {
 	Sessions map[string]bool   `json:"sessions"`
@@ -33,3 +35,14 @@
 	}
 	return st
 }
+
+// Conditions returns what this balancer itself found out about processes.
+func (n *Node) Conditions() map[view.Key]view.Condition {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	cs := make(map[view.Key]view.Condition, len(n.own))
+	for k, m := range n.own {
+		cs[k] = m.Condition
+	}
+	return cs
+}
--- /dev/null
+++ b/internal/relay/conf.go
@@ -0,0 +1,126 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/config"
+	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/plat"
+)
+
+// Sources of configurations, used as log values.
+const (
+	fromPlatform = "platform"
+	fromPeer     = "peer"
+)
+
+// portRetry is the time between attempts to open an address that is in use.
+const portRetry = time.Second
+
+// watchConfig follows the configuration object.
+func (b *Balancer) watchConfig(ctx context.Context) error {
+	f := follower{client: b.client, kind: plat.KindConfig, apply: func(l plat.List) {
+		for _, o := range l.Objects {
+			if o.Name == b.settings.ConfigName && !o.Deleted {
+				b.accept(fromPlatform, o.Value)
+			}
+		}
+	}}
+	return f.run(ctx)
+}
+
+// accept puts a configuration in force, whole or not at all, if its generation
+// is higher than that of the one in force.
+func (b *Balancer) accept(source string, value []byte) {
+	log := b.frame.Log.WithField("source", source)
+	c, err := config.ParseAccepted(b.settings.ConfigName, value)
+	if err != nil {
+		b.configInvalid.Add(1)
+		log.WithError(err).Error("configuration refused")
+		return
+	}
+	log = log.WithField("generation", c.Generation)
+	b.confMu.Lock()
+	defer b.confMu.Unlock()
+	if old := b.conf.Load(); old != nil && old.Generation >= c.Generation {
+		if old.Generation == c.Generation && !bytes.Equal(old.Value, c.Value) {
+			b.configConflict(c.Generation)
+		}
+		return
+	}
+	b.conf.Store(c)
+	b.openPorts()
+	b.views.node.SetConfig(c.Generation, c.Value)
+	b.views.changed(true)
+	log.Info("configuration in force")
+}
+
+func (b *Balancer) configConflict(g ident.Generation) {
+	b.configConflicts.Add(1)
+	b.frame.Log.WithField("generation", g).Error("another configuration has the same generation")
+}
+
+// retryPorts opens addresses that could not be opened before.
+func (b *Balancer) retryPorts(ctx context.Context) error {
+	t := time.NewTicker(portRetry)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			b.confMu.Lock()
+			b.openPorts()
+			b.confMu.Unlock()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// openPorts opens and closes ports so that they match the configuration in
+// force; the caller holds confMu.
+func (b *Balancer) openPorts() {
+	c := b.conf.Load()
+	if c == nil {
+		return
+	}
+	wanted := map[ident.ServiceTag]netip.AddrPort{}
+	for _, s := range c.Declaration.Services {
+		a := netip.MustParseAddrPort(s.Address)
+		if b.settings.CallerIP != "" {
+			a = netip.AddrPortFrom(netip.MustParseAddr(b.settings.CallerIP), a.Port())
+		}
+		wanted[ident.TagOf(ident.ServiceName(s.Name))] = a
+	}
+	b.portsMu.Lock()
+	defer b.portsMu.Unlock()
+	for tag, p := range b.ports {
+		if wanted[tag] != p.address {
+			p.conn.Close()
+			delete(b.ports, tag)
+		}
+	}
+	for tag, a := range wanted {
+		if b.ports[tag] != nil {
+			continue
+		}
+		p, err := b.openPort(tag, a)
+		if err != nil {
+			b.frame.Log.WithError(err).WithField("address", a).Error("service address cannot be opened")
+			continue
+		}
+		b.ports[tag] = p
+	}
+}
+
+func (b *Balancer) portConn(tag ident.ServiceTag) *net.UDPConn {
+	b.portsMu.Lock()
+	defer b.portsMu.Unlock()
+	if p := b.ports[tag]; p != nil {
+		return p.conn
+	}
+	return nil
+}
--- a/internal/relay/data.go
+++ b/internal/relay/data.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"time"
 
 	"github.com/bramleycourse/bramleycourse/internal/connid"
 	"github.com/bramleycourse/bramleycourse/internal/encap"
@@ -127,7 +128,7 @@
 		h   encap.Header
 	)
 	for {
-		n, _, err := b.hop.ReadFromUDPAddrPort(buf[:])
+		n, from, err := b.hop.ReadFromUDPAddrPort(buf[:])
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -135,6 +136,13 @@
 			return err
 		}
 		payload, fault := h.Parse(b.keys.Load(), buf[:n])
+		if fault == encap.FaultNone {
+			b.noteHeard(from, time.Now().UnixNano())
+		}
+		if fault == encap.FaultNone && h.Kind == encap.ProbeAnswer && len(payload) > 0 {
+			b.events.Put(hopEvent{From: from, Service: h.Service, Instance: h.Instance, State: payload[0]})
+			continue
+		}
 		if fault != encap.FaultNone || h.Kind != encap.Reply {
 			b.counts.hopRefused.Add(1)
 			continue
--- /dev/null
+++ b/internal/relay/drain.go
@@ -0,0 +1,86 @@
+package relay
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/drain"
+	"github.com/bramleycourse/bramleycourse/internal/view"
+)
+
+const (
+	// drainQuiet is the time without packets from the fabric that ends a drain.
+	drainQuiet = 2 * time.Second
+	drainTick  = 50 * time.Millisecond
+	// farewellTime bounds the announcement of the end.
+	farewellTime = time.Second
+)
+
+// Run runs the balancer until it has drained. The drain begins when the
+// context ends. The function again is called then and returns the signals that
+// follow; the first of them cuts the drain.
+func (b *Balancer) Run(ctx context.Context, again func() <-chan os.Signal) error {
+	b.frame.Log.WithField("hop", b.hopAddr).Info("balancer started")
+	life, end := context.WithCancel(context.Background())
+	defer end()
+	b.announce(b.views.node.Self())
+	ended := make(chan error, 1)
+	go func() { ended <- b.frame.Run(life) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	b.drain(again())
+	b.farewell()
+	end()
+	<-ended
+	b.frame.Log.Info("balancer ended")
+	return ctx.Err()
+}
+
+// drain returns when the fabric sends no more packets or the drain is cut.
+func (b *Balancer) drain(signals <-chan os.Signal) {
+	m := drain.New(drain.Limits{Quiet: drainQuiet, Limit: b.settings.DrainLimit()})
+	m.Signal(time.Now())
+	b.frame.Log.Info("drain began")
+	b.draining.Store(true)
+	b.announce(b.views.node.SetState(view.Draining))
+	t := time.NewTicker(drainTick)
+	defer t.Stop()
+	seen := b.arrived()
+	for {
+		var act drain.Action
+		select {
+		case <-signals:
+			act = m.Signal(time.Now())
+		case now := <-t.C:
+			n := b.arrived()
+			act = m.Check(now, n != seen)
+			seen = n
+		}
+		if act == drain.Finish || act == drain.Cut {
+			b.frame.Log.WithField("cut", act == drain.Cut).Info("drain ended")
+			return
+		}
+	}
+}
+
+// arrived counts the packets that came from the fabric.
+func (b *Balancer) arrived() uint64 {
+	c := &b.counts
+	return c.established.Load() + c.newFlows.Load() + c.malformed.Load() +
+		c.unknownID.Load() + c.noEndpoint.Load()
+}
+
+// farewell announces the end to peers, agents and the platform, within
+// farewellTime even if none of them answers.
+func (b *Balancer) farewell() {
+	ctx, cancel := context.WithTimeout(context.Background(), farewellTime)
+	defer cancel()
+	b.views.node.SetState(view.Gone)
+	b.keeper.Set(nil)
+	b.views.node.Flush(ctx)
+	b.keeper.Wait(ctx)
+}
--- a/internal/relay/member.go
+++ b/internal/relay/member.go
@@ -3,197 +3,237 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
-	"net/netip"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/bramleycourse/bramleycourse/internal/health"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/peer"
 	"github.com/bramleycourse/bramleycourse/internal/plat"
-	"github.com/bramleycourse/bramleycourse/internal/route"
-	"github.com/bramleycourse/bramleycourse/pkg/decl"
+	"github.com/bramleycourse/bramleycourse/internal/ring"
+	"github.com/bramleycourse/bramleycourse/internal/view"
 )
 
 const (
-	watchWait  = 30 * time.Second
-	retryDelay = 200 * time.Millisecond
+	// healthTick is well below health.MaxTickGap, so that a loaded machine does
+	// not look like a pause.
+	healthTick = 25 * time.Millisecond
+	// rebuildInterval is the least time between two routing tables, but for
+	// changes that make something unusable.
+	rebuildInterval = 20 * time.Millisecond
+	brokenSessions  = 1024
 )
 
-// endpointObject is the platform object of an agent.
-type endpointObject struct {
-	Address  netip.AddrPort    `json:"address"`
-	Instance ident.Instance    `json:"instance"`
-	Service  ident.ServiceName `json:"service"`
-	Place    ident.PlaceName   `json:"place"`
-	Group    ident.GroupName   `json:"group"`
-	Draining bool              `json:"draining"`
+// entryObject is the platform object of an endpoint or balancer.
+type entryObject struct {
+	view.Entry
+	Writer string `json:"writer"`
 }
 
-// configObject is the platform object of a configuration.
-type configObject struct {
-	Generation  ident.Generation `json:"generation"`
-	Writer      string           `json:"writer"`
-	Declaration json.RawMessage  `json:"declaration"`
-}
-
-// membership keeps the endpoints that announced themselves.
+// membership joins what the platform, peers, agents and the data path say
+// about endpoints and balancers, and derives the routing table from it.
 type membership struct {
-	b  *Balancer
-	mu sync.Mutex
-	// known maps object names to endpoints.
-	known map[string]endpointObject
+	b     *Balancer
+	node  *peer.Node
+	start time.Time
+	// worse and better wake the loop; each holds at most one signal.
+	worse, better chan struct{}
+	broken        *ring.Ring[view.Key]
+
+	mu     sync.Mutex
+	health *health.Health
+	// current is what the routing table was built from; owned by the loop but
+	// for State, which holds mu.
+	current  current
+	assigned assignment
+	// objects maps the names of platform objects of each kind to what they hold.
+	objects map[plat.Kind]map[string]object
+	cleaner cleaner
 }
 
-func newMembership(b *Balancer) *membership {
-	return &membership{b: b, known: map[string]endpointObject{}}
+// object is a platform object of an entry.
+type object struct {
+	key     view.Key
+	version plat.Version
 }
 
-func (m *membership) endpoints() []endpointObject {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var es []endpointObject
-	for _, e := range m.known {
-		es = append(es, e)
+func newMembership(b *Balancer, o peer.Options) *membership {
+	m := &membership{
+		b:       b,
+		start:   time.Now(),
+		worse:   make(chan struct{}, 1),
+		better:  make(chan struct{}, 1),
+		broken:  ring.New[view.Key](brokenSessions),
+		health:  health.New(rand.Float64),
+		objects: map[plat.Kind]map[string]object{plat.KindEndpoint: {}, plat.KindBalancer: {}},
 	}
-	return es
+	o.OnView = m.changed
+	o.OnAgentBroken = func(k view.Key) { m.broken.Put(k) }
+	m.node = peer.NewNode(o)
+	return m
 }
 
-// watch follows the endpoint objects of the platform.
-func (m *membership) watch(ctx context.Context) error {
-	return follow(ctx, m.b.client, plat.KindEndpoint, func(l plat.List, whole bool) {
-		m.mu.Lock()
-		if whole {
-			clear(m.known)
-		}
-		for _, o := range l.Objects {
-			var e endpointObject
-			if o.Deleted {
-				delete(m.known, o.Name)
-			} else if err := json.Unmarshal(o.Value, &e); err == nil {
-				m.known[o.Name] = e
-			}
-		}
-		m.mu.Unlock()
-		m.rebuild()
-	})
-}
+func (m *membership) now() time.Duration { return time.Since(m.start) }
 
-// rebuild computes the routing table from the known endpoints.
-func (m *membership) rebuild() {
-	services := map[ident.ServiceTag][]route.Endpoint{}
-	for _, e := range m.endpoints() {
-		if e.Draining {
-			continue
-		}
-		tag := ident.TagOf(e.Service)
-		services[tag] = append(services[tag], route.Endpoint{
-			ID:     ident.EndpointID{Addr: e.Address, Instance: e.Instance},
-			Weight: 1,
-		})
+// changed makes the loop rebuild the routing table.
+func (m *membership) changed(urgent bool) {
+	c := m.better
+	if urgent {
+		c = m.worse
+	}
+	select {
+	case c <- struct{}{}:
+	default:
 	}
-	m.b.table.Store(route.NewTable(services))
 }
 
-// follow lists a kind of objects and then watches it until the context ends.
-func follow(ctx context.Context, c *plat.Client, k plat.Kind, apply func(l plat.List, whole bool)) error {
-	var since plat.Version
-	listed := false
-	for ctx.Err() == nil {
-		var (
-			l   plat.List
-			err error
-		)
-		whole := !listed
-		if listed {
-			l, err = c.Watch(ctx, k, since, watchWait)
-		} else {
-			l, err = c.List(ctx, k)
+// watch returns a task that follows the platform objects of a kind.
+func (m *membership) watch(k plat.Kind) func(ctx context.Context) error {
+	f := follower{client: m.b.client, kind: k, apply: func(l plat.List) { m.apply(k, l) }}
+	return f.run
+}
+
+// apply takes over the objects of a list or watch answer. An object that is
+// missing in a list says nothing: the store may have been restored.
+func (m *membership) apply(k plat.Kind, l plat.List) {
+	var items []view.Item
+	m.mu.Lock()
+	for _, o := range l.Objects {
+		if o.Deleted {
+			if old, ok := m.objects[k][o.Name]; ok {
+				items = append(items, m.gone(old.key)...)
+				delete(m.objects[k], o.Name)
+			}
+			continue
 		}
-		if err != nil {
-			listed = false
-			pause(ctx, retryDelay)
+		var e entryObject
+		if err := json.Unmarshal(o.Value, &e); err != nil || !e.valid(k) {
+			m.b.objectsRefused.Add(1)
 			continue
 		}
-		listed, since = true, l.Version
-		apply(l, whole)
+		m.objects[k][o.Name] = object{e.Key, o.Version}
+		items = append(items, view.Item{Entry: e.Entry})
 	}
-	return ctx.Err()
+	m.mu.Unlock()
+	m.node.Merge(items...)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
+func (e *entryObject) valid(k plat.Kind) bool {
+	return e.Key.Hop.Addr().Is4() && e.Key.Hop.Port() != 0 && e.Seq > 0 &&
+		e.Key.IsBalancer() == (k == plat.KindBalancer) &&
+		(!e.Key.IsBalancer() || e.Peer.Addr().Is4())
+}
+
+// gone returns the item that ends the version held of an entry.
+func (m *membership) gone(k view.Key) []view.Item {
+	e, ok := m.node.Get(k)
+	if !ok || e.State == view.Gone {
+		return nil
 	}
+	e.State = view.Gone
+	return []view.Item{{Entry: e}}
 }
 
-// watchConfig follows the configuration object.
-func (b *Balancer) watchConfig(ctx context.Context) error {
-	return follow(ctx, b.client, plat.KindConfig, func(l plat.List, _ bool) {
-		for _, o := range l.Objects {
-			if o.Name == b.settings.ConfigName && !o.Deleted {
-				b.accept(o.Value)
+// run is the loop of the membership.
+func (m *membership) run(ctx context.Context) error {
+	tick := time.NewTicker(healthTick)
+	defer tick.Stop()
+	var (
+		rebuilt time.Time
+		due     <-chan time.Time
+	)
+	for {
+		now := false
+		select {
+		case <-tick.C:
+			now = m.tick()
+		case <-m.worse:
+			now = true
+		case <-m.better:
+			if due == nil {
+				due = time.After(rebuildInterval - time.Since(rebuilt))
 			}
+		case <-due:
+			now = true
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if now {
+			m.rebuild()
+			rebuilt, due = time.Now(), nil
 		}
-	})
+	}
 }
 
-// accept puts a configuration in force if its generation is higher.
-func (b *Balancer) accept(value json.RawMessage) {
-	var c configObject
-	if err := json.Unmarshal(value, &c); err != nil {
-		b.frame.Log.WithError(err).Error("configuration object is not readable")
-		return
-	}
-	if old := b.conf.Load(); old != nil && old.Generation >= c.Generation {
-		return
+// tick feeds the liveness decisions and carries out what they demand. It
+// reports whether the routing table must be rebuilt.
+func (m *membership) tick() bool {
+	now := m.now()
+	m.mu.Lock()
+	events := m.observe(now)
+	a := m.health.Tick(now)
+	events = append(events, a.Events...)
+	for _, k := range a.Probe {
+		if e, ok := m.current.entries[k]; ok {
+			m.b.sendProbe(k.Endpoint(), ident.TagOf(e.Service))
+			m.health.Sent(m.now(), k)
+		}
 	}
-	d, err := decl.Parse(c.Declaration)
-	if err != nil {
-		b.frame.Log.WithError(err).WithField("generation", c.Generation).Error("configuration is invalid")
-		return
+	pauses := m.health.Pauses()
+	m.mu.Unlock()
+	for _, e := range events {
+		m.act(e)
 	}
-	b.openPorts(d)
-	b.conf.Store(&inForce{Generation: c.Generation, Declaration: d})
-	b.frame.Log.WithField("generation", c.Generation).Info("configuration in force")
+	m.cleaner.pauses(pauses)
+	return len(events) > 0
 }
 
-// openPorts opens and closes ports so that they match the declaration.
-func (b *Balancer) openPorts(d *decl.Declaration) {
-	b.views.mu.Lock()
-	defer b.views.mu.Unlock()
-	wanted := map[ident.ServiceTag]netip.AddrPort{}
-	for _, s := range d.Services {
-		a := netip.MustParseAddrPort(s.Address)
-		if b.settings.CallerIP != "" {
-			a = netip.AddrPortFrom(netip.MustParseAddr(b.settings.CallerIP), a.Port())
+// observe reports everything that waits to be read: answers, broken sessions
+// and what the data path saw. The caller holds the mutex.
+func (m *membership) observe(now time.Duration) []health.Event {
+	var events []health.Event
+	for range m.b.events.Len() {
+		h := <-m.b.events.Items()
+		k, ok := m.current.byHop[h.From]
+		if ok {
+			events = append(events, m.health.Answer(now, k, h.Instance, h.State == stateDraining)...)
 		}
-		wanted[ident.TagOf(ident.ServiceName(s.Name))] = a
 	}
-	for tag, p := range b.ports {
-		if wanted[tag] != p.address {
-			p.conn.Close()
-			delete(b.ports, tag)
-		}
+	for range m.broken.Len() {
+		m.health.SessionBroken(now, <-m.broken.Items())
 	}
-	for tag, a := range wanted {
-		if b.ports[tag] != nil {
-			continue
+	wall := time.Now().UnixNano()
+	for a, s := range m.current.stats {
+		k := m.current.byHop[a]
+		if heard := s.lastHeard.Load(); heard != 0 {
+			events = append(events, m.health.Heard(now-time.Duration(wall-heard), k)...)
 		}
-		p, err := b.openPort(tag, a)
-		if err != nil {
-			b.frame.Log.WithError(err).WithField("address", a).Error("service address cannot be opened")
-			continue
+		if since := s.unanswered.Load(); since != 0 {
+			m.health.Unanswered(now, now-time.Duration(wall-since), k)
 		}
-		b.ports[tag] = p
 	}
+	return events
 }
 
-func (b *Balancer) portConn(tag ident.ServiceTag) *net.UDPConn {
-	b.views.mu.Lock()
-	defer b.views.mu.Unlock()
-	if p := b.ports[tag]; p != nil {
-		return p.conn
+// act passes on what this balancer itself found out about an endpoint.
+func (m *membership) act(e health.Event) {
+	log := m.b.frame.Log.WithField("endpoint", e.Key)
+	switch e.Verdict {
+	case health.Down:
+		m.node.Mark(e.Key, view.Down)
+		log.Warn("endpoint is down")
+	case health.Refusing:
+		m.node.Mark(e.Key, view.Refusing)
+		log.Warn("endpoint takes no new work")
+	case health.Up:
+		m.node.Mark(e.Key, view.Clear)
+		log.Info("endpoint is up")
+	case health.Gone:
+		m.node.Mark(e.Key, view.Clear)
+		if held, ok := m.node.Get(e.Key); ok {
+			m.node.SetGone(held)
+		}
+		log.Warn("endpoint has been replaced")
 	}
-	return nil
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 
 	"github.com/juju/errors"
@@ -13,9 +15,12 @@
 	"github.com/bramleycourse/bramleycourse/internal/config"
 	"github.com/bramleycourse/bramleycourse/internal/connid"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/peer"
 	"github.com/bramleycourse/bramleycourse/internal/plat"
 	"github.com/bramleycourse/bramleycourse/internal/proc"
+	"github.com/bramleycourse/bramleycourse/internal/ring"
 	"github.com/bramleycourse/bramleycourse/internal/route"
+	"github.com/bramleycourse/bramleycourse/internal/view"
 	"github.com/bramleycourse/bramleycourse/pkg/decl"
 )
 
@@ -30,17 +35,22 @@
 	hop      *net.UDPConn
 	hopAddr  netip.AddrPort
 	counts   counters
+	// stats maps hop addresses of agents to their records; the map is immutable.
+	stats    atomic.Pointer[map[netip.AddrPort]*agentStat]
+	draining atomic.Bool
+	events   *ring.Ring[hopEvent]
 
-	// ports is owned by the configuration watch.
-	ports map[ident.ServiceTag]*port
-	conf  atomic.Pointer[inForce]
-	views *membership
-}
+	// confMu orders changes of the configuration.
+	confMu sync.Mutex
+	conf   atomic.Pointer[config.Accepted]
+	// portsMu guards ports; it is taken after confMu.
+	portsMu sync.Mutex
+	ports   map[ident.ServiceTag]*port
+
+	views  *membership
+	keeper *plat.Keeper
 
-// inForce is the configuration in force.
-type inForce struct {
-	Generation  ident.Generation  `json:"generation"`
-	Declaration *decl.Declaration `json:"declaration"`
+	configInvalid, configConflicts, objectsRefused atomic.Uint64
 }
 
 // New prepares a balancer; it binds the addresses of the settings.
@@ -53,17 +63,13 @@
 		settings: s,
 		frame:    f,
 		client:   plat.New(s.Platform.URL, s.Platform.Timeout()),
+		events:   ring.New[hopEvent](hopEvents),
 		ports:    map[ident.ServiceTag]*port{},
 	}
 	b.keys.Store(keys)
 	b.table.Store(route.NewTable(nil))
-	b.views = newMembership(b)
 	for _, n := range s.AgentNetworks {
-		p, err := netip.ParsePrefix(n)
-		if err != nil {
-			return nil, errors.Annotatef(err, "agentNetworks")
-		}
-		b.networks = append(b.networks, p)
+		b.networks = append(b.networks, netip.MustParsePrefix(n))
 	}
 	a := netip.MustParseAddrPort(s.HopAddress)
 	b.hop, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
@@ -72,37 +78,76 @@
 	}
 	b.hop.SetReadBuffer(socketBuffer)
 	b.hopAddr = b.hop.LocalAddr().(*net.UDPAddr).AddrPort()
+	if err := b.join(); err != nil {
+		return nil, err
+	}
+	f.Add("hop reader", b.readHop)
+	return b, nil
+}
+
+// join prepares the sessions, the membership and the admin server.
+func (b *Balancer) join() error {
+	s, f := b.settings, b.frame
+	var secure *tls.Config
+	if t := s.PeerTLS; t != nil {
+		var err error
+		if secure, err = peer.LoadTLS(t.CertFile, t.KeyFile, t.CAFile); err != nil {
+			return errors.Annotatef(err, "peerTLS")
+		}
+	}
 	admin, err := net.Listen("tcp4", s.AdminAddress)
 	if err != nil {
-		return nil, errors.Annotatef(err, "adminAddress")
+		return errors.Annotatef(err, "adminAddress")
+	}
+	sessions, err := net.Listen("tcp4", s.PeerAddress)
+	if err != nil {
+		return errors.Annotatef(err, "peerAddress")
 	}
+	b.keeper = plat.NewKeeper(b.client, plat.KindBalancer, s.Name)
+	b.views = newMembership(b, peer.Options{
+		Self: view.Entry{
+			Key:   view.Key{Name: s.Name, Hop: b.hopAddr, Instance: ident.NewInstance()},
+			State: view.Serving, Seq: 1,
+			Place: ident.PlaceName(s.Place),
+			Peer:  netip.MustParseAddrPort(s.PeerAddress),
+			Admin: netip.MustParseAddrPort(admin.Addr().String()),
+		},
+		Seeds: s.Peers, TLS: secure, Scope: f.Scope,
+		OnSelf:     b.announce,
+		OnConfig:   func(value []byte) { b.accept(fromPeer, value) },
+		OnConflict: b.configConflict,
+	})
 	f.Admin(admin, func() any { return b.State() })
+	f.Add("peer server", func(ctx context.Context) error { return b.views.node.Serve(ctx, sessions) })
+	f.Add("peer sessions", b.views.node.Run)
+	f.Add("membership", b.views.run)
+	f.Add("cleaner", b.views.clean)
+	f.Add("announcement", b.keeper.Run)
 	f.Add("configuration watch", b.watchConfig)
-	f.Add("endpoint watch", b.views.watch)
-	f.Add("hop reader", b.readHop)
-	return b, nil
+	f.Add("service addresses", b.retryPorts)
+	f.Add("endpoint watch", b.views.watch(plat.KindEndpoint))
+	f.Add("balancer watch", b.views.watch(plat.KindBalancer))
+	return nil
 }
 
-// Run runs the balancer until the context ends.
-func (b *Balancer) Run(ctx context.Context) error {
-	b.frame.Log.WithField("hop", b.hopAddr).Info("balancer started")
-	return b.frame.Run(ctx)
+// announce writes the balancer's own entry to the platform.
+func (b *Balancer) announce(e view.Entry) {
+	b.keeper.Set(func(writer string) any { return entryObject{e, writer} })
 }
 
-// State is the state dump of a balancer.
-type State struct {
-	Name          string            `json:"name"`
-	Configuration *inForce          `json:"configuration"`
-	Endpoints     []endpointObject  `json:"endpoints"`
-	Counts        map[string]uint64 `json:"counts"`
+// inNetworks reports whether an address is in an allowed network.
+func (b *Balancer) inNetworks(a netip.Addr) bool {
+	for _, n := range b.networks {
+		if n.Contains(a) {
+			return true
+		}
+	}
+	return false
 }
 
-// State returns the current state dump.
-func (b *Balancer) State() State {
-	return State{
-		Name:          b.settings.Name,
-		Configuration: b.conf.Load(),
-		Endpoints:     b.views.endpoints(),
-		Counts:        b.counts.values(),
+func (b *Balancer) declaration() *decl.Declaration {
+	if c := b.conf.Load(); c != nil {
+		return c.Declaration
 	}
+	return nil
 }
