--- a/internal/config/agent.go
+++ b/internal/config/agent.go
@@ -46,6 +46,8 @@
 	ReplyPolicy string `json:"replyPolicy"`
 	// Balancers lists peer addresses of balancers to begin with.
 	Balancers []string `json:"balancers"`
+	// PeerTLS turns on mutual TLS for sessions to balancers.
+	PeerTLS *PeerTLS `json:"peerTLS,omitempty"`
 	// CertFile and KeyFile hold the certificate shown to callers, PEM. They are
 	// read again when they change.
 	CertFile string `json:"certFile"`
--- a/internal/relay/data_test.go
+++ b/internal/relay/data_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/bramleycourse/bramleycourse/internal/config"
 	"github.com/bramleycourse/bramleycourse/internal/connid"
 	"github.com/bramleycourse/bramleycourse/internal/encap"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
@@ -266,7 +267,8 @@
 		for i := range 200 {
 			caller.WriteToUDPAddrPort(initial([]byte(fmt.Sprintf("old%05d", k)), packetSize), free[i%2])
 		}
-		r.openPorts(d)
+		r.conf.Store(&config.Accepted{Declaration: d})
+		r.openPorts()
 		for i, tag := range tags {
 			marker := []byte(fmt.Sprintf("new%d%04d", i, k))
 			caller.WriteToUDPAddrPort(initial(marker, packetSize), free[(i+k)%2])
--- a/internal/relay/rig_test.go
+++ b/internal/relay/rig_test.go
@@ -61,7 +61,7 @@
 		events:   ring.New[hopEvent](hopEvents),
 		ports:    map[ident.ServiceTag]*port{},
 	}
-	r.views = newMembership(r.Balancer)
+
 	r.hop, err = listen(loopback)
 	r.must(err)
 	r.hopAddr = r.hop.Addr()
