--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -2,8 +2,10 @@
 package route
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -18,33 +20,69 @@
 	Weight float64
 	// Remote is true when the endpoint is in another region than the balancer.
 	Remote bool
+}
 
+// ranked is an endpoint prepared for scoring.
+type ranked struct {
+	id ident.EndpointID
+	// hash is the endpoint's part of the score.
 	hash uint64
+	// mean is the reciprocal of the weight: the mean of the scores.
+	mean float64
+}
+
+// service holds the usable endpoints of a service, each list in the order of
+// the identifiers, so that candidates do not depend on the order of the input.
+type service struct {
+	local, remote []ranked
 }
 
 // Table holds the usable endpoints of each service. It is immutable.
 type Table struct {
-	services map[ident.ServiceTag][]Endpoint
+	services map[ident.ServiceTag]service
 }
 
-// NewTable builds a table. Endpoints without a positive weight are left out.
+// NewTable builds a table. It leaves out endpoints without a positive, finite
+// weight, those whose address is not IPv4, and repetitions.
 func NewTable(services map[ident.ServiceTag][]Endpoint) *Table {
-	t := Table{services: make(map[ident.ServiceTag][]Endpoint, len(services))}
+	t := Table{services: make(map[ident.ServiceTag]service, len(services))}
 	for tag, es := range services {
-		var kept []Endpoint
-		for _, e := range es {
-			if e.Weight > 0 {
-				e.hash = hashEndpoint(e.ID)
-				kept = append(kept, e)
-			}
-		}
-		t.services[tag] = kept
+		t.services[tag] = newService(slices.Clone(es))
 	}
 	return &t
 }
 
+func newService(es []Endpoint) service {
+	slices.SortFunc(es, compare)
+	es = slices.CompactFunc(es, func(a, b Endpoint) bool { return a.ID == b.ID })
+	var s service
+	for _, e := range es {
+		if !(e.Weight > 0) || math.IsInf(e.Weight, 1) || !e.ID.Addr.Addr().Is4() {
+			continue
+		}
+		r := ranked{id: e.ID, hash: hashEndpoint(e.ID), mean: 1 / e.Weight}
+		if e.Remote {
+			s.remote = append(s.remote, r)
+		} else {
+			s.local = append(s.local, r)
+		}
+	}
+	return s
+}
+
+func compare(a, b Endpoint) int {
+	return cmp.Or(
+		a.ID.Addr.Compare(b.ID.Addr),
+		cmp.Compare(a.ID.Instance, b.ID.Instance),
+		cmp.Compare(a.Weight, b.Weight),
+	)
+}
+
 // Len returns the number of usable endpoints of a service.
-func (t *Table) Len(tag ident.ServiceTag) int { return len(t.services[tag]) }
+func (t *Table) Len(tag ident.ServiceTag) int {
+	s := t.services[tag]
+	return len(s.local) + len(s.remote)
+}
 
 func hashEndpoint(e ident.EndpointID) uint64 {
 	var b [10]byte
@@ -60,43 +98,45 @@
 // region compute the same list. Endpoints of other regions only fill the list.
 func (t *Table) Candidates(tag ident.ServiceTag, id []byte, h *encap.Header) {
 	flow := xxhash.Sum64(id)
+	s := t.services[tag]
+	h.Position = 0
+	n := rank(flow, s.local, h.Candidates[:])
+	if n < encap.MaxCandidates {
+		n += rank(flow, s.remote, h.Candidates[n:])
+	}
+	h.Count = uint8(n)
+}
+
+// rank writes the endpoints with the smallest scores to out, best first, and
+// returns their number. A score is an exponential variate with the endpoint's
+// weight as its rate, so the smallest one falls on each endpoint with a
+// probability in proportion to its weight.
+func rank(flow uint64, es []ranked, out []encap.Candidate) int {
 	var best [encap.MaxCandidates]float64
 	n := 0
-	es := t.services[tag]
 	for i := range es {
-		s := score(flow, &es[i])
+		e := &es[i]
+		u := (float64(mix(flow^e.hash)>>11) + 0.5) / (1 << 53)
 		j := n
-		if n < len(best) {
+		if n == len(out) {
+			j = n - 1
+			// 1-u is a lower bound of -ln u and spares the logarithm of most endpoints.
+			if (1-u)*e.mean >= best[j] {
+				continue
+			}
+		}
+		s := -math.Log(u) * e.mean
+		if n < len(out) {
 			n++
-		} else if s >= best[n-1] {
+		} else if s >= best[j] {
 			continue
-		} else {
-			j = n - 1
 		}
 		for ; j > 0 && s < best[j-1]; j-- {
-			best[j] = best[j-1]
-			h.Candidates[j] = h.Candidates[j-1]
+			best[j], out[j] = best[j-1], out[j-1]
 		}
-		best[j] = s
-		h.Candidates[j] = encap.Candidate{Endpoint: es[i].ID}
-	}
-	h.Count = uint8(n)
-	h.Position = 0
-}
-
-// remotePenalty exceeds every score of a local endpoint.
-const remotePenalty = 1e12
-
-// score is smaller for a better candidate: an exponential variate with the
-// endpoint's weight as its rate.
-func score(flow uint64, e *Endpoint) float64 {
-	x := mix(flow ^ e.hash)
-	u := (float64(x>>11) + 0.5) / (1 << 53)
-	s := -math.Log(u) / e.Weight
-	if e.Remote {
-		s += remotePenalty
+		best[j], out[j] = s, encap.Candidate{Endpoint: e.id}
 	}
-	return s
+	return n
 }
 
 // mix is the finalizer of MurmurHash3.
