--- /dev/null
+++ b/pkg/decl/build.go
@@ -0,0 +1,57 @@
+package decl
+
+import "io"
+
+// New returns an empty declaration with the given name, to be built up with
+// Place and Service and printed with Print.
+func New(name string) *Declaration { return &Declaration{Name: name} }
+
+// Place declares a place and returns d.
+func (d *Declaration) Place(name, region string) *Declaration {
+	d.Places = append(d.Places, Place{Name: name, Region: region})
+	return d
+}
+
+// Service declares a service at an IPv4 address and UDP port, "ip:port", and
+// returns d.
+func (d *Declaration) Service(name, address string, opts ...ServiceOption) *Declaration {
+	s := Service{Name: name, Address: address}
+	for _, o := range opts {
+		o(&s)
+	}
+	d.Services = append(d.Services, s)
+	return d
+}
+
+// Print writes the canonical JSON form, or returns a *FieldError.
+func (d *Declaration) Print(w io.Writer) error {
+	b, err := d.JSON()
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(append(b, '\n'))
+	return err
+}
+
+// ServiceOption sets a part of a service.
+type ServiceOption func(*Service)
+
+// Streams adds path prefixes whose requests hold a connection but no slot.
+func Streams(prefixes ...string) ServiceOption {
+	return func(s *Service) { s.StreamPaths = append(s.StreamPaths, prefixes...) }
+}
+
+// PlaceShare sets the weight of the upstreams of a place, 0 to 1000.
+func PlaceShare(place string, weight float64) ServiceOption {
+	return func(s *Service) { s.Shares = append(s.Shares, Share{Place: place, Weight: weight}) }
+}
+
+// GroupShare sets the weight of the upstreams of a group, 0 to 1000.
+func GroupShare(group string, weight float64) ServiceOption {
+	return func(s *Service) { s.Shares = append(s.Shares, Share{Group: group, Weight: weight}) }
+}
+
+// WithLimits sets what one agent accepts.
+func WithLimits(l Limits) ServiceOption {
+	return func(s *Service) { s.Limits = l }
+}
--- a/pkg/decl/parse.go
+++ b/pkg/decl/parse.go
@@ -3,23 +3,160 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"strconv"
+	"strings"
 )
 
-// Parse decodes and validates the JSON form of a declaration. Unknown fields are errors.
+// rootPath is the path of the whole declaration in errors.
+const rootPath = "declaration"
+
+// Parse decodes and validates the JSON form of a declaration. It refuses
+// unknown, repeated and null fields, wrong types and trailing data. Errors are
+// of type *FieldError and name the field.
 func Parse(b []byte) (*Declaration, error) {
-	dec := json.NewDecoder(bytes.NewReader(b))
-	dec.DisallowUnknownFields()
 	var d Declaration
-	if err := dec.Decode(&d); err != nil {
+	c := checker{json.NewDecoder(bytes.NewReader(b))}
+	c.UseNumber()
+	if err := c.value("", reflect.TypeOf(d)); err != nil {
+		return nil, err
+	}
+	if _, err := c.Token(); !errors.Is(err, io.EOF) {
+		return nil, &FieldError{rootPath, fmt.Sprintf("is followed by other data at octet %d", c.InputOffset())}
+	}
+	if err := json.Unmarshal(b, &d); err != nil {
+		return nil, &FieldError{rootPath, err.Error()}
+	}
+	if err := d.Validate(); err != nil {
 		return nil, err
 	}
-	return &d, d.Validate()
+	return &d, nil
 }
 
-// JSON returns the indented JSON form of a declaration.
+// JSON returns the canonical, indented JSON form of a declaration.
 func (d *Declaration) JSON() ([]byte, error) {
 	if err := d.Validate(); err != nil {
 		return nil, err
 	}
-	return json.MarshalIndent(d, "", "  ")
+	c := *d
+	if c.Places == nil {
+		c.Places = []Place{} // a nil list would be printed as null
+	}
+	if c.Services == nil {
+		c.Services = []Service{}
+	}
+	return json.MarshalIndent(c, "", "  ")
+}
+
+// checker compares a stream of JSON tokens with a Go type, because the errors
+// of encoding/json lack the index of list items and the path of unknown fields.
+type checker struct{ *json.Decoder }
+
+func (c checker) token(path string) (json.Token, error) {
+	t, err := c.Token()
+	switch {
+	case err == nil:
+		return t, nil
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return nil, &FieldError{orRoot(path), "ends early"}
+	}
+	return nil, &FieldError{orRoot(path), fmt.Sprintf("is not valid JSON at octet %d: %v", c.InputOffset(), err)}
+}
+
+func orRoot(path string) string {
+	if path == "" {
+		return rootPath
+	}
+	return path
+}
+
+func (c checker) value(path string, want reflect.Type) error {
+	t, err := c.token(path)
+	if err != nil {
+		return err
+	}
+	ok, kind := false, ""
+	switch want.Kind() {
+	case reflect.Struct:
+		if t == json.Delim('{') {
+			return c.object(path, want)
+		}
+		kind = "an object"
+	case reflect.Slice:
+		if t == json.Delim('[') {
+			return c.list(path, want)
+		}
+		kind = "a list"
+	case reflect.String:
+		_, ok = t.(string)
+		kind = "a string"
+	case reflect.Float64:
+		n, isNumber := t.(json.Number)
+		_, err := n.Float64()
+		ok, kind = isNumber && err == nil, "a number"
+	default:
+		n, isNumber := t.(json.Number)
+		_, err := n.Int64()
+		ok, kind = isNumber && err == nil, "a whole number"
+	}
+	if !ok {
+		return &FieldError{orRoot(path), "must be " + kind}
+	}
+	return nil
+}
+
+func (c checker) object(path string, want reflect.Type) error {
+	seen := map[string]bool{}
+	for c.More() {
+		t, err := c.token(path)
+		if err != nil {
+			return err
+		}
+		name, _ := t.(string)
+		field := fieldPath(path, name)
+		ft, ok := fieldType(want, name)
+		switch {
+		case !ok:
+			return &FieldError{field, "is not a known field"}
+		case seen[name]:
+			return &FieldError{field, "occurs twice"}
+		}
+		seen[name] = true
+		if err := c.value(field, ft); err != nil {
+			return err
+		}
+	}
+	_, err := c.token(path)
+	return err
+}
+
+// fieldPath appends a field to a path; unusual names are quoted.
+func fieldPath(path, name string) string {
+	if !validName.MatchString(name) {
+		name = strconv.Quote(name)
+	}
+	return strings.TrimPrefix(path+"."+name, ".")
+}
+
+func (c checker) list(path string, want reflect.Type) error {
+	for i := 0; c.More(); i++ {
+		if err := c.value(fmt.Sprintf("%s[%d]", path, i), want.Elem()); err != nil {
+			return err
+		}
+	}
+	_, err := c.token(path)
+	return err
+}
+
+func fieldType(t reflect.Type, name string) (reflect.Type, bool) {
+	for i := range t.NumField() {
+		f := t.Field(i)
+		if tag, _, _ := strings.Cut(f.Tag.Get("json"), ","); tag == name {
+			return f.Type, true
+		}
+	}
+	return nil, false
 }
--- a/pkg/decl/validate.go
+++ b/pkg/decl/validate.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"regexp"
 
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 )
@@ -20,18 +21,19 @@
 
 // Validate checks the whole declaration and returns a *FieldError or nil.
 func (d *Declaration) Validate() error {
-	if d.Name == "" {
-		return &FieldError{"name", "must not be empty"}
+	if err := checkName("name", d.Name); err != nil {
+		return err
 	}
 	places := map[string]bool{}
 	for i, p := range d.Places {
 		path := fmt.Sprintf("places[%d]", i)
-		switch {
-		case p.Name == "":
-			return &FieldError{path + ".name", "must not be empty"}
-		case p.Region == "":
-			return &FieldError{path + ".region", "must not be empty"}
-		case places[p.Name]:
+		if err := checkName(path+".name", p.Name); err != nil {
+			return err
+		}
+		if err := checkName(path+".region", p.Region); err != nil {
+			return err
+		}
+		if places[p.Name] {
 			return &FieldError{path + ".name", fmt.Sprintf("place %q occurs twice", p.Name)}
 		}
 		places[p.Name] = true
@@ -46,9 +48,10 @@
 	for i, s := range d.Services {
 		path := fmt.Sprintf("services[%d]", i)
 		tag := ident.TagOf(ident.ServiceName(s.Name))
+		if err := checkName(path+".name", s.Name); err != nil {
+			return err
+		}
 		switch {
-		case s.Name == "":
-			return &FieldError{path + ".name", "must not be empty"}
 		case names[s.Name]:
 			return &FieldError{path + ".name", fmt.Sprintf("service %q occurs twice", s.Name)}
 		case tags[tag] != "":
@@ -67,6 +70,19 @@
 	return nil
 }
 
+// validName restricts names to what is safe in URL paths, logs and metrics.
+var validName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+func checkName(path, name string) error {
+	switch {
+	case name == "":
+		return &FieldError{path, "must not be empty"}
+	case !validName.MatchString(name):
+		return &FieldError{path, fmt.Sprintf("%q is not 1 to 63 letters, digits, dots, hyphens or underscores that begin with a letter or digit", name)}
+	}
+	return nil
+}
+
 const maxWeight = 1000
 
 func (s *Service) validate(path string, places map[string]bool) error {
@@ -75,6 +91,7 @@
 			return &FieldError{fmt.Sprintf("%s.streamPaths[%d]", path, i), fmt.Sprintf("%q does not begin with a slash", p)}
 		}
 	}
+	seen := map[string]bool{}
 	for i, h := range s.Shares {
 		sp := fmt.Sprintf("%s.shares[%d]", path, i)
 		switch {
@@ -84,7 +101,10 @@
 			return &FieldError{sp + ".place", fmt.Sprintf("place %q is not declared", h.Place)}
 		case !(h.Weight >= 0 && h.Weight <= maxWeight):
 			return &FieldError{sp + ".weight", fmt.Sprintf("%v is not in 0 to %d", h.Weight, maxWeight)}
+		case seen[h.name()]:
+			return &FieldError{sp, h.name() + " occurs twice"}
 		}
+		seen[h.name()] = true
 	}
 	return s.Limits.validate(path + ".limits")
 }
