--- a/internal/agent/desk.go
+++ b/internal/agent/desk.go
@@ -27,8 +27,6 @@
 	mu      sync.Mutex
 	book    *ticket.Book
 	running map[ticket.Serial]*run
-	// active counts the runs, which may outlive their callers' streams.
-	active sync.WaitGroup
 }
 
 // run is a ticket's only run. Its other fields are valid once done is closed.
@@ -65,7 +63,6 @@
 	case ticket.Run:
 		r := &run{serial: c.Serial, done: make(chan struct{}), copied: make(chan struct{})}
 		d.running[c.Serial] = r
-		d.active.Add(1)
 		return c, r
 	case ticket.Wait:
 		return c, d.running[c.Serial]
@@ -160,6 +157,7 @@
 	d, run := h.desk.begin(r.Header.Get(hdrs.Ticket))
 	switch d.Action {
 	case ticket.Run:
+		h.active.Add(1)
 		go h.run(context.WithoutCancel(r.Context()), r.URL.Path, run, o, deadline)
 		h.await(w, r, run, deadline, true)
 	case ticket.Wait:
@@ -175,7 +173,7 @@
 
 // run runs a request with a ticket. It goes on when the caller's stream ends.
 func (h *handler) run(ctx context.Context, path string, r *run, o *outgoing, deadline time.Time) {
-	defer h.desk.active.Done()
+	defer h.active.Add(-1)
 	ctx, cancel := context.WithTimeout(ctx, maxRun)
 	defer cancel()
 	if !h.streams(path) {
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"path"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,6 +41,9 @@
 	// requested is called with the context of each request.
 	requested func(ctx context.Context)
 	requests  atomic.Uint64
+	// active counts the requests in progress and the ticket runs, which may
+	// outlive their callers' streams.
+	active atomic.Int64
 }
 
 // configure puts a declared service in force.
@@ -59,6 +60,8 @@
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.requests.Add(1)
+	h.active.Add(1)
+	defer h.active.Add(-1)
 	h.requested(r.Context())
 	if !strings.HasPrefix(r.URL.RequestURI(), "/") || r.Method == http.MethodConnect {
 		h.refuse(w, http.StatusBadRequest, reasonTarget)
@@ -210,28 +213,3 @@
 	}
 	w.WriteHeader(status)
 }
-
-const copySize = 16 << 10
-
-var copyBuffers = sync.Pool{New: func() any { return new([copySize]byte) }}
-
-func copyFlush(w http.ResponseWriter, r io.Reader) error {
-	b := copyBuffers.Get().(*[copySize]byte)
-	defer copyBuffers.Put(b)
-	c := http.NewResponseController(w)
-	for {
-		n, err := r.Read(b[:])
-		if n > 0 {
-			if _, err := w.Write(b[:n]); err != nil {
-				return err
-			}
-			c.Flush()
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
--- /dev/null
+++ b/internal/agent/memory_test.go
@@ -0,0 +1,112 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/quic-go/quic-go/http3"
+
+	"github.com/bramleycourse/bramleycourse/pkg/decl"
+)
+
+const (
+	// callerVariable makes the test binary act as upstream and callers.
+	callerVariable = "AGENT_TEST_CALLERS"
+	memoryFlows    = 500
+	// maxFlowBytes lets 2,000 flows fit in 256 MB.
+	maxFlowBytes = 256_000_000 / 2000
+)
+
+func TestMain(m *testing.M) {
+	if path := os.Getenv(callerVariable); path != "" {
+		runCallers(path)
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// runCallers serves as the upstream, reads the address of the service from
+// standard input and holds one flow for each caller until standard input ends.
+func runCallers(path string) {
+	u := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.WriteString(w, "x")
+		if r.URL.Path == "/feeds/" {
+			http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		}
+	}))
+	fmt.Println(u.URL)
+	in := bufio.NewReader(os.Stdin)
+	base, _ := in.ReadString('\n')
+	var wait sync.WaitGroup
+	room := make(chan struct{}, 20)
+	for range memoryFlows {
+		wait.Go(func() {
+			room <- struct{}{}
+			defer func() { <-room }()
+			tr := &http3.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}
+			resp, err := (&http.Client{Transport: tr}).Get(strings.TrimSpace(base) + path)
+			if err == nil && path == "/" {
+				_, err = io.Copy(io.Discard, resp.Body)
+			}
+			if err != nil {
+				fmt.Println("error:", err)
+			}
+		})
+	}
+	wait.Wait()
+	fmt.Println("open")
+	io.Copy(io.Discard, in)
+}
+
+// TestFlowMemory guards the memory of an agent with many flows, idle and with
+// an open feed each. The callers and the upstream are another process.
+func TestFlowMemory(t *testing.T) {
+	for _, path := range []string{"/", "/feeds/"} {
+		b := newBench(t)
+		ctx, stop := context.WithCancel(t.Context())
+		c := exec.CommandContext(ctx, os.Args[0])
+		c.Env = append(os.Environ(), callerVariable+"="+path)
+		in, err := c.StdinPipe()
+		must(t, err)
+		out, err := c.StdoutPipe()
+		must(t, err)
+		must(t, c.Start())
+		lines := bufio.NewScanner(out)
+		lines.Scan()
+		a := b.agent("127.0.0.1:0", lines.Text(), decl.Service{StreamPaths: []string{"/feeds/"}, Limits: decl.Limits{Queue: 1000}})
+		before := heap()
+		fmt.Fprintf(in, "https://%s\n", addrOf(b.front))
+		if lines.Scan(); lines.Text() != "open" {
+			t.Fatalf("%s: want open flows, have %q", path, lines.Text())
+		}
+		eventually(t, "requests ended", func() bool { return a.gate.stats().Running == 0 })
+		have := (heap() - before) / memoryFlows
+		t.Logf("%s: %d octets for each of %d flows", path, have, a.gate.stats().Connections)
+		if n := a.gate.stats().Connections; n != memoryFlows || have > maxFlowBytes {
+			t.Errorf("%s: want %d flows of at most %d octets, have %d of %d", path, memoryFlows, maxFlowBytes, n, have)
+		}
+		stop()
+		c.Wait()
+	}
+}
+
+// heap returns the octets that hold live objects and stacks.
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -15,6 +15,9 @@
 const (
 	// dialTimeout bounds a connection attempt to the upstream, which is on the same VM.
 	dialTimeout = 2 * time.Second
+	// upstreamBuffer is the size of both buffers of an upstream connection, which
+	// each open feed holds.
+	upstreamBuffer = 2 << 10
 	// upstreamHeaderLimit bounds the header of an answer in octets.
 	upstreamHeaderLimit = 256 << 10
 )
@@ -43,6 +46,8 @@
 		},
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
+		WriteBufferSize:        upstreamBuffer,
+		ReadBufferSize:         upstreamBuffer,
 		MaxResponseHeaderBytes: upstreamHeaderLimit,
 	}
 	return u
