--- a/cmd/bramleycourse/agent.go
+++ b/cmd/bramleycourse/agent.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/bramleycourse/bramleycourse/internal/agent"
 	"github.com/bramleycourse/bramleycourse/internal/config"
@@ -23,5 +25,12 @@
 	if err != nil {
 		return err
 	}
-	return ended(ctx, a.Run(ctx))
+	return ended(ctx, a.Run(ctx, signals))
+}
+
+// signals returns the signals to stop that arrive from now on.
+func signals() <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGINT, syscall.SIGTERM)
+	return c
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -6,14 +6,18 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"net/http"
 	"net/netip"
+	"sync/atomic"
 
 	"github.com/juju/errors"
+	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
 	"github.com/bramleycourse/bramleycourse/internal/admit"
 	"github.com/bramleycourse/bramleycourse/internal/config"
 	"github.com/bramleycourse/bramleycourse/internal/connid"
+	"github.com/bramleycourse/bramleycourse/internal/drain"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/plat"
 	"github.com/bramleycourse/bramleycourse/internal/proc"
@@ -36,6 +40,14 @@
 	gate     *admission
 	handler  *handler
 	refusals *reasons
+	health   upstreamHealth
+	state    atomic.Int32
+	// setState announces a new state; the announcement replaces it.
+	setState func(drain.State)
+	// limits are the times of the drain; tests shorten them.
+	limits drain.Limits
+	// late serves connections whose handshake ends after the drain began.
+	late *http3.Server
 }
 
 // New prepares an agent; it binds the addresses of the settings.
@@ -44,7 +56,7 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "keys file %s", s.KeysFile)
 	}
-	cert, err := tls.LoadX509KeyPair(s.CertFile, s.KeyFile)
+	cert, err := newCertSource(s.CertFile, s.KeyFile, f.Log)
 	if err != nil {
 		return nil, errors.Annotatef(err, "certFile and keyFile")
 	}
@@ -53,6 +65,8 @@
 		frame:    f,
 		client:   plat.New(s.Platform.URL, s.Platform.Timeout()),
 		keys:     func() *connid.Set { return keys },
+		setState: func(drain.State) {},
+		limits:   drain.Limits{Minimum: drainMinimum, Quiet: drainQuiet, Limit: s.DrainLimit()},
 		tag:      ident.TagOf(ident.ServiceName(s.Service)),
 	}
 	udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(s.HopAddress)))
@@ -74,8 +88,10 @@
 		Handler:        a.handler,
 		MaxHeaderBytes: maxHeaderBytes,
 		IdleTimeout:    emptyTimeout,
-		TLSConfig:      http3.ConfigureTLSConfig(&tls.Config{Certificates: []tls.Certificate{cert}}),
+		TLSConfig:      http3.ConfigureTLSConfig(&tls.Config{GetCertificate: cert.get}),
 	}
+	a.late = &http3.Server{Handler: http.HandlerFunc(a.refuseLate), MaxHeaderBytes: maxHeaderBytes}
+	f.Add("upstream check", a.checkUpstream)
 	f.Add("QUIC server", a.serve)
 	f.Add("slow start", a.gate.warm)
 	f.Add("balancer pings", a.hop.ping)
@@ -97,7 +113,7 @@
 		refusals:  a.refusals,
 		requested: a.flowRequested,
 	}
-	h.upstream = newUpstream(a.settings.Upstream, func(error) {})
+	h.upstream = newUpstream(a.settings.Upstream, a.upstreamDialed)
 	return h
 }
 
@@ -113,34 +129,58 @@
 	a.handler.configure(decl.Service{Name: a.settings.Service})
 }
 
-// serving says whether the agent takes new work.
-func (a *Agent) serving() bool { return !a.gate.stats().Draining }
+// serving says whether the agent reports itself as serving.
+func (a *Agent) serving() bool {
+	return drain.State(a.state.Load()) == drain.Serving && a.health.good()
+}
 
-// Run runs the agent until the context ends.
-func (a *Agent) Run(ctx context.Context) error {
-	a.frame.Log.WithField("endpoint", a.self).Info("agent started")
-	return a.frame.Run(ctx)
+// updateGate makes the gate hand over new flows if the agent takes none.
+func (a *Agent) updateGate() {
+	a.gate.setDraining(drain.State(a.state.Load()) != drain.Serving || !a.health.reachable())
 }
 
+// serve accepts connections until the context ends.
 func (a *Agent) serve(ctx context.Context) error {
 	t := a.transport()
 	defer t.Close()
 	l, err := t.ListenEarly(a.server.TLSConfig, quicConfig())
 	if err != nil {
-		return err
+		return errors.Trace(err)
 	}
-	stop := context.AfterFunc(ctx, func() { a.server.Close() })
+	stop := context.AfterFunc(ctx, func() {
+		a.server.Close()
+		a.late.Close()
+	})
 	defer stop()
-	err = a.server.ServeListener(l)
-	if ctx.Err() != nil {
-		return ctx.Err()
+	for {
+		c, err := l.Accept(ctx)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			return errors.Trace(err)
+		}
+		go a.serveConn(c)
+	}
+}
+
+// serveConn serves a connection. After the drain has begun the HTTP/3 server
+// accepts none; one whose handshake was under way then gets not-run answers.
+func (a *Agent) serveConn(c *quic.Conn) {
+	if errors.Is(a.server.ServeQUICConn(c), http.ErrServerClosed) {
+		a.late.ServeQUICConn(c)
 	}
-	return err
+}
+
+func (a *Agent) refuseLate(w http.ResponseWriter, _ *http.Request) {
+	a.handler.refuse(w, http.StatusServiceUnavailable, string(admit.Draining))
 }
 
 // State is the state dump of an agent.
 type State struct {
 	Endpoint  string            `json:"endpoint"`
+	State     string            `json:"state"`
+	Serving   bool              `json:"serving"`
 	Service   string            `json:"service"`
 	Requests  uint64            `json:"requests"`
 	Admission admit.Stats       `json:"admission"`
@@ -153,6 +193,8 @@
 func (a *Agent) State() State {
 	return State{
 		Endpoint:  a.self.String(),
+		State:     drain.State(a.state.Load()).String(),
+		Serving:   a.serving(),
 		Service:   a.settings.Service,
 		Requests:  a.handler.requests.Load(),
 		Admission: a.gate.stats(),
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -108,10 +108,11 @@
 	a.gate.Finish(a.now())
 }
 
-func (a *admission) setDraining() {
+// setDraining says whether the agent hands on every new flow.
+func (a *admission) setDraining(on bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.gate.SetDraining(true)
+	a.gate.SetDraining(on)
 }
 
 func (a *admission) decide(id []byte, h *encap.Header) admit.Action {
--- /dev/null
+++ b/internal/agent/stop_test.go
@@ -0,0 +1,256 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"reflect"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/certs"
+	"github.com/bramleycourse/bramleycourse/internal/drain"
+	"github.com/bramleycourse/bramleycourse/internal/hdrs"
+	"github.com/bramleycourse/bramleycourse/pkg/decl"
+)
+
+// stopping is an agent under the control of signals.
+type stopping struct {
+	*Agent
+	signal  context.CancelFunc
+	again   chan os.Signal
+	ended   chan struct{}
+	mu      sync.Mutex
+	history []drain.State
+}
+
+func (b *bench) stopping(upstreamURL string) *stopping {
+	a := b.prepare("127.0.0.1:0", upstreamURL, decl.Service{StreamPaths: []string{"/feeds/"}})
+	a.limits.Minimum, a.limits.Quiet = 300*time.Millisecond, 100*time.Millisecond
+	s := &stopping{Agent: a, again: make(chan os.Signal, 1), ended: make(chan struct{})}
+	a.setState = func(d drain.State) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.history = append(s.history, d)
+	}
+	var ctx context.Context
+	ctx, s.signal = context.WithCancel(context.Background())
+	go func() {
+		a.Run(ctx, func() <-chan os.Signal { return s.again })
+		close(s.ended)
+	}()
+	b.t.Cleanup(func() {
+		s.signal()
+		select {
+		case s.again <- syscall.SIGTERM:
+		default:
+		}
+		<-s.ended
+	})
+	return s
+}
+
+func (s *stopping) states() []drain.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history
+}
+
+// TestDrain guards R6 and R7: after the first signal new flows are handed over,
+// also those of callers with an open connection, and what is in progress ends
+// with its complete answer: a feed, a request and a ticket run without caller.
+func TestDrain(t *testing.T) {
+	b := newBench(t)
+	u, url := newTestUpstream(t)
+	s := b.stopping(url)
+	other := b.agent("127.0.0.1:0", url, decl.Service{})
+	c := b.client()
+	results := make(chan result, 2)
+	f := &front{t: t, client: c, base: "https://" + addrOf(b.front).String()}
+	text := f.ticket()
+	left, leave := context.WithCancel(t.Context())
+	go f.do(left, "POST", "/hold", strings.NewReader("x"), hdrs.Ticket, text)
+	eventually(t, "ticket run", func() bool { return u.calls.Load() == 1 })
+	for _, path := range []string{"/hold", "/feeds/hold"} {
+		go func() { results <- f.do(t.Context(), "GET", path, nil) }()
+	}
+	eventually(t, "three requests", func() bool { return u.calls.Load() == 3 })
+	leave()
+	s.signal()
+	eventually(t, "drain", func() bool { return len(s.states()) == 1 })
+	if s.serving() || !s.gate.stats().Draining {
+		t.Error("want an agent that reports draining and hands over")
+	}
+	eventually(t, "next request of the same caller at the other agent", func() bool {
+		r := f.do(t.Context(), "GET", "/", nil)
+		return r.status == http.StatusOK && other.handler.requests.Load() > 0
+	})
+	end := time.After(s.limits.Minimum + 4*s.limits.Quiet)
+	select {
+	case <-s.ended:
+		t.Fatal("agent ended while it had work")
+	case <-end:
+	}
+	close(u.release)
+	for range 2 {
+		if r := <-results; r.err != nil || r.status != http.StatusOK {
+			t.Errorf("request in progress: want 200, have %+v", r)
+		}
+	}
+	select {
+	case <-s.ended:
+	case <-time.After(10 * time.Second):
+		t.Fatal("agent did not end in 10 s without work")
+	}
+	if want := []drain.State{drain.Draining, drain.Gone}; !reflect.DeepEqual(s.states(), want) {
+		t.Errorf("announced states: want %v, have %v", want, s.states())
+	}
+	if n := s.handler.desk.size(); n.Bytes == 0 {
+		t.Errorf("ticket run without caller: want a stored answer, have %+v", n)
+	}
+}
+
+// TestUnreadAnswer guards against an agent that ends while its last answer is
+// still in the buffers of a caller that reads late: closing the connection
+// would discard it.
+func TestUnreadAnswer(t *testing.T) {
+	b := newBench(t)
+	_, url := newTestUpstream(t)
+	s := b.stopping(url)
+	resp, err := b.client().Get("https://" + addrOf(b.front).String() + "/long")
+	must(t, err)
+	defer resp.Body.Close()
+	s.signal()
+	eventually(t, "answer sent", func() bool { return len(s.states()) == 1 && s.handler.active.Load() == 0 })
+	select {
+	case <-s.ended:
+		t.Error("agent ended before its answer was read")
+	case <-time.After(s.limits.Minimum + 4*s.limits.Quiet):
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || len(body) != 200<<10 {
+		t.Errorf("want 204800 octets, have %d, %v", len(body), err)
+	}
+	resp.Body.Close()
+	select {
+	case <-s.ended:
+	case <-time.After(5 * time.Second):
+		t.Error("agent did not end in 5 s after its answer was read")
+	}
+}
+
+// TestSecondSignal guards against a drain that an operator cannot end.
+func TestSecondSignal(t *testing.T) {
+	b := newBench(t)
+	u, url := newTestUpstream(t)
+	s := b.stopping(url)
+	f := &front{t: t, client: b.client(), base: "https://" + addrOf(b.front).String()}
+	feed := make(chan result, 1)
+	go func() { feed <- f.do(t.Context(), "GET", "/feeds/hold", nil) }()
+	eventually(t, "feed open", func() bool { return u.calls.Load() == 1 })
+	s.signal()
+	eventually(t, "drain", func() bool { return len(s.states()) == 1 })
+	s.again <- syscall.SIGTERM
+	select {
+	case <-s.ended:
+	case <-time.After(3 * time.Second):
+		t.Fatal("agent did not end in 3 s after the second signal")
+	}
+	if r := <-feed; r.err == nil {
+		t.Errorf("feed that was cut: want an error, have %+v", r)
+	}
+}
+
+// TestEarlySignal guards against a signal that is lost because it arrives
+// before the agent has started.
+func TestEarlySignal(t *testing.T) {
+	b := newBench(t)
+	a := b.prepare("127.0.0.1:0", "http://127.0.0.1:1", decl.Service{})
+	a.limits = drain.Limits{Quiet: time.Millisecond}
+	var have []drain.State
+	a.setState = func(s drain.State) { have = append(have, s) }
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	a.Run(ctx, func() <-chan os.Signal { return nil })
+	if want := []drain.State{drain.Draining, drain.Gone}; !reflect.DeepEqual(have, want) {
+		t.Errorf("announced states: want %v, have %v", want, have)
+	}
+}
+
+// TestUpstreamHealth guards the order of the sources: a healthy answer never
+// overrides a failed connection, and single unhealthy answers change nothing.
+func TestUpstreamHealth(t *testing.T) {
+	// Letters: c connected, f connection failed, h healthy answer, u unhealthy answer.
+	for events, want := range map[string][2]bool{
+		"":       {true, true},
+		"f":      {false, false},
+		"fhhh":   {false, false},
+		"fc":     {true, true},
+		"uu":     {true, true},
+		"uuhuu":  {true, true},
+		"uuu":    {true, false},
+		"uuuh":   {true, true},
+		"uuucc":  {true, false},
+		"uuufch": {true, true},
+	} {
+		var h upstreamHealth
+		for _, e := range events {
+			switch e {
+			case 'c':
+				h.dialed(nil)
+			case 'f':
+				h.dialed(http.ErrServerClosed)
+			default:
+				h.answered(e == 'h')
+			}
+		}
+		if have := [2]bool{h.reachable(), h.good()}; have != want {
+			t.Errorf("%q: want reachable and good %v, have %v", events, want, have)
+		}
+	}
+}
+
+// TestSlowStart guards the number of usable slots during a slow start.
+func TestSlowStart(t *testing.T) {
+	a := newAdmission(gateLimits(decl.Limits{Slots: 5}.WithDefaults()), 10*time.Second)
+	for seconds, want := range map[int]int{0: 1, 2: 1, 3: 2, 5: 3, 9: 4, 10: 5, 60: 5} {
+		if have := a.usable(a.started.Add(time.Duration(seconds) * time.Second)).Slots; have != want {
+			t.Errorf("slots after %d s: want %d, have %d", seconds, want, have)
+		}
+	}
+}
+
+// TestCertificate guards against a certificate that is not read again, and
+// against one that is lost while its files do not fit each other.
+func TestCertificate(t *testing.T) {
+	dir := t.TempDir()
+	ca, err := certs.NewAuthority(time.Hour)
+	must(t, err)
+	certFile, keyFile, err := ca.IssueFiles(dir, "service")
+	must(t, err)
+	s, err := newCertSource(certFile, keyFile, quietLog())
+	must(t, err)
+	current := func() string {
+		s.checked = time.Time{}
+		c, err := s.get(nil)
+		must(t, err)
+		return string(c.Certificate[0])
+	}
+	first := current()
+	cert, key, err := ca.Issue("service")
+	must(t, err)
+	must(t, os.WriteFile(certFile, cert, 0o600))
+	must(t, os.Chtimes(certFile, time.Now(), time.Now().Add(time.Second)))
+	if current() != first {
+		t.Error("want the first certificate while the key does not fit the new one")
+	}
+	must(t, os.WriteFile(keyFile, key, 0o600))
+	must(t, os.Chtimes(keyFile, time.Now(), time.Now().Add(time.Second)))
+	if current() == first {
+		t.Error("want the new certificate")
+	}
+}
