--- a/cmd/bramleycourse/agent.go
+++ b/cmd/bramleycourse/agent.go
@@ -34,10 +34,3 @@
 	signal.Notify(c, syscall.SIGINT, syscall.SIGTERM)
 	return c
 }
-
-// signals returns the signals to stop that arrive from now on.
-func signals() <-chan os.Signal {
-	c := make(chan os.Signal, 1)
-	signal.Notify(c, syscall.SIGINT, syscall.SIGTERM)
-	return c
-}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,6 +19,7 @@
 	"github.com/bramleycourse/bramleycourse/internal/connid"
 	"github.com/bramleycourse/bramleycourse/internal/drain"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/peer"
 	"github.com/bramleycourse/bramleycourse/internal/plat"
 	"github.com/bramleycourse/bramleycourse/internal/proc"
 	"github.com/bramleycourse/bramleycourse/internal/reply"
@@ -42,7 +43,9 @@
 	refusals *reasons
 	health   upstreamHealth
 	state    atomic.Int32
-	// setState announces a new state; the announcement replaces it.
+	// announcer is nil only in tests without balancers.
+	announcer *announcer
+	// setState announces a new state.
 	setState func(drain.State)
 	// limits are the times of the drain; tests shorten them.
 	limits drain.Limits
@@ -52,7 +55,7 @@
 
 // New prepares an agent; it binds the addresses of the settings.
 func New(s *config.Agent, f *proc.Frame) (*Agent, error) {
-	keys, err := config.LoadKeys(s.KeysFile)
+	keys, err := config.NewKeySource(s.KeysFile, f.Log)
 	if err != nil {
 		return nil, errors.Annotatef(err, "keys file %s", s.KeysFile)
 	}
@@ -64,7 +67,7 @@
 		settings: s,
 		frame:    f,
 		client:   plat.New(s.Platform.URL, s.Platform.Timeout()),
-		keys:     func() *connid.Set { return keys },
+		keys:     keys.Load,
 		setState: func(drain.State) {},
 		limits:   drain.Limits{Minimum: drainMinimum, Quiet: drainQuiet, Limit: s.DrainLimit()},
 		tag:      ident.TagOf(ident.ServiceName(s.Service)),
@@ -95,7 +98,10 @@
 	f.Add("QUIC server", a.serve)
 	f.Add("slow start", a.gate.warm)
 	f.Add("balancer pings", a.hop.ping)
-	f.Add("announcement", a.announce)
+	f.Add("keys file", keys.Run)
+	if err := a.join(); err != nil {
+		return nil, err
+	}
 	return a, nil
 }
 
@@ -178,28 +184,33 @@
 
 // State is the state dump of an agent.
 type State struct {
-	Endpoint  string            `json:"endpoint"`
-	State     string            `json:"state"`
-	Serving   bool              `json:"serving"`
-	Service   string            `json:"service"`
-	Requests  uint64            `json:"requests"`
-	Admission admit.Stats       `json:"admission"`
-	Tickets   ticket.Size       `json:"tickets"`
-	Refused   map[string]uint64 `json:"refused"`
-	Counts    map[string]uint64 `json:"counts"`
+	Endpoint string `json:"endpoint"`
+	// Generation is that of the configuration in force; 0 means none.
+	Generation ident.Generation  `json:"generation"`
+	State      string            `json:"state"`
+	Serving    bool              `json:"serving"`
+	Service    string            `json:"service"`
+	Requests   uint64            `json:"requests"`
+	Admission  admit.Stats       `json:"admission"`
+	Tickets    ticket.Size       `json:"tickets"`
+	Refused    map[string]uint64 `json:"refused"`
+	Sessions   peer.State        `json:"sessions"`
+	Counts     map[string]uint64 `json:"counts"`
 }
 
 // State returns the current state dump.
 func (a *Agent) State() State {
 	return State{
-		Endpoint:  a.self.String(),
-		State:     drain.State(a.state.Load()).String(),
-		Serving:   a.serving(),
-		Service:   a.settings.Service,
-		Requests:  a.handler.requests.Load(),
-		Admission: a.gate.stats(),
-		Tickets:   a.handler.desk.size(),
-		Refused:   a.refusals.values(),
-		Counts:    a.hop.values(),
+		Endpoint:   a.self.String(),
+		Generation: a.announcer.Generation(),
+		Sessions:   a.announcer.State(),
+		State:      drain.State(a.state.Load()).String(),
+		Serving:    a.serving(),
+		Service:    a.settings.Service,
+		Requests:   a.handler.requests.Load(),
+		Admission:  a.gate.stats(),
+		Tickets:    a.handler.desk.size(),
+		Refused:    a.refusals.values(),
+		Counts:     a.hop.values(),
 	}
 }
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -4,12 +4,14 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/bramleycourse/bramleycourse/internal/config"
+	"github.com/bramleycourse/bramleycourse/internal/drain"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/peer"
 	"github.com/bramleycourse/bramleycourse/internal/plat"
@@ -136,11 +138,38 @@
 	return ctx.Err()
 }
 
-// announce runs an announcer for the agent.
-func (a *Agent) announce(ctx context.Context) error {
+// join connects the announcement with the rest of the agent.
+func (a *Agent) join() error {
 	n, err := newAnnouncer(a)
 	if err != nil {
 		return err
 	}
-	return n.Run(ctx)
+	n.OnConfig = func(c *config.Accepted) { a.Configure(c.Declaration) }
+	n.OnBalancers = a.setBalancers
+	a.announcer = n
+	a.setState = func(s drain.State) { n.SetState(viewStates[s]) }
+	a.frame.Add("announcement", n.Run)
+	return nil
+}
+
+var viewStates = map[drain.State]view.State{
+	drain.Serving:  view.Serving,
+	drain.Draining: view.Draining,
+	drain.Gone:     view.Gone,
+}
+
+// setBalancers makes the balancers known that may be pinged, and stops replies
+// through those that drain.
+func (a *Agent) setBalancers(es []view.Entry) {
+	var serving []netip.AddrPort
+	a.hop.mu.Lock()
+	defer a.hop.mu.Unlock()
+	for _, e := range es {
+		if e.State == view.Serving {
+			serving = append(serving, e.Key.Hop)
+		} else {
+			a.hop.set.Draining(time.Now(), e.Key.Hop)
+		}
+	}
+	a.hop.set.SetKnown(serving)
 }
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -73,13 +73,6 @@
 	}
 }
 
-// SetBalancers replaces the hop addresses of the balancers that may be pinged.
-func (a *Agent) SetBalancers(as []netip.AddrPort) {
-	a.hop.mu.Lock()
-	defer a.hop.mu.Unlock()
-	a.hop.set.SetKnown(as)
-}
-
 const (
 	// maxResets bounds the stateless resets in a second.
 	maxResets = 1000
