--- a/internal/encap/encap.go
+++ b/internal/encap/encap.go
@@ -201,9 +201,10 @@
 // check computes the keyed check over the n octets of the header and the
 // first octets of the payload behind the check.
 func check(k *connid.Key, b []byte, n int) uint64 {
-	head := siphash.Hash(k.HopKey[0], k.HopKey[1], b[:n])
-	end := min(len(b), n+checkSize+checkedPayload)
-	return siphash.Hash(k.HopKey[0]^head, k.HopKey[1], b[n+checkSize:end])
+	var checked [MaxSize - checkSize + checkedPayload]byte
+	copy(checked[:], b[:n])
+	end := n + copy(checked[n:n+checkedPayload], b[n+checkSize:])
+	return siphash.Hash(k.HopKey[0], k.HopKey[1], checked[:end])
 }
 
 func putAddr(b []byte, a netip.AddrPort) {
