--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -32,16 +32,17 @@
 	frame    *proc.Frame
 	client   *plat.Client
 	// keys returns the accepted keys; it is safe for concurrent use.
-	keys     func() *connid.Set
-	self     ident.EndpointID
-	tag      ident.ServiceTag
-	hop      *hopConn
-	server   *http3.Server
-	gate     *admission
-	handler  *handler
-	refusals *reasons
-	health   upstreamHealth
-	state    atomic.Int32
+	keys       func() *connid.Set
+	self       ident.EndpointID
+	tag        ident.ServiceTag
+	hop        *hopConn
+	server     *http3.Server
+	gate       *admission
+	handler    *handler
+	refusals   *reasons
+	health     upstreamHealth
+	handshakes handshakes
+	state      atomic.Int32
 	// setState announces a new state; the announcement replaces it.
 	setState func(drain.State)
 	// limits are the times of the drain; tests shorten them.
@@ -75,6 +76,7 @@
 	}
 	a.self = ident.EndpointID{Addr: udp.LocalAddr().(*net.UDPAddr).AddrPort(), Instance: ident.NewInstance()}
 	a.hop = newHopConn(a, udp, replyPolicy(s))
+	a.handshakes.limit.perSecond = maxHandshakes
 	a.refusals = newReasons(f.Log, f.Scope)
 	a.gate = newAdmission(gateLimits(decl.Limits{}.WithDefaults()), s.SlowStart())
 	a.handler = newHandler(a)
@@ -186,6 +188,9 @@
 	Admission admit.Stats       `json:"admission"`
 	Tickets   ticket.Size       `json:"tickets"`
 	Refused   map[string]uint64 `json:"refused"`
+	// Balancers are those that replies go through.
+	Balancers []netip.AddrPort  `json:"balancers"`
+	Retries   uint64            `json:"retries"`
 	Counts    map[string]uint64 `json:"counts"`
 }
 
@@ -200,6 +205,8 @@
 		Admission: a.gate.stats(),
 		Tickets:   a.handler.desk.size(),
 		Refused:   a.refusals.values(),
+		Balancers: a.hop.balancers(),
+		Retries:   a.handshakes.retries.Load(),
 		Counts:    a.hop.values(),
 	}
 }
--- a/internal/agent/count.go
+++ b/internal/agent/count.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"maps"
 	"sync"
 	"time"
 
@@ -17,35 +16,52 @@
 	log   *logrus.Entry
 	scope tally.Scope
 
-	mu     sync.Mutex
-	counts map[string]uint64
-	logged map[string]time.Time
+	mu   sync.Mutex
+	seen map[reason]*refusal
+}
+
+// reason names what was refused and why.
+type reason struct{ what, why string }
+
+type refusal struct {
+	count   uint64
+	logged  time.Time
+	counter tally.Counter
 }
 
 func newReasons(log *logrus.Entry, scope tally.Scope) *reasons {
-	return &reasons{log: log, scope: scope, counts: map[string]uint64{}, logged: map[string]time.Time{}}
+	return &reasons{log: log, scope: scope, seen: map[reason]*refusal{}}
 }
 
-// add counts a refusal. Reasons are constants, so the maps stay small.
-func (r *reasons) add(what, reason string) {
-	k := what + "." + reason
+// add counts a refusal. Reasons are constants, so the map stays small.
+func (r *reasons) add(what, why string) {
+	k := reason{what, why}
 	now := time.Now()
 	r.mu.Lock()
-	r.counts[k]++
-	n := r.counts[k]
-	first := now.Sub(r.logged[k]) >= logInterval
+	f := r.seen[k]
+	if f == nil {
+		f = &refusal{counter: r.scope.Tagged(map[string]string{"what": what, "reason": why}).Counter("refused")}
+		r.seen[k] = f
+	}
+	f.count++
+	f.counter.Inc(1)
+	n, first := f.count, now.Sub(f.logged) >= logInterval
 	if first {
-		r.logged[k] = now
+		f.logged = now
 	}
 	r.mu.Unlock()
-	r.scope.Tagged(map[string]string{"what": what, "reason": reason}).Counter("refused").Inc(1)
 	if first {
-		r.log.WithFields(logrus.Fields{"what": what, "reason": reason, "count": n}).Warn("refused")
+		r.log.WithFields(logrus.Fields{"what": what, "reason": why, "count": n}).Warn("refused")
 	}
 }
 
+// values returns the counts under the keys "what.reason".
 func (r *reasons) values() map[string]uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return maps.Clone(r.counts)
+	m := make(map[string]uint64, len(r.seen))
+	for k, f := range r.seen {
+		m[k.what+"."+k.why] = f.count
+	}
+	return m
 }
--- a/internal/agent/hop.go
+++ b/internal/agent/hop.go
@@ -59,6 +59,13 @@
 	}
 }
 
+// balancers returns the balancers that replies go through.
+func (c *hopConn) balancers() []netip.AddrPort {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.set.Members()
+}
+
 func (c *hopConn) refuse(reason string) { c.agent.refusals.add("packet", reason) }
 
 // hopBuffer holds one packet with its hop header.
--- a/internal/agent/hop_test.go
+++ b/internal/agent/hop_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/bramleycourse/bramleycourse/internal/certs"
 	"github.com/bramleycourse/bramleycourse/internal/config"
@@ -155,6 +156,12 @@
 func (b *bench) agent(addr, upstreamURL string, s decl.Service) *Agent {
 	b.t.Helper()
 	a := b.prepare(addr, upstreamURL, s)
+	b.run(a)
+	return a
+}
+
+// run starts the QUIC server of an agent.
+func (b *bench) run(a *Agent) {
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
@@ -165,7 +172,6 @@
 		stop()
 		<-ended
 	})
-	return a
 }
 
 // client returns a caller with a connection of its own.
@@ -308,7 +314,7 @@
 func TestHopAllocations(t *testing.T) {
 	b := newBench(t)
 	udp := listenUDP(t)
-	a := &Agent{keys: func() *connid.Set { return b.keys }, tag: 7, refusals: newReasons(quietLog(), nil)}
+	a := &Agent{keys: func() *connid.Set { return b.keys }, tag: 7, refusals: newReasons(quietLog(), tally.NoopScope)}
 	a.self = ident.EndpointID{Addr: addrOf(udp), Instance: 9}
 	a.hop = newHopConn(a, udp, 0)
 	h := encap.Header{Kind: encap.Established, Service: 7, Instance: 9, Caller: netip.MustParseAddrPort("192.0.2.1:1234")}
--- a/internal/agent/quic.go
+++ b/internal/agent/quic.go
@@ -66,7 +66,7 @@
 		Conn:                  a.hop,
 		ConnectionIDGenerator: &idSource{agent: a},
 		StatelessResetKey:     &reset,
-		VerifySourceAddress:   (&handshakes{limit: rateLimit{perSecond: maxHandshakes}}).verify,
+		VerifySourceAddress:   a.handshakes.verify,
 		ConnContext:           a.openFlow,
 	}
 }
@@ -75,12 +75,18 @@
 type handshakes struct {
 	mu    sync.Mutex
 	limit rateLimit
+	// retries is the number of handshakes that were answered with a Retry.
+	retries atomic.Uint64
 }
 
 func (h *handshakes) verify(net.Addr) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.limit.allow(time.Now())
+	if h.limit.allow(time.Now()) {
+		return false
+	}
+	h.retries.Add(1)
+	return true
 }
 
 // flow is the state of one QUIC connection.
--- /dev/null
+++ b/internal/agent/quic_test.go
@@ -0,0 +1,94 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/config"
+	"github.com/bramleycourse/bramleycourse/internal/connid"
+	"github.com/bramleycourse/bramleycourse/pkg/decl"
+)
+
+// TestIdleFlow guards R1: a feed stays open although its flow is older than
+// the time after which a flow without a request is closed.
+func TestIdleFlow(t *testing.T) {
+	b := newBench(t)
+	u, url := newTestUpstream(t)
+	a := b.prepare("127.0.0.1:0", url, decl.Service{StreamPaths: []string{"/feeds/"}})
+	const idle = 200 * time.Millisecond
+	a.server.IdleTimeout = idle
+	b.run(a)
+	ended := make(chan error, 1)
+	feed := b.client()
+	go func() {
+		_, err := b.get(feed, "/feeds/hold")
+		ended <- err
+	}()
+	eventually(t, "feed open", func() bool { return u.calls.Load() == 1 })
+	_, err := b.get(b.client(), "/")
+	must(t, err)
+	eventually(t, "flow without a request closed", func() bool { return a.gate.stats().Connections == 1 })
+	select {
+	case err := <-ended:
+		t.Fatalf("feed ended: %v", err)
+	case <-time.After(3 * idle):
+	}
+	close(u.release)
+	must(t, <-ended)
+}
+
+// TestRetry guards against a Retry that a caller cannot answer: its second
+// Initial packet names the agent and skips the placement.
+func TestRetry(t *testing.T) {
+	b := newBench(t)
+	_, url := newTestUpstream(t)
+	a := b.prepare("127.0.0.1:0", url, decl.Service{})
+	a.handshakes.limit.perSecond = 0
+	b.run(a)
+	if status, err := b.get(b.client(), "/"); err != nil || status != 200 {
+		t.Errorf("want 200, have %d, %v", status, err)
+	}
+	if n := a.handshakes.retries.Load(); n == 0 {
+		t.Error("want a Retry, have none")
+	}
+}
+
+// TestKeyRotation guards the flows of the previous key: one that was open before
+// the rotation goes on, and new ones work.
+func TestKeyRotation(t *testing.T) {
+	b := newBench(t)
+	_, url := newTestUpstream(t)
+	a := b.prepare("127.0.0.1:0", url, decl.Service{})
+	rotated := make(chan struct{})
+	first := a.keys()
+	b.writeKeys(2)
+	second, err := config.LoadKeys(a.settings.KeysFile)
+	must(t, err)
+	a.keys = func() *connid.Set {
+		select {
+		case <-rotated:
+			return second
+		default:
+			return first
+		}
+	}
+	b.run(a)
+	old := b.client()
+	for i := range 2 {
+		for _, c := range []*struct{ name string }{{"old"}, {"new"}} {
+			client := old
+			if c.name == "new" {
+				client = b.client()
+			}
+			if status, err := b.get(client, "/"); err != nil || status != 200 {
+				t.Errorf("%s flow, round %d: want 200, have %d, %v", c.name, i, status, err)
+			}
+		}
+		if i == 0 {
+			close(rotated)
+		}
+	}
+	if n := a.gate.stats().Connections; n != 3 {
+		t.Errorf("flows: want 3, have %d", n)
+	}
+}
--- a/internal/agent/stop_test.go
+++ b/internal/agent/stop_test.go
@@ -143,6 +143,24 @@
 	}
 }
 
+// TestLateHandshake guards against a flow that was under way when the drain
+// began and that nobody serves: its caller must learn that nothing was run.
+func TestLateHandshake(t *testing.T) {
+	b := newBench(t)
+	u, url := newTestUpstream(t)
+	s := b.stopping(url)
+	s.limits.Minimum = time.Minute
+	s.signal()
+	eventually(t, "drain", func() bool { return len(s.states()) == 1 })
+	s.gate.setDraining(false)
+	f := &front{t: t, client: b.client(), base: "https://" + addrOf(b.front).String()}
+	want := result{status: 503, outcome: hdrs.NotRun, reason: "draining"}
+	eventually(t, "answer of the late server", func() bool { return f.do(t.Context(), "GET", "/", nil) == want })
+	if n := u.calls.Load(); n > 1 {
+		t.Errorf("calls of the upstream: want at most the one before GOAWAY, have %d", n)
+	}
+}
+
 // TestSecondSignal guards against a drain that an operator cannot end.
 func TestSecondSignal(t *testing.T) {
 	b := newBench(t)
