--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -33,18 +33,18 @@
 	frame    *proc.Frame
 	client   *plat.Client
 	// keys returns the accepted keys; it is safe for concurrent use.
-	keys     func() *connid.Set
-	self     ident.EndpointID
-	tag      ident.ServiceTag
-	hop      *hopConn
-	server   *http3.Server
-	gate     *admission
-	handler  *handler
-	refusals *reasons
-	health   upstreamHealth
-	state    atomic.Int32
-	// announcer is nil only in tests without balancers.
-	announcer *announcer
+	keys       func() *connid.Set
+	self       ident.EndpointID
+	tag        ident.ServiceTag
+	hop        *hopConn
+	server     *http3.Server
+	gate       *admission
+	handler    *handler
+	refusals   *reasons
+	health     upstreamHealth
+	state      atomic.Int32
+	announcer  *announcer
+	handshakes handshakes
 	// setState announces a new state.
 	setState func(drain.State)
 	// limits are the times of the drain; tests shorten them.
@@ -78,6 +78,7 @@
 	}
 	a.self = ident.EndpointID{Addr: udp.LocalAddr().(*net.UDPAddr).AddrPort(), Instance: ident.NewInstance()}
 	a.hop = newHopConn(a, udp, replyPolicy(s))
+	a.handshakes.limit.perSecond = maxHandshakes
 	a.refusals = newReasons(f.Log, f.Scope)
 	a.gate = newAdmission(gateLimits(decl.Limits{}.WithDefaults()), s.SlowStart())
 	a.handler = newHandler(a)
@@ -196,6 +197,9 @@
 	Refused    map[string]uint64 `json:"refused"`
 	Sessions   peer.State        `json:"sessions"`
 	Counts     map[string]uint64 `json:"counts"`
+	// Balancers are those that replies go through.
+	Balancers []netip.AddrPort `json:"balancers"`
+	Retries   uint64           `json:"retries"`
 }
 
 // State returns the current state dump.
@@ -212,5 +216,7 @@
 		Tickets:    a.handler.desk.size(),
 		Refused:    a.refusals.values(),
 		Counts:     a.hop.values(),
+		Balancers:  a.hop.balancers(),
+		Retries:    a.handshakes.retries.Load(),
 	}
 }
