--- a/internal/relay/conf.go
+++ b/internal/relay/conf.go
@@ -116,6 +116,16 @@
 	}
 }
 
+// closePorts ends the reception from the fabric.
+func (b *Balancer) closePorts() {
+	b.portsMu.Lock()
+	defer b.portsMu.Unlock()
+	for tag, p := range b.ports {
+		p.conn.Close()
+		delete(b.ports, tag)
+	}
+}
+
 func (b *Balancer) portConn(tag ident.ServiceTag) *net.UDPConn {
 	b.portsMu.Lock()
 	defer b.portsMu.Unlock()
--- /dev/null
+++ b/internal/relay/control_test.go
@@ -0,0 +1,367 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/certs"
+	"github.com/bramleycourse/bramleycourse/internal/config"
+	"github.com/bramleycourse/bramleycourse/internal/encap"
+	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/peer"
+	"github.com/bramleycourse/bramleycourse/internal/plat"
+	"github.com/bramleycourse/bramleycourse/internal/proc"
+	"github.com/bramleycourse/bramleycourse/internal/store"
+	"github.com/bramleycourse/bramleycourse/internal/view"
+)
+
+// site is a set of balancers in one process with a platform stand-in.
+type site struct {
+	t        *testing.T
+	store    *store.Store
+	platform *plat.Client
+	url      string
+	keysFile string
+	peers    []string
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, store: store.New(), keysFile: filepath.Join(t.TempDir(), "keys.json")}
+	srv := httptest.NewServer(s.store)
+	t.Cleanup(srv.Close)
+	s.url = srv.URL
+	s.platform = plat.New(srv.URL, time.Second)
+	if err := os.WriteFile(s.keysFile, certs.KeysFile(1), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func (s *site) eventually(limit time.Duration, what string, ok func() bool) time.Duration {
+	s.t.Helper()
+	for begin := time.Now(); ; time.Sleep(2 * time.Millisecond) {
+		if ok() {
+			return time.Since(begin)
+		}
+		if time.Since(begin) > limit {
+			s.t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+// running is a balancer whose drain begins with stop.
+type running struct {
+	*Balancer
+	stop   context.CancelFunc
+	signal chan os.Signal
+	ended  chan struct{}
+}
+
+func (s *site) balancer() *running {
+	s.t.Helper()
+	n := len(s.peers) + 1
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	b, err := New(&config.Balancer{
+		Name: fmt.Sprint("b", n), Place: "recife", CallerIP: fmt.Sprintf("127.0.7.%d", n),
+		HopAddress: "127.0.0.1:0", PeerAddress: addr, AdminAddress: "127.0.0.1:0",
+		ConfigName: "main", Peers: s.peers, AgentNetworks: []string{"127.0.0.0/8"}, KeysFile: s.keysFile,
+		Platform: config.Platform{URL: s.url, RequestTimeoutMillis: 1000},
+	}, proc.New("balancer", "test", io.Discard))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.peers = append(s.peers, addr)
+	ctx, cancel := context.WithCancel(s.t.Context())
+	r := &running{b, cancel, make(chan os.Signal, 1), make(chan struct{})}
+	go func() {
+		r.Run(ctx, func() <-chan os.Signal { return r.signal })
+		close(r.ended)
+	}()
+	s.t.Cleanup(func() {
+		cancel()
+		r.signal <- os.Interrupt
+		<-r.ended
+	})
+	return r
+}
+
+// fakeAgent answers probes and keeps sessions, as the agent does.
+type fakeAgent struct {
+	key view.Key
+	// kill ends the agent; freeze leaves its sessions open.
+	kill, freeze func()
+}
+
+func (s *site) agent(b *running, service ident.ServiceName) *fakeAgent {
+	s.t.Helper()
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	k := view.Key{Hop: c.LocalAddr().(*net.UDPAddr).AddrPort(), Instance: ident.NewInstance()}
+	keys := b.keys.Load()
+	go func() {
+		var buf [2048]byte
+		for {
+			n, from, err := c.ReadFromUDPAddrPort(buf[:])
+			if err != nil {
+				return
+			}
+			var h encap.Header
+			if _, fault := h.Parse(keys, buf[:n]); fault != encap.FaultNone || h.Kind != encap.Probe {
+				continue
+			}
+			h = encap.Header{Kind: encap.ProbeAnswer, Service: ident.TagOf(service), Instance: k.Instance}
+			p := make([]byte, h.Size()+1)
+			h.Put(keys.Current, p)
+			c.WriteToUDPAddrPort(p, from)
+		}
+	}()
+	p := peer.NewClient(peer.ClientOptions{
+		Self:  view.Entry{Key: k, State: view.Serving, Service: service, Place: "recife"},
+		Seeds: s.peers,
+	})
+	ctx, cancel := context.WithCancel(s.t.Context())
+	go p.Run(ctx)
+	kill := func() {
+		cancel()
+		c.Close()
+	}
+	return &fakeAgent{k, kill, func() { c.Close() }}
+}
+
+func (s *site) put(generation ident.Generation, port int) {
+	s.t.Helper()
+	_, err := s.platform.PutOnce(s.t.Context(), plat.KindConfig, "main", func(_ plat.Object, writer string) (any, error) {
+		return configJSON(writer, generation, port), nil
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func configJSON(writer string, generation ident.Generation, port int) json.RawMessage {
+	return json.RawMessage(fmt.Sprintf(`{"generation": %d, "writer": %q, "declaration": {"name": "main",
+		"places": [{"name": "recife", "region": "nordeste"}, {"name": "fortaleza", "region": "nordeste"}],
+		"services": [{"name": "listas", "address": "127.0.0.1:%d", "limits": {}}]}}`, generation, writer, port))
+}
+
+func (r *running) generation() ident.Generation {
+	if c := r.conf.Load(); c != nil {
+		return c.Generation
+	}
+	return 0
+}
+
+func (r *running) usable() int { return r.table.Load().Len(ident.TagOf("listas")) }
+
+// each reports whether the condition holds for all balancers.
+func each(bs []*running, ok func(*running) bool) func() bool {
+	return func() bool {
+		for _, b := range bs {
+			if !ok(b) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// TestKilledAgent guards the 2 s within which a killed upstream must get no
+// new flows from any balancer, and the removal of its platform object.
+func TestKilledAgent(t *testing.T) {
+	s := newSite(t)
+	bs := []*running{s.balancer(), s.balancer(), s.balancer(), s.balancer()}
+	as := []*fakeAgent{s.agent(bs[0], "listas"), s.agent(bs[0], "listas"), s.agent(bs[0], "listas")}
+	s.eventually(10*time.Second, "three usable endpoints everywhere", each(bs, func(b *running) bool { return b.usable() == 3 }))
+	object, err := json.Marshal(entryObject{Entry: view.Entry{Key: as[0].key, State: view.Serving, Seq: 1, Service: "listas", Place: "recife"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.platform.Put(t.Context(), plat.KindEndpoint, "a0", json.RawMessage(object), 0); err != nil {
+		t.Fatal(err)
+	}
+	as[0].kill()
+	d := s.eventually(2*time.Second, "killed agent unusable everywhere", each(bs, func(b *running) bool { return b.usable() == 2 }))
+	t.Logf("a killed agent was unusable on 4 balancers after %v", d)
+	as[1].freeze()
+	d = s.eventually(2*time.Second, "frozen agent unusable everywhere", each(bs, func(b *running) bool { return b.usable() == 1 }))
+	t.Logf("a frozen agent was unusable on 4 balancers after %v", d)
+	s.eventually(5*time.Second, "object known", each(bs, func(b *running) bool {
+		b.views.mu.Lock()
+		defer b.views.mu.Unlock()
+		return len(b.views.objects[plat.KindEndpoint]) == 1
+	}))
+	for _, b := range bs {
+		now := b.views.now()
+		b.views.cleanOnce(t.Context(), now)
+		b.views.cleanOnce(t.Context(), now+downLimit-time.Second)
+	}
+	if l, _ := s.platform.List(t.Context(), plat.KindEndpoint); len(l.Objects) != 1 {
+		t.Fatal("object was removed before the process was down for 10 min")
+	}
+	for _, b := range bs {
+		b.views.cleanOnce(t.Context(), b.views.now()+downLimit+time.Second)
+	}
+	if l, err := s.platform.List(t.Context(), plat.KindEndpoint); err != nil || len(l.Objects) != 0 {
+		t.Errorf("want no object after 10 min, have %d, %v", len(l.Objects), err)
+	}
+	s.eventually(time.Second, "entry gone everywhere", each(bs, func(b *running) bool {
+		e, _ := b.views.node.Get(as[0].key)
+		return e.State == view.Gone
+	}))
+}
+
+// TestConfiguration guards R8: a configuration reaches every balancer, also one
+// that starts while the platform is down, and is never replaced by an older or
+// invalid one, even if the platform itself went back.
+func TestConfiguration(t *testing.T) {
+	s := newSite(t)
+	bs := []*running{s.balancer(), s.balancer()}
+	s.eventually(5*time.Second, "balancers known to each other", each(bs, func(b *running) bool { return len(b.State().Balancers) == 2 }))
+	s.put(4, 24501)
+	d := s.eventually(2*time.Second, "generation 4", each(bs, func(b *running) bool { return b.generation() == 4 }))
+	t.Logf("a configuration was in force on 2 balancers after %v", d)
+	// A watch reports only the last version of an object, so each one is awaited.
+	s.put(3, 24502)
+	s.put(5, 0)
+	s.eventually(5*time.Second, "invalid one refused", each(bs, func(b *running) bool { return b.configInvalid.Load() == 1 }))
+	s.put(4, 24503)
+	s.eventually(5*time.Second, "conflict noticed", each(bs, func(b *running) bool { return b.configConflicts.Load() == 1 }))
+	if !each(bs, func(b *running) bool { return b.generation() == 4 })() {
+		t.Error("an older or invalid configuration was taken")
+	}
+	s.store.SetFaults(store.Faults{Outage: true})
+	bs = append(bs, s.balancer())
+	s.eventually(5*time.Second, "configuration from a peer during an outage", func() bool {
+		return bs[2].generation() == 4 && bs[2].portConn(ident.TagOf("listas")) != nil
+	})
+}
+
+// TestFollow guards the calls to the platform: an outage must cause no lists,
+// a store that went back must cause one, and there is at most one a second.
+func TestFollow(t *testing.T) {
+	s := newSite(t)
+	s.put(1, 24511)
+	s.put(2, 24511)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	applied := make(chan plat.List, 16)
+	f := follower{client: s.platform, kind: plat.KindConfig, apply: func(l plat.List) { applied <- l }}
+	go f.run(ctx)
+	if l := <-applied; l.Version != 2 || len(l.Objects) != 1 {
+		t.Fatalf("want a list of version 2 with one object, have %+v", l)
+	}
+	reads := s.platform.Calls.Reads.Load()
+	s.store.SetFaults(store.Faults{Outage: true})
+	s.eventually(5*time.Second, "failed calls", func() bool { return s.platform.Calls.Failures.Load() >= 3 })
+	s.store.SetFaults(store.Faults{})
+	if n := s.platform.Calls.Reads.Load() - reads; n != 0 {
+		t.Errorf("want no lists during an outage, have %d", n)
+	}
+	s.put(3, 24511)
+	if l := <-applied; l.Version != 3 {
+		t.Errorf("want version 3 after the outage, have %d", l.Version)
+	}
+	g := follower{client: s.platform, kind: plat.KindConfig, since: 99, relist: time.Now().Add(time.Hour), apply: func(l plat.List) { applied <- l }}
+	for range 2 {
+		if err := g.step(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if l := <-applied; l.Version != 3 || g.since != 3 {
+		t.Errorf("want a list after the store went back, have version %d", l.Version)
+	}
+}
+
+// TestDrain guards the planned stop of a balancer: it announces itself, keeps
+// forwarding while packets arrive, and a second signal cuts.
+func TestDrain(t *testing.T) {
+	s := newSite(t)
+	s.put(1, 24521)
+	bs := []*running{s.balancer(), s.balancer()}
+	s.eventually(5*time.Second, "balancers known", each(bs, func(b *running) bool {
+		return len(b.State().Balancers) == 2 && b.portConn(ident.TagOf("listas")) != nil
+	}))
+	c, err := net.Dial("udp4", "127.0.7.1:24521")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	bs[0].stop()
+	state := func(want view.State) func() bool {
+		return func() bool {
+			e, _ := bs[1].views.node.Get(bs[0].views.node.Self().Key)
+			return e.State == want
+		}
+	}
+	s.eventually(time.Second, "drain known to the peer", state(view.Draining))
+	for begin := time.Now(); time.Since(begin) < drainQuiet+500*time.Millisecond; time.Sleep(100 * time.Millisecond) {
+		c.Write([]byte("x"))
+		select {
+		case <-bs[0].ended:
+			t.Fatal("balancer ended while packets arrived")
+		default:
+		}
+	}
+	d := s.eventually(drainQuiet+2*time.Second, "end known to the peer", state(view.Gone))
+	if d < drainQuiet-200*time.Millisecond {
+		t.Errorf("ended %v after the last packet, want %v", d, drainQuiet)
+	}
+	<-bs[0].ended
+	if l, err := s.platform.List(t.Context(), plat.KindBalancer); err != nil || len(l.Objects) != 1 {
+		t.Errorf("want one balancer object left, have %d, %v", len(l.Objects), err)
+	}
+	s.store.SetFaults(store.Faults{Outage: true})
+	begin := time.Now()
+	bs[1].stop()
+	bs[1].signal <- os.Interrupt
+	<-bs[1].ended
+	if d := time.Since(begin); d > farewellTime+500*time.Millisecond {
+		t.Errorf("a cut drain took %v while the platform was down", d)
+	}
+}
+
+// TestWeights guards the shares: a wrong weight or region misplaces new flows.
+func TestWeights(t *testing.T) {
+	a, err := config.ParseAccepted("main", []byte(`{"generation": 1, "writer": "", "declaration": {"name": "main",
+		"places": [{"name": "recife", "region": "nordeste"}, {"name": "namur-a", "region": "wallonia"}],
+		"services": [{"name": "listas", "address": "127.0.0.1:4433", "limits": {},
+			"shares": [{"place": "recife", "weight": 3}, {"group": "new", "weight": 0.5}, {"group": "off", "weight": 0}]}]}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := newWeights(a.Declaration, "recife")
+	for _, c := range []struct {
+		service, place, group string
+		want                  float64
+		remote                bool
+	}{
+		{"listas", "recife", "", 3, false},
+		{"listas", "recife", "new", 1.5, false},
+		{"listas", "namur-a", "new", 0.5, true},
+		{"listas", "namur-a", "off", 0, true},
+		{"fichas", "recife", "new", 1, false},
+	} {
+		e := view.Entry{Service: ident.ServiceName(c.service), Place: ident.PlaceName(c.place), Group: ident.GroupName(c.group)}
+		if have := w.of(e); have != c.want || w.remote(e.Place) != c.remote {
+			t.Errorf("%+v: have weight %v, remote %v", c, have, w.remote(e.Place))
+		}
+	}
+	if newWeights(nil, "recife").remote("x") || newWeights(a.Declaration, "x").remote("recife") {
+		t.Error("want nothing remote without a declared own place")
+	}
+}
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -36,6 +36,7 @@
 	b.farewell()
 	end()
 	<-ended
+	b.closePorts()
 	b.frame.Log.Info("balancer ended")
 	return ctx.Err()
 }
