--- a/internal/relay/conf.go
+++ b/internal/relay/conf.go
@@ -115,3 +115,14 @@
 	}
 	b.publishPorts()
 }
+
+// closePorts ends the reception from the fabric.
+func (b *Balancer) closePorts() {
+	b.portsMu.Lock()
+	defer b.portsMu.Unlock()
+	for tag, p := range b.ports {
+		p.close()
+		delete(b.ports, tag)
+	}
+	b.publishPorts()
+}
