--- /dev/null
+++ b/cmd/bramleycourse/apply_test.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/config"
+	"github.com/bramleycourse/bramleycourse/internal/plat"
+	"github.com/bramleycourse/bramleycourse/internal/store"
+)
+
+// platform serves the stand-in; before runs ahead of each write.
+func platform(t *testing.T, before func(s *store.Store)) (*store.Store, string) {
+	s := store.New()
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPut && before != nil {
+			before(s)
+		}
+		s.ServeHTTP(w, r)
+	}))
+	t.Cleanup(h.Close)
+	return s, h.URL
+}
+
+func status(err error) int {
+	var e *exitError
+	if errors.As(err, &e) {
+		return e.status
+	}
+	if err != nil {
+		return -1
+	}
+	return 0
+}
+
+// runApply applies the Ezelpad example with a replacement.
+func runApply(t *testing.T, c applyCmd, old, replacement string) (string, int) {
+	t.Helper()
+	var b, out bytes.Buffer
+	if err := ezelpad().Print(&b); err != nil {
+		t.Fatal(err)
+	}
+	c.File = filepath.Join(t.TempDir(), "declaration.json")
+	if err := os.WriteFile(c.File, []byte(strings.Replace(b.String(), old, replacement, 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c.out = &out
+	if c.Timeout == 0 {
+		c.Timeout = 5 * time.Second
+	}
+	err := c.Run(t.Context())
+	if err != nil {
+		out.WriteString(err.Error())
+	}
+	return out.String(), status(err)
+}
+
+func inForce(t *testing.T, url string) config.Object {
+	t.Helper()
+	var o config.Object
+	cur, err := plat.New(url, time.Second).Get(t.Context(), plat.KindConfig, "ezelpad")
+	if err == nil {
+		err = json.Unmarshal(cur.Value, &o)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return o
+}
+
+// TestApply guards exit statuses and messages: an invalid declaration is not
+// written, an expectation and a race are conflicts, a lost answer is read back.
+func TestApply(t *testing.T) {
+	s, url := platform(t, nil)
+	two := uint64(2)
+	for _, c := range []struct {
+		name, old, replacement string
+		cmd                    applyCmd
+		faults                 store.Faults
+		status                 int
+		want                   string
+		generation             uint64
+	}{
+		{name: "first", want: "generation 1 accepted", generation: 1},
+		{name: "same", want: "no difference, generation 1 remains", generation: 1},
+		{name: "invalid", old: `"slots": 5`, replacement: `"slots": -5`, status: exitInvalid, want: "services[0].limits.slots", generation: 1},
+		{name: "dry run", old: `"slots": 5`, replacement: `"slots": 6`, cmd: applyCmd{DryRun: true}, want: "~ service trek: slots 5 -> 6", generation: 1},
+		{name: "expectation", old: `"slots": 5`, replacement: `"slots": 6`, cmd: applyCmd{ExpectGeneration: &two}, status: exitConflict, want: "expected generation 2, found generation 1", generation: 1},
+		{name: "lost answer", old: `"slots": 5`, replacement: `"slots": 6`, faults: store.Faults{LoseAnswers: 1}, want: "generation 2 accepted", generation: 2},
+	} {
+		s.SetFaults(c.faults)
+		c.cmd.Platform = url
+		out, status := runApply(t, c.cmd, c.old, c.replacement)
+		if status != c.status || !strings.Contains(out, c.want) {
+			t.Errorf("%s: want status %d and %q, have %d and %q", c.name, c.status, c.want, status, out)
+		}
+		if have := inForce(t, url).Generation; uint64(have) != c.generation {
+			t.Errorf("%s: want generation %d in force, have %d", c.name, c.generation, have)
+		}
+	}
+}
+
+// TestApplyRace guards against a lost update between two operators, and
+// against a claim about a write whose outcome nobody can learn.
+func TestApplyRace(t *testing.T) {
+	other := config.Object{Generation: 7, Writer: "other", Declaration: []byte(`{}`)}
+	raced := false
+	var url string
+	_, url = platform(t, func(*store.Store) {
+		if raced {
+			return
+		}
+		raced = true
+		if _, err := plat.New(url, time.Second).Put(t.Context(), plat.KindConfig, "ezelpad", other, 0); err != nil {
+			t.Error(err)
+		}
+	})
+	out, status := runApply(t, applyCmd{Platform: url}, "", "")
+	if status != exitConflict || !strings.Contains(out, "based on generation 0 at version 0, found generation 7 at version 1") {
+		t.Errorf("want status %d with both generations, have %d and %q", exitConflict, status, out)
+	}
+	if have := inForce(t, url); have.Writer != "other" {
+		t.Errorf("want the other writer's object, have %+v", have)
+	}
+
+	_, url = platform(t, func(s *store.Store) { s.SetFaults(store.Faults{Outage: true}) })
+	out, status = runApply(t, applyCmd{Platform: url, Timeout: 400 * time.Millisecond}, "", "")
+	if status != exitUnknown || !strings.Contains(out, "not known") {
+		t.Errorf("want status %d, have %d and %q", exitUnknown, status, out)
+	}
+}
--- a/cmd/bramleycourse/main.go
+++ b/cmd/bramleycourse/main.go
@@ -12,7 +12,9 @@
 type cli struct {
 	Balancer balancerCmd `cmd:"" help:"Run a balancer."`
 	Agent    agentCmd    `cmd:"" help:"Run the agent beside an upstream."`
+	Print    printCmd    `cmd:"" help:"Check a declaration and print its canonical form."`
 	Apply    applyCmd    `cmd:"" help:"Put a declaration in force."`
+	Dump     dumpCmd     `cmd:"" help:"Print the state dump of a process."`
 	Trial    trialCmd    `cmd:"" help:"Compare placement policies in a queue model."`
 	Standin  standinCmd  `cmd:"" help:"Run a stand-in of an outside system, for tests."`
 }
--- /dev/null
+++ b/internal/plat/once.go
@@ -0,0 +1,149 @@
+package plat
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	mrand "math/rand/v2"
+
+	"github.com/juju/errors"
+)
+
+// OutcomeError reports a write of which nobody can tell any more whether it
+// took effect: its answer was lost, and the object could not be read until the
+// context ended, or has been written by others since.
+type OutcomeError struct {
+	Kind Kind
+	Name string
+	// Expected is the version that the write was conditional on.
+	Expected Version
+	// Current is the version found afterwards; zero when none could be read.
+	Current Version
+	// Err is the last error of a call.
+	Err error
+}
+
+// Error implements error.
+func (e *OutcomeError) Error() string {
+	return fmt.Sprintf("outcome of the write to %s object %q after version %d is not known: %v", e.Kind, e.Name, e.Expected, e.Err)
+}
+
+// Unwrap returns the last error of a call.
+func (e *OutcomeError) Unwrap() error { return e.Err }
+
+const (
+	minRetry = 50 * time.Millisecond
+	maxRetry = time.Second
+)
+
+// token is the part of a value that names its writer.
+type token struct {
+	Writer string `json:"writer"`
+}
+
+// once is one conditional write with its token.
+type once struct {
+	c      *Client
+	kind   Kind
+	name   string
+	writer string
+	body   []byte
+	// expected is the version that the write is conditional on.
+	expected Version
+	// lost is true after a write whose answer did not arrive.
+	lost bool
+}
+
+// PutOnce reads an object, builds its next value and writes it if the object
+// has not changed in between. The current object has version zero when there is
+// none. The value must be a JSON object with the field "writer" set to the
+// given token. After a lost answer PutOnce reads the object back and finds its
+// token or repeats the same conditional write, until the context ends. It
+// returns the written version, a *ConflictError, an *OutcomeError, or the
+// error of a write that certainly did not take effect.
+func (c *Client) PutOnce(ctx context.Context, k Kind, name string, build func(current Object, writer string) (any, error)) (Version, error) {
+	current, err := c.Get(ctx, k, name)
+	var missing *NotFoundError
+	if err != nil && !errors.As(err, &missing) {
+		return 0, errors.Trace(err)
+	}
+	w := once{c: c, kind: k, name: name, writer: rand.Text(), expected: current.Version}
+	value, err := build(current, w.writer)
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	if w.body, err = json.Marshal(value); err != nil {
+		return 0, errors.Trace(err)
+	}
+	var t token
+	if json.Unmarshal(w.body, &t) != nil || t.Writer != w.writer {
+		return 0, errors.Errorf("value of %s object %q does not carry the writer token", k, name)
+	}
+	return w.run(ctx)
+}
+
+func (w *once) run(ctx context.Context) (Version, error) {
+	for wait := minRetry; ; wait = min(2*wait, maxRetry) {
+		v, done, err := w.attempt(ctx)
+		if done {
+			return v, err
+		}
+		select {
+		case <-time.After(wait/2 + mrand.N(wait)):
+		case <-ctx.Done():
+			return 0, &OutcomeError{Kind: w.kind, Name: w.name, Expected: w.expected, Err: err}
+		}
+	}
+}
+
+// attempt writes once and, when that does not tell the outcome, reads back.
+func (w *once) attempt(ctx context.Context) (v Version, done bool, err error) {
+	w.c.Calls.Writes.Add(1)
+	v, err = w.c.put(ctx, w.kind, w.name, w.body, w.expected)
+	var (
+		conflict *ConflictError
+		status   *StatusError
+	)
+	switch {
+	case err == nil:
+		return v, true, nil
+	case errors.As(err, &conflict) && !w.lost:
+		return 0, true, err
+	case errors.As(err, &status) && status.Code < http.StatusInternalServerError:
+		return 0, true, w.refused(err)
+	case conflict == nil:
+		w.lost = true
+	}
+	return w.readBack(ctx, err)
+}
+
+// refused wraps a refusal that says nothing about an earlier lost write.
+func (w *once) refused(err error) error {
+	if w.lost {
+		return &OutcomeError{Kind: w.kind, Name: w.name, Expected: w.expected, Err: err}
+	}
+	return err
+}
+
+// readBack looks for the token. While the object still has the expected
+// version, repeating the write is safe: of the repeated and a delayed one, the
+// condition lets only one take effect.
+func (w *once) readBack(ctx context.Context, cause error) (Version, bool, error) {
+	o, err := w.c.Get(ctx, w.kind, w.name)
+	var missing *NotFoundError
+	if err != nil && !errors.As(err, &missing) {
+		return 0, false, err
+	}
+	var t token
+	if err == nil && json.Unmarshal(o.Value, &t) == nil && t.Writer == w.writer {
+		return o.Version, true, nil
+	}
+	if o.Version == w.expected {
+		return 0, false, cause
+	}
+	return 0, true, &OutcomeError{Kind: w.kind, Name: w.name, Expected: w.expected, Current: o.Version, Err: cause}
+}
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -51,11 +52,13 @@
 	Name string
 	// Current is the version found; zero when the object does not exist.
 	Current Version
+	// Expected is the version that the write was conditional on.
+	Expected Version
 }
 
 // Error implements error.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("%s object %q has version %d", e.Kind, e.Name, e.Current)
+	return fmt.Sprintf("%s object %q has version %d, the write expected version %d", e.Kind, e.Name, e.Current, e.Expected)
 }
 
 // NotFoundError reports that an object does not exist.
@@ -69,6 +72,18 @@
 	return fmt.Sprintf("%s object %q does not exist", e.Kind, e.Name)
 }
 
+// StatusError reports a call that the platform refused for another reason.
+type StatusError struct {
+	Code int
+	Kind Kind
+	Name string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("platform answered status %d for %s object %q", e.Code, e.Kind, e.Name)
+}
+
 // GoneError reports that the changes since a version are no longer kept.
 type GoneError struct{ Since Version }
 
@@ -119,6 +134,10 @@
 	var l List
 	path := fmt.Sprintf("%s?watch=1&since=%d&waitMillis=%d", c.path(k, ""), since, wait.Milliseconds())
 	err := c.call(ctx, http.MethodGet, path, nil, nil, &l, wait+c.timeout, k, "")
+	var gone *GoneError
+	if errors.As(err, &gone) {
+		gone.Since = since
+	}
 	return l, err
 }
 
@@ -130,8 +149,16 @@
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
+	return c.put(ctx, k, name, b, current)
+}
+
+func (c *Client) put(ctx context.Context, k Kind, name string, b []byte, current Version) (Version, error) {
 	var o Object
-	err = c.call(ctx, http.MethodPut, c.path(k, name), condition(current), b, &o, c.timeout, k, name)
+	err := c.call(ctx, http.MethodPut, c.path(k, name), condition(current), b, &o, c.timeout, k, name)
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		conflict.Expected = current
+	}
 	return o.Version, err
 }
 
@@ -144,7 +171,7 @@
 func (c *Client) path(k Kind, name string) string {
 	p := c.base + "/v1/objects/" + string(k)
 	if name != "" {
-		p += "/" + name
+		p += "/" + url.PathEscape(name)
 	}
 	return p
 }
@@ -162,10 +189,10 @@
 // maxAnswer bounds the answer to a list call: 4,500 objects of 500 octets and room.
 const maxAnswer = 16 << 20
 
-func (c *Client) call(ctx context.Context, method, url string, h http.Header, body []byte, out any, timeout time.Duration, k Kind, name string) error {
+func (c *Client) call(ctx context.Context, method, address string, h http.Header, body []byte, out any, timeout time.Duration, k Kind, name string) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -189,6 +216,9 @@
 func (c *Client) result(resp *http.Response, b []byte, out any, k Kind, name string) error {
 	switch resp.StatusCode {
 	case http.StatusOK, http.StatusCreated:
+		if l, ok := out.(*List); ok {
+			return parseList(b, l)
+		}
 		return errors.Trace(json.Unmarshal(b, out))
 	case http.StatusNoContent:
 		return nil
@@ -199,8 +229,24 @@
 	case http.StatusPreconditionFailed:
 		v, _ := strconv.Unquote(resp.Header.Get("ETag"))
 		n, _ := strconv.ParseUint(v, 10, 64)
-		return &ConflictError{k, name, Version(n)}
+		return &ConflictError{Kind: k, Name: name, Current: Version(n)}
 	}
 	c.Calls.Failures.Add(1)
-	return errors.Errorf("platform answered %s", resp.Status)
+	return &StatusError{resp.StatusCode, k, name}
+}
+
+// parseList decodes the answer to a list or watch call. It refuses objects
+// that could not be told apart or ordered.
+func parseList(b []byte, l *List) error {
+	if err := json.Unmarshal(b, l); err != nil {
+		*l = List{}
+		return errors.Trace(err)
+	}
+	for _, o := range l.Objects {
+		if o.Name == "" || o.Version == 0 || o.Version > l.Version {
+			*l = List{}
+			return errors.Errorf("platform answered with object %q of version %d in a list of version %d", o.Name, o.Version, l.Version)
+		}
+	}
+	return nil
 }
