--- /dev/null
+++ b/internal/proc/admin.go
@@ -0,0 +1,80 @@
+package proc
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Identity says which process answers on an admin address.
+type Identity struct {
+	Role      string    `json:"role"`
+	Name      string    `json:"name"`
+	StartedAt time.Time `json:"startedAt"`
+	// UptimeSeconds is the time since StartedAt, by the process's own clock.
+	UptimeSeconds float64 `json:"uptimeSeconds"`
+}
+
+// Admin serves /state, /process, /metrics and /healthz on a listener until the
+// context ends. The state function returns a value that is dumped as JSON.
+func (f *Frame) Admin(l net.Listener, state func() any) {
+	s := &http.Server{
+		Handler:           f.adminHandler(state),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ErrorLog:          log.New(lineLog{f.Log}, "", 0),
+	}
+	f.Add("admin server", func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { s.Close() })
+		defer stop()
+		err := s.Serve(l)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		return err
+	})
+}
+
+func (f *Frame) adminHandler(state func() any) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", f.reporter.HTTPHandler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /process", func(w http.ResponseWriter, _ *http.Request) { f.serveJSON(w, f.identity()) })
+	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) { f.serveJSON(w, state()) })
+	return mux
+}
+
+func (f *Frame) identity() Identity {
+	return Identity{Role: f.role, Name: f.name, StartedAt: f.started, UptimeSeconds: time.Since(f.started).Seconds()}
+}
+
+// serveJSON encodes a value completely before it answers, so that a value that
+// cannot be encoded is an error and not a truncated dump with status 200.
+func (f *Frame) serveJSON(w http.ResponseWriter, v any) {
+	var b bytes.Buffer
+	enc := json.NewEncoder(&b)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(v); err != nil {
+		f.Log.WithError(err).Error("state dump failed")
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(b.Bytes())
+}
+
+// lineLog turns the messages of net/http, which include panics of handlers,
+// into log events.
+type lineLog struct{ log *logrus.Entry }
+
+// Write implements io.Writer.
+func (l lineLog) Write(b []byte) (int, error) {
+	l.log.WithField("message", string(bytes.TrimSpace(b))).Warn("admin server event")
+	return len(b), nil
+}
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -4,10 +4,8 @@
 
 import (
 	"context"
-	"encoding/json"
+	"fmt"
 	"io"
-	"net"
-	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -20,6 +18,14 @@
 const (
 	metricsInterval   = time.Second
 	readHeaderTimeout = 5 * time.Second
+
+	// A duty that fails is restarted at once. When failures come faster than
+	// the decay takes them away (failureThreshold within about failureDecay
+	// seconds), restarts wait for failureBackoff. Packets are not forwarded
+	// meanwhile, so it is short; the library's default is 15 s.
+	failureThreshold = 5
+	failureDecay     = 5
+	failureBackoff   = time.Second
 )
 
 // Frame holds what every process has.
@@ -29,9 +35,11 @@
 	// Scope is the root scope of the metrics.
 	Scope tally.Scope
 
-	tree     *suture.Supervisor
-	reporter promreporter.Reporter
-	closer   io.Closer
+	role, name string
+	started    time.Time
+	tree       *suture.Supervisor
+	reporter   promreporter.Reporter
+	closer     io.Closer
 }
 
 // New returns the frame of a process with the given role and name.
@@ -48,10 +56,56 @@
 		CachedReporter: reporter,
 		Separator:      promreporter.DefaultSeparator,
 	}, metricsInterval)
-	tree := suture.New(role, suture.Spec{
-		EventHook: func(e suture.Event) { log.WithFields(e.Map()).Warn("supervisor event") },
+	f := &Frame{Log: log, Scope: scope, role: role, name: name, started: time.Now(), reporter: reporter, closer: closer}
+	f.tree = suture.New(role, suture.Spec{
+		EventHook:        f.event,
+		FailureThreshold: failureThreshold,
+		FailureDecay:     failureDecay,
+		FailureBackoff:   failureBackoff,
 	})
-	return &Frame{Log: log, Scope: scope, tree: tree, reporter: reporter, closer: closer}
+	return f
+}
+
+// LevelError reports an unknown log level.
+type LevelError struct{ Level string }
+
+// Error implements error.
+func (e *LevelError) Error() string {
+	return fmt.Sprintf("log level %q is not debug, info, warn or error", e.Level)
+}
+
+// SetLevel sets the lowest level that is logged: debug, info, warn or error.
+func (f *Frame) SetLevel(level string) error {
+	switch level {
+	case "debug", "info", "warn", "error":
+	default:
+		return &LevelError{level}
+	}
+	l, err := logrus.ParseLevel(level)
+	if err != nil {
+		return err
+	}
+	f.Log.Logger.SetLevel(l)
+	return nil
+}
+
+// event logs and counts what happens to supervised duties.
+func (f *Frame) event(e suture.Event) {
+	kind, level := "other", logrus.WarnLevel
+	switch e.Type() {
+	case suture.EventTypeServicePanic:
+		kind, level = "panic", logrus.ErrorLevel
+	case suture.EventTypeServiceTerminate:
+		kind = "ended"
+	case suture.EventTypeBackoff:
+		kind = "backoff"
+	case suture.EventTypeResume:
+		kind, level = "resume", logrus.InfoLevel
+	case suture.EventTypeStopTimeout:
+		kind = "stopTimeout"
+	}
+	f.Scope.Tagged(map[string]string{"event": kind}).Counter("duty_events").Inc(1)
+	f.Log.WithFields(e.Map()).WithField("event", kind).Log(level, "supervisor event")
 }
 
 // Service adapts a function to a supervised service. The supervisor restarts
@@ -77,27 +131,3 @@
 	defer f.closer.Close()
 	return f.tree.Serve(ctx)
 }
-
-// Admin serves /state, /metrics and /healthz on a listener until the context
-// ends. The state function returns a value that is dumped as JSON.
-func (f *Frame) Admin(l net.Listener, state func() any) {
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", f.reporter.HTTPHandler())
-	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok\n") })
-	mux.HandleFunc("/state", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		enc := json.NewEncoder(w)
-		enc.SetIndent("", "  ")
-		enc.Encode(state())
-	})
-	s := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
-	f.Add("admin server", func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, func() { s.Close() })
-		defer stop()
-		err := s.Serve(l)
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		return err
-	})
-}
--- /dev/null
+++ b/internal/proc/proc_test.go
@@ -0,0 +1,156 @@
+package proc
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// buffer is a log that tests read while the process writes.
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+// start runs a frame with an admin server and returns its base URL.
+func start(t *testing.T, f *Frame, state func() any) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Admin(l, state)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return "http://" + l.Addr().String()
+}
+
+func get(t *testing.T, url string) (int, string) {
+	t.Helper()
+	resp, err := http.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(b)
+}
+
+// TestPanic guards against a duty that stays dead after a panic or waits for
+// long, and against events that span several log lines.
+func TestPanic(t *testing.T) {
+	var out buffer
+	f := New("balancer", "b1", &out)
+	runs := make(chan int, 100)
+	n := 0
+	f.Add("hop reader", func(ctx context.Context) error {
+		n++
+		runs <- n
+		if n <= 2*failureThreshold {
+			panic("first line\nsecond line")
+		}
+		<-ctx.Done()
+		return ctx.Err()
+	})
+	url := start(t, f, func() any { return nil })
+	limit := time.After(5 * failureBackoff)
+	for have := 0; have <= 2*failureThreshold; {
+		select {
+		case have = <-runs:
+		case <-limit:
+			t.Fatalf("want %d runs, have %d", 2*failureThreshold+1, have)
+		}
+	}
+	for _, l := range strings.Split(strings.TrimSpace(out.String()), "\n") {
+		if !strings.HasPrefix(l, "time=") || !strings.Contains(l, "role=balancer") {
+			t.Errorf("want one key=value line for each event, have %q", l)
+		}
+	}
+	if have := out.String(); !strings.Contains(have, "level=error") || !strings.Contains(have, "second line") {
+		t.Errorf("want the panic in the log, have %q", have)
+	}
+	want := `bramleycourse_duty_events{event="panic",role="balancer"} 10`
+	var have string
+	for end := time.Now().Add(5 * metricsInterval); time.Now().Before(end); time.Sleep(metricsInterval / 20) {
+		if _, have = get(t, url+"/metrics"); strings.Contains(have, want) {
+			return
+		}
+	}
+	t.Errorf("want %s in the metrics, have %s", want, have)
+}
+
+// TestAdmin guards the answers of the admin server: a state that cannot be
+// encoded or panics is an error and leaves the server up.
+func TestAdmin(t *testing.T) {
+	var out buffer
+	f := New("agent", "listas", &out)
+	var state atomic.Value
+	url := start(t, f, func() any { return state.Load().(func() any)() })
+	state.Store(func() any { return math.NaN() })
+	if code, _ := get(t, url+"/state"); code != http.StatusInternalServerError {
+		t.Errorf("want status 500 for a state that cannot be encoded, have %d", code)
+	}
+	state.Store(func() any { panic("state") })
+	if resp, err := http.Get(url + "/state"); err == nil {
+		t.Errorf("want no answer when the state panics, have %s", resp.Status)
+		resp.Body.Close()
+	}
+	state.Store(func() any { return map[string]int{"generation": 3} })
+	if code, b := get(t, url+"/state"); code != http.StatusOK || !strings.Contains(b, `"generation": 3`) {
+		t.Errorf("want the state, have %d %q", code, b)
+	}
+	if _, b := get(t, url+"/process"); !strings.Contains(b, `"name": "listas"`) {
+		t.Errorf("want the identity, have %q", b)
+	}
+	have := out.String()
+	if strings.Count(have, "\n") != strings.Count(have, "time=") || !strings.Contains(have, "panic serving") {
+		t.Errorf("want the panic in the log and one line for each event, have %q", have)
+	}
+}
+
+// TestLevel guards against a misspelt level that silences the log.
+func TestLevel(t *testing.T) {
+	var out buffer
+	f := New("agent", "listas", &out)
+	var bad *LevelError
+	if err := f.SetLevel("loud"); !errors.As(err, &bad) || bad.Level != "loud" {
+		t.Errorf("want a LevelError, have %v", err)
+	}
+	if err := f.SetLevel("warn"); err != nil {
+		t.Fatal(err)
+	}
+	f.Log.Info("hidden")
+	f.Log.Warn("shown")
+	if have := out.String(); strings.Contains(have, "hidden") || !strings.Contains(have, "shown") {
+		t.Errorf("want only the warning, have %q", have)
+	}
+}
