--- /dev/null
+++ b/pkg/caller/client.go
@@ -0,0 +1,141 @@
+package caller
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/budget"
+)
+
+// Client sends requests to any number of services. It is safe for concurrent
+// use and implements http.RoundTripper.
+type Client struct {
+	settings settings
+	// ctx ends when the client is closed.
+	ctx   context.Context
+	close context.CancelFunc
+	flows sync.WaitGroup
+
+	mu       sync.Mutex
+	closed   bool
+	budget   *budget.Budget
+	services map[string]*service
+
+	stats counters
+}
+
+// New returns a client. Close it when it is no longer needed.
+func New(opts ...Option) *Client {
+	s := defaults()
+	for _, o := range opts {
+		o(&s)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Client{
+		settings: s,
+		ctx:      ctx,
+		close:    cancel,
+		budget:   budget.New(s.budget, time.Now()),
+		services: map[string]*service{},
+	}
+}
+
+// Close closes all flows, with the requests and feeds in progress, and waits
+// until their sockets are closed.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.close()
+	c.flows.Wait()
+	return nil
+}
+
+// RoundTrip is Do; it makes a Client usable as the Transport of an http.Client.
+func (c *Client) RoundTrip(req *http.Request) (*http.Response, error) { return c.Do(req) }
+
+// Stats are counters since the start of a client.
+type Stats struct {
+	// Requests counts requests, not their retries. Feeds are not included.
+	Requests uint64 `json:"requests"`
+	// Retries counts requests sent again after a definite not-run.
+	Retries uint64 `json:"retries"`
+	// RetriesRefused counts retries that the budget did not allow.
+	RetriesRefused uint64 `json:"retriesRefused"`
+	// Repetitions counts tickets repeated after a lost answer.
+	Repetitions uint64 `json:"repetitions"`
+	// NotRun and Unknown count requests that ended so.
+	NotRun  uint64 `json:"notRun"`
+	Unknown uint64 `json:"unknown"`
+	// Flows counts flows opened, BrokenFlows those that neither side closed on purpose.
+	Flows       uint64 `json:"flows"`
+	BrokenFlows uint64 `json:"brokenFlows"`
+	// GoAways counts flows that the server announced to end.
+	GoAways uint64 `json:"goAways"`
+	// Pings counts packets sent to learn whether a path is silent.
+	Pings uint64 `json:"pings"`
+	// MigrationAttempts counts new sockets tried after silence, Migrations
+	// those that a flow moved to.
+	MigrationAttempts uint64 `json:"migrationAttempts"`
+	Migrations        uint64 `json:"migrations"`
+}
+
+type counters struct {
+	requests, retries, retriesRefused, repetitions atomic.Uint64
+	notRun, unknown                                atomic.Uint64
+	flows, brokenFlows, goAways                    atomic.Uint64
+	pings, migrationAttempts, migrations           atomic.Uint64
+}
+
+// Stats returns the counters so far.
+func (c *Client) Stats() Stats {
+	s := &c.stats
+	return Stats{
+		Requests:          s.requests.Load(),
+		Retries:           s.retries.Load(),
+		RetriesRefused:    s.retriesRefused.Load(),
+		Repetitions:       s.repetitions.Load(),
+		NotRun:            s.notRun.Load(),
+		Unknown:           s.unknown.Load(),
+		Flows:             s.flows.Load(),
+		BrokenFlows:       s.brokenFlows.Load(),
+		GoAways:           s.goAways.Load(),
+		Pings:             s.pings.Load(),
+		MigrationAttempts: s.migrationAttempts.Load(),
+		Migrations:        s.migrations.Load(),
+	}
+}
+
+// mayRetry takes a retry out of the budget.
+func (c *Client) mayRetry() bool {
+	c.mu.Lock()
+	ok := c.budget.Retry(time.Now())
+	c.mu.Unlock()
+	if !ok {
+		c.stats.retriesRefused.Add(1)
+	}
+	return ok
+}
+
+// pause waits before the given retry (the first is 1). It returns false when
+// the context ended first.
+func (c *Client) pause(ctx context.Context, retry int) bool {
+	limit := c.settings.maxBackoff
+	if shift := retry - 1; shift < 16 {
+		limit = min(limit, c.settings.backoff<<shift)
+	}
+	t := time.NewTimer(time.Duration(rand.Int64N(int64(limit) + 1)))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-c.ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/pkg/caller/path_test.go
@@ -0,0 +1,194 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bramleycourse/bramleycourse/internal/fabric"
+	"github.com/bramleycourse/bramleycourse/internal/stub"
+)
+
+func get(t *testing.T, c *Client, url string) *http.Response {
+	t.Helper()
+	req, err := http.NewRequestWithContext(withTimeout(t, 20*time.Second), http.MethodGet, url, nil)
+	must(t, err)
+	resp, err := c.Do(req)
+	must(t, err)
+	t.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
+func checkBody(t *testing.T, resp *http.Response) {
+	t.Helper()
+	sum := sha256.New()
+	if _, err := io.Copy(sum, resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	if want, have := resp.Header.Get(stub.HashHeader), hex.EncodeToString(sum.Sum(nil)); want != have {
+		t.Errorf("hash of the body: want %s, have %s", want, have)
+	}
+}
+
+// TestSilentPath guards that open flows go on, without a break and on the same
+// connection, after the path loses the state of their addresses, again and
+// again, and that a slow upstream alone causes no migration.
+func TestSilentPath(t *testing.T) {
+	u := stub.New("listas", 1500*time.Millisecond)
+	s := newServer(t, u)
+	fab := newFabric(t, s)
+	c := newClient(t)
+	url := "https://" + fab.Addr().String()
+	if b, err := io.ReadAll(get(t, c, url+"/slow").Body); err != nil || len(b) == 0 {
+		t.Fatalf("slow request: %q, %v", b, err)
+	}
+	if n := c.Stats(); n.MigrationAttempts != 0 || n.Pings == 0 {
+		t.Errorf("slow upstream: want pings and no migration, have %+v", n)
+	}
+	feed, err := c.Feed(t.Context(), url+"/feeds/prices?everyMillis=20", nil)
+	must(t, err)
+	defer feed.Close()
+	sheet := get(t, c, url+"/sheet?size=4000000&bytesPerSecond=1000000")
+	for n := range 3 {
+		readEvents(t, feed, 1+n*50, 50+n*50)
+		forgetAll(fab)
+		before := c.Stats().Migrations
+		eventually(t, "two migrations", func() bool { return c.Stats().Migrations >= before+2 })
+	}
+	checkBody(t, sheet)
+	readEvents(t, feed, 151, 250)
+	if n := feed.Stats(); n.Breaks != 0 {
+		t.Errorf("want no break, have %+v", n)
+	}
+	if n := c.Stats(); n.Flows != 2 || n.BrokenFlows != 0 {
+		t.Errorf("want 2 flows and none broken, have %+v", n)
+	}
+}
+
+func forgetAll(f *fabric.Fabric) {
+	for _, a := range f.Callers() {
+		f.ForgetCaller(a)
+	}
+}
+
+// TestOldSocket guards that packets under way to the old socket are accepted
+// after a migration: the server must not have to send them again.
+func TestOldSocket(t *testing.T) {
+	s := newServer(t, stub.New("fichas", 0))
+	fab := newFabric(t, s)
+	c := newClient(t)
+	resp := get(t, c, "https://"+fab.Addr().String()+"/sheet?size=3000000&bytesPerSecond=1500000")
+	if _, err := io.CopyN(io.Discard, resp.Body, 200000); err != nil {
+		t.Fatal(err)
+	}
+	var f *flow
+	c.mu.Lock()
+	for _, v := range c.services {
+		f = v.flows[0]
+	}
+	c.mu.Unlock()
+	fab.SetFaults(fabric.Faults{}, fabric.Faults{Delay: 200 * time.Millisecond})
+	f.migrate(time.Second)
+	if n := c.Stats().Migrations; n != 1 {
+		t.Fatalf("want one migration, have %d", n)
+	}
+	before := s.conn(0).ConnectionStats()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	after := s.conn(0).ConnectionStats()
+	if lost, sent := after.PacketsLost-before.PacketsLost, after.PacketsSent-before.PacketsSent; lost*20 > sent {
+		t.Errorf("want under 5%% of packets lost after the migration, have %d of %d", lost, sent)
+	}
+}
+
+// TestFrozenServer guards that a flow outlives a server that answers no packet
+// for a while, although migrations fail meanwhile, and that a feed gives up a
+// flow whose server stays dead and goes on when it is back.
+func TestFrozenServer(t *testing.T) {
+	s := newServer(t, stub.New("listas", 0))
+	fab := newFabric(t, s)
+	c := newClient(t, WithFeedSilence(5*time.Second))
+	feed, err := c.Feed(t.Context(), "https://"+fab.Addr().String()+"/feeds/prices?everyMillis=10", nil)
+	must(t, err)
+	defer feed.Close()
+	readEvents(t, feed, 1, 5)
+	fab.SetBalancerFaults(s.addr, fabric.BalancerFaults{Frozen: true})
+	eventually(t, "migrations tried", func() bool { return c.Stats().MigrationAttempts == 3 })
+	fab.SetBalancerFaults(s.addr, fabric.BalancerFaults{})
+	readEvents(t, feed, 6, 300)
+	if n := feed.Stats(); n.Breaks != 0 {
+		t.Errorf("want no break, have %+v, %+v", n, c.Stats())
+	}
+	fab.SetBalancerFaults(s.addr, fabric.BalancerFaults{Frozen: true})
+	eventually(t, "feed gives up the flow", func() bool { return feed.Stats().Breaks == 1 })
+	if n := c.Stats(); n.BrokenFlows != 1 {
+		t.Errorf("want one broken flow, have %+v", n)
+	}
+	fab.SetBalancerFaults(s.addr, fabric.BalancerFaults{})
+	drainEvents(t, feed)
+}
+
+// drainEvents reads events, which continue the former ones, until one arrives
+// after the feed was reopened.
+func drainEvents(t *testing.T, f *Feed) {
+	t.Helper()
+	ctx := withTimeout(t, limit)
+	for f.Stats().LongestGap == 0 {
+		if _, err := f.Next(ctx); err != nil {
+			t.Fatalf("feed after the break: %v", err)
+		}
+	}
+}
+
+// TestSilence guards the decision: a ping is due within the time of the use, a
+// path with answers within the limit is never left, and a silent one is left
+// within the sum of both and one step, with growing waits.
+func TestSilence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rtt := time.Duration(rapid.IntRange(0, 300).Draw(t, "rtt")) * time.Millisecond
+		u := use(rapid.IntRange(0, 2).Draw(t, "use"))
+		answer := time.Duration(rapid.IntRange(0, 2000).Draw(t, "answer")) * time.Millisecond
+		start := time.Unix(0, 0)
+		var s silence
+		s.init(start, 10*time.Second, 300*time.Millisecond, time.Hour)
+		limit := max(4*rtt, 300*time.Millisecond)
+		var (
+			received     uint64
+			pinged, last time.Time
+			moves        []time.Time
+		)
+		for at := start; at.Before(start.Add(40 * time.Second)); {
+			if !pinged.IsZero() && at.Sub(pinged) >= answer && answer < limit-busyStep {
+				received++
+				pinged = time.Time{}
+			}
+			a, next := s.step(at, received, rtt, u)
+			switch a {
+			case actPing:
+				pinged = at
+				if wait := at.Sub(start); last.IsZero() && wait > s.pingAfter(limit, u)+idleStep {
+					t.Fatalf("first ping after %v", wait)
+				}
+				last = at
+			case actMigrate:
+				moves = append(moves, at)
+			}
+			at = at.Add(next)
+		}
+		if answer < limit-busyStep && len(moves) > 0 {
+			t.Fatalf("left a path that answers after %v within the limit %v", answer, limit)
+		}
+		if answer >= limit && len(moves) < 2 {
+			t.Fatalf("left a silent path %d times in 40 s", len(moves))
+		}
+		if answer >= limit && moves[0].Sub(last) > limit+busyStep {
+			t.Fatalf("left %v after the ping, limit %v", moves[0].Sub(last), limit)
+		}
+	})
+}
