--- a/cmd/bramleycourse/main.go
+++ b/cmd/bramleycourse/main.go
@@ -13,6 +13,7 @@
 	Balancer balancerCmd `cmd:"" help:"Run a balancer."`
 	Agent    agentCmd    `cmd:"" help:"Run the agent beside an upstream."`
 	Apply    applyCmd    `cmd:"" help:"Put a declaration in force."`
+	Load     loadCmd     `cmd:"" help:"Generate load and report broken flows, wrong answers and imbalance."`
 	Standin  standinCmd  `cmd:"" help:"Run a stand-in of an outside system, for tests."`
 }
 
