--- a/cmd/bramleycourse/main.go
+++ b/cmd/bramleycourse/main.go
@@ -16,6 +16,7 @@
 	Apply    applyCmd    `cmd:"" help:"Put a declaration in force."`
 	Dump     dumpCmd     `cmd:"" help:"Print the state dump of a process."`
 	Trial    trialCmd    `cmd:"" help:"Compare placement policies in a queue model."`
+	Load     loadCmd     `cmd:"" help:"Generate load and report broken flows, wrong answers and imbalance."`
 	Standin  standinCmd  `cmd:"" help:"Run a stand-in of an outside system, for tests."`
 }
 
