--- a/internal/relay/count.go
+++ b/internal/relay/count.go
@@ -128,7 +128,7 @@
 }
 
 const (
-	reportInterval = time.Second
+	countInterval = time.Second
 	// refusalLogInterval bounds the log to one line per reason and interval.
 	refusalLogInterval = 10 * time.Second
 )
@@ -144,7 +144,7 @@
 func (b *Balancer) reportCounts(ctx context.Context) error {
 	r := countReport{b: b}
 	for ctx.Err() == nil {
-		pause(ctx, reportInterval)
+		pause(ctx, countInterval)
 		r.report(time.Now())
 	}
 	return ctx.Err()
