--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -81,15 +81,18 @@
 // safe for concurrent use.
 type Health struct {
 	// jitter returns a random number in [0, 1).
-	jitter   func() float64
-	targets  map[view.Key]*target
+	jitter  func() float64
+	targets map[view.Key]*target
+	// active holds the targets that a tick has to look at: those that this
+	// balancer probes. At the target size that is about one in 200.
+	active   map[view.Key]*target
 	lastTick time.Duration
 	pauses   uint64
 }
 
 // New returns an empty Health. The jitter function returns numbers in [0, 1).
 func New(jitter func() float64) *Health {
-	return &Health{jitter: jitter, targets: map[view.Key]*target{}}
+	return &Health{jitter: jitter, targets: map[view.Key]*target{}, active: map[view.Key]*target{}}
 }
 
 // SetTargets replaces the endpoints; the value says whether this balancer is
@@ -97,7 +100,7 @@
 func (h *Health) SetTargets(now time.Duration, assigned map[view.Key]bool) {
 	for k := range h.targets {
 		if _, ok := assigned[k]; !ok {
-			delete(h.targets, k)
+			h.drop(k)
 		}
 	}
 	for k, a := range assigned {
@@ -107,9 +110,17 @@
 			h.targets[k] = t
 		}
 		t.assigned = a
+		if a {
+			h.active[k] = t
+		}
 	}
 }
 
+func (h *Health) drop(k view.Key) {
+	delete(h.targets, k)
+	delete(h.active, k)
+}
+
 // spread returns a wait of ProbeInterval with a quarter of jitter around it.
 func (h *Health) spread(from time.Duration) time.Duration {
 	if from == 0 {
@@ -153,9 +164,10 @@
 		return nil
 	}
 	if instance != asked.Instance {
-		delete(h.targets, asked)
+		h.drop(asked)
 		return []Event{{asked, Gone}}
 	}
+	h.active[asked] = t
 	changed := t.refusing != refusing
 	t.refusing = refusing
 	es := h.Heard(now, asked)
@@ -174,6 +186,7 @@
 		t.sessionBroken = true
 		t.ownUntil = now + ownProbing
 		t.next = min(t.next, now)
+		h.active[k] = t
 	}
 }
 
@@ -187,6 +200,7 @@
 		t.next = min(t.next, now)
 	}
 	t.ownUntil = now + ownProbing
+	h.active[k] = t
 }
 
 // Tick returns the probes that are due and the verdicts of missed ones. The
@@ -197,7 +211,11 @@
 	}
 	h.lastTick = now
 	var a Actions
-	for k, t := range h.targets {
+	for k, t := range h.active {
+		if !t.waiting && !t.probed(now) {
+			delete(h.active, k)
+			continue
+		}
 		if t.waiting && now-t.sentAt >= probeWait {
 			t.waiting = false
 			t.misses++
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -255,6 +255,14 @@
 	return n.view.Entries()
 }
 
+// Snapshot returns the entries that are not gone, in no order, and what other
+// balancers report of processes.
+func (n *Node) Snapshot() ([]view.Entry, map[view.Key]view.Condition) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.view.Unsorted(), n.marks.All(n.now(), n.self.Key)
+}
+
 // Get returns the entry of a key, which may be gone.
 func (n *Node) Get(k view.Key) (view.Entry, bool) {
 	n.mu.Lock()
--- a/internal/relay/member.go
+++ b/internal/relay/member.go
@@ -18,11 +18,18 @@
 const (
 	// healthTick is well below health.MaxTickGap, so that a loaded machine does
 	// not look like a pause.
-	healthTick = 25 * time.Millisecond
+	healthTick = 50 * time.Millisecond
+	// scanTicks is the number of ticks between two looks at all records of the
+	// data path. They carry their own times, so a later look loses nothing.
+	scanTicks = 3
 	// rebuildInterval is the least time between two routing tables, but for
 	// changes that make something unusable.
 	rebuildInterval = 20 * time.Millisecond
-	brokenSessions  = 1024
+	// rebuildShare stretches rebuildInterval to this multiple of the time that
+	// the last rebuild took, 14 ms at the target size, so that a storm of
+	// changes takes at most a tenth of a core.
+	rebuildShare   = 10
+	brokenSessions = 1024
 )
 
 // entryObject is the platform object of an endpoint or balancer.
@@ -47,6 +54,7 @@
 	// for State, which holds mu.
 	current  current
 	assigned assignment
+	ticks    int
 	// objects maps the names of platform objects of each kind to what they hold.
 	objects map[plat.Kind]map[string]object
 	cleaner cleaner
@@ -141,6 +149,7 @@
 	defer tick.Stop()
 	var (
 		rebuilt time.Time
+		wait    time.Duration
 		due     <-chan time.Time
 	)
 	for {
@@ -152,7 +161,7 @@
 			now = true
 		case <-m.better:
 			if due == nil {
-				due = time.After(rebuildInterval - time.Since(rebuilt))
+				due = time.After(wait - time.Since(rebuilt))
 			}
 		case <-due:
 			now = true
@@ -160,8 +169,10 @@
 			return ctx.Err()
 		}
 		if now {
+			begin := time.Now()
 			m.rebuild()
 			rebuilt, due = time.Now(), nil
+			wait = max(rebuildInterval, rebuildShare*rebuilt.Sub(begin))
 		}
 	}
 }
@@ -203,6 +214,15 @@
 	for range m.broken.Len() {
 		m.health.SessionBroken(now, <-m.broken.Items())
 	}
+	if m.ticks++; m.ticks%scanTicks == 0 {
+		events = append(events, m.scan(now)...)
+	}
+	return events
+}
+
+// scan reports what the data path saw. The caller holds the mutex.
+func (m *membership) scan(now time.Duration) []health.Event {
+	var events []health.Event
 	wall := time.Now().UnixNano()
 	for a, s := range m.current.stats {
 		k := m.current.byHop[a]
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -123,6 +123,7 @@
 	f.Add("membership", b.views.run)
 	f.Add("cleaner", b.views.clean)
 	f.Add("announcement", b.keeper.Run)
+	f.Add("control counters", b.reportControl)
 	f.Add("configuration watch", b.watchConfig)
 	f.Add("service addresses", b.retryPorts)
 	f.Add("endpoint watch", b.views.watch(plat.KindEndpoint))
--- /dev/null
+++ b/internal/relay/scale_test.go
@@ -0,0 +1,75 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/config"
+	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/peer"
+	"github.com/bramleycourse/bramleycourse/internal/proc"
+	"github.com/bramleycourse/bramleycourse/internal/ring"
+	"github.com/bramleycourse/bramleycourse/internal/view"
+)
+
+// targetSize returns a membership with the entries of the target size.
+func targetSize(t testing.TB) *membership {
+	t.Helper()
+	b := &Balancer{
+		settings: &config.Balancer{Place: "recife"},
+		frame:    proc.New("balancer", "test", io.Discard),
+		networks: []netip.Prefix{netip.MustParsePrefix("10.0.0.0/8")},
+	}
+	addr := func(net byte, i int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, net, byte(i >> 8), byte(i)}), 7000)
+	}
+	key := func(i int) view.Key {
+		return view.Key{Name: fmt.Sprint("b", i), Hop: addr(1, i), Instance: ident.Instance(i + 1)}
+	}
+	b.views = newMembership(b, peer.Options{Self: view.Entry{Key: key(0), State: view.Serving, Peer: addr(1, 0)}})
+	var is []view.Item
+	for i := 1; i < 440; i++ {
+		is = append(is, view.Item{Entry: view.Entry{Key: key(i), State: view.Serving, Seq: 1, Place: "recife", Peer: addr(1, i)}})
+	}
+	for i := range 4500 {
+		is = append(is, view.Item{Entry: view.Entry{
+			Key:   view.Key{Hop: addr(2, i), Instance: 1},
+			State: view.Serving, Seq: 1, Service: "listas", Place: "recife",
+		}})
+	}
+	b.views.node.Merge(is...)
+	return b.views
+}
+
+// BenchmarkRebuild measures a new routing table at the target size.
+func BenchmarkRebuild(b *testing.B) {
+	m := targetSize(b)
+	m.rebuild()
+	for b.Loop() {
+		m.rebuild()
+	}
+}
+
+// BenchmarkRebuildBalancers measures it when the set of balancers has changed.
+func BenchmarkRebuildBalancers(b *testing.B) {
+	m := targetSize(b)
+	for b.Loop() {
+		m.assigned = assignment{}
+		m.rebuild()
+	}
+}
+
+// BenchmarkTick measures one tick, with the look at the data path's records in
+// one of scanTicks.
+func BenchmarkTick(b *testing.B) {
+	m := targetSize(b)
+	m.b.events = ring.New[hopEvent](1)
+	m.rebuild()
+	for b.Loop() {
+		m.observe(time.Second)
+		m.health.Tick(time.Second)
+	}
+}
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -1,6 +1,9 @@
 package relay
 
 import (
+	"context"
+	"time"
+
 	"github.com/bramleycourse/bramleycourse/internal/config"
 	"github.com/bramleycourse/bramleycourse/internal/peer"
 	"github.com/bramleycourse/bramleycourse/internal/view"
@@ -68,3 +71,22 @@
 		"sessionEventsLost": b.views.broken.Overflow(),
 	}
 }
+
+const reportInterval = time.Second
+
+// reportControl passes the counters of the control plane to the metrics.
+func (b *Balancer) reportControl(ctx context.Context) error {
+	scope := b.frame.Scope.SubScope("control")
+	t := time.NewTicker(reportInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			for name, n := range b.control() {
+				scope.Tagged(map[string]string{"count": name}).Gauge("total").Update(float64(n))
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -31,16 +31,18 @@
 // rebuild derives probing targets, data path records and the routing table
 // from the view.
 func (m *membership) rebuild() {
-	entries := m.node.Entries()
+	entries, marks := m.node.Snapshot()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
-	m.assigned.update(m.live(entries))
+	m.assigned.update(m.live(entries, marks))
 	next := current{
-		entries: map[view.Key]view.Entry{}, byHop: map[netip.AddrPort]view.Key{},
-		stats: map[netip.AddrPort]*agentStat{}, usable: map[view.Key]bool{},
+		entries: make(map[view.Key]view.Entry, len(entries)),
+		byHop:   make(map[netip.AddrPort]view.Key, len(entries)),
+		stats:   make(map[netip.AddrPort]*agentStat, len(entries)),
+		usable:  make(map[view.Key]bool, len(entries)),
 	}
-	targets := map[view.Key]bool{}
+	targets := make(map[view.Key]bool, len(entries))
 	self := m.node.Self().Key.Hash()
 	for _, e := range entries {
 		if e.Key.IsBalancer() || !m.b.inNetworks(e.Key.Hop.Addr()) {
@@ -53,7 +55,7 @@
 	}
 	m.health.SetTargets(now, targets)
 	for k, e := range next.entries {
-		next.usable[k] = e.State == view.Serving && m.health.Usable(now, k, m.node.MarkOf(k))
+		next.usable[k] = e.State == view.Serving && m.health.Usable(now, k, marks[k])
 	}
 	m.current = next
 	m.b.stats.Store(&next.stats)
@@ -62,12 +64,12 @@
 
 // live returns the balancers that probe endpoints: those neither draining nor
 // marked down.
-func (m *membership) live(entries []view.Entry) []uint64 {
+func (m *membership) live(entries []view.Entry, marks map[view.Key]view.Condition) []uint64 {
 	own := m.node.Conditions()
 	var hashes []uint64
 	for _, e := range entries {
 		k := e.Key
-		if k.IsBalancer() && e.State == view.Serving && own[k] == view.Clear && m.node.MarkOf(k) == view.Clear {
+		if k.IsBalancer() && e.State == view.Serving && own[k] == view.Clear && marks[k] == view.Clear {
 			hashes = append(hashes, k.Hash())
 		}
 	}
--- a/internal/view/marks.go
+++ b/internal/view/marks.go
@@ -84,6 +84,18 @@
 	return worst
 }
 
+// All returns the worst unexpired condition of every key that a balancer other
+// than self has marked.
+func (m *Marks) All(now time.Duration, self Key) map[Key]Condition {
+	all := map[Key]Condition{}
+	for k := range m.byKey {
+		if c := m.Of(now, k, self); c != Clear {
+			all[k] = c
+		}
+	}
+	return all
+}
+
 // Expire removes expired marks and returns the targets that lost a mark.
 func (m *Marks) Expire(now time.Duration) []Key {
 	var changed []Key
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -115,14 +115,20 @@
 // Refused returns how many new entries did not fit.
 func (v *View) Refused() uint64 { return v.refused }
 
-// Entries returns the entries that are not gone in the order of their keys.
-func (v *View) Entries() []Entry {
+// Unsorted returns the entries that are not gone, in no order.
+func (v *View) Unsorted() []Entry {
 	es := make([]Entry, 0, len(v.records))
 	for _, r := range v.records {
 		if r.entry.State != Gone {
 			es = append(es, r.entry)
 		}
 	}
+	return es
+}
+
+// Entries returns the entries that are not gone in the order of their keys.
+func (v *View) Entries() []Entry {
+	es := v.Unsorted()
 	slices.SortFunc(es, func(a, b Entry) int { return a.Key.compare(b.Key) })
 	return es
 }
