--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -59,11 +59,14 @@
 
 type target struct {
 	assigned bool
-	// ownUntil is the end of the probing that unanswered flows caused.
+	// ownUntil is the end of the probing that unanswered flows or a broken
+	// session caused; a sign of life ends it at once.
 	ownUntil time.Duration
 	// sessionBroken is true after the agent's session broke without a
 	// farewell, until the endpoint gives a sign of life.
 	sessionBroken bool
+	// brokenAt is when the session broke; valid if sessionBroken.
+	brokenAt time.Duration
 	// waiting is true while a probe is outstanding that was sent at sentAt.
 	waiting bool
 	sentAt  time.Duration
@@ -143,10 +146,10 @@
 		return nil
 	}
 	t.heard, t.everHeard = at, true
-	if t.waiting && at < t.sentAt {
+	if t.waiting && at < t.sentAt || t.sessionBroken && at < t.brokenAt {
 		return nil
 	}
-	t.waiting, t.misses, t.sessionBroken = false, 0, false
+	t.waiting, t.misses, t.sessionBroken, t.ownUntil = false, 0, false, 0
 	if !t.down {
 		return nil
 	}
@@ -183,7 +186,7 @@
 // SessionBroken reports that the session of an agent broke without a farewell.
 func (h *Health) SessionBroken(now time.Duration, k view.Key) {
 	if t := h.targets[k]; t != nil {
-		t.sessionBroken = true
+		t.sessionBroken, t.brokenAt = true, now
 		t.ownUntil = now + ownProbing
 		t.next = min(t.next, now)
 		h.active[k] = t
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -23,7 +23,9 @@
 	answering map[view.Key]ident.Instance
 	// refusing holds the endpoints whose answers say that they take no new work.
 	refusing map[view.Key]bool
-	out      strings.Builder
+	// sent counts the probes.
+	sent int
+	out  strings.Builder
 }
 
 func key(n int) view.Key {
@@ -44,6 +46,7 @@
 	s.report(a.Events)
 	for _, k := range a.Probe {
 		s.h.Sent(s.now, k)
+		s.sent++
 		if i, ok := s.answering[k]; ok {
 			s.report(s.h.Answer(s.now, k, i, s.refusing[k]))
 		}
@@ -82,6 +85,9 @@
 		s.run(span)
 	case "pause":
 		s.now += span
+	case "sent":
+		fmt.Fprintf(&s.out, "%d\n", s.sent)
+		s.sent = 0
 	case "heard":
 		s.report(s.h.Heard(s.now, key(n)))
 	case "broken":
