--- a/cmd/bramleycourse/main.go
+++ b/cmd/bramleycourse/main.go
@@ -14,8 +14,11 @@
 	Agent    agentCmd    `cmd:"" help:"Run the agent beside an upstream."`
 	Print    printCmd    `cmd:"" help:"Check a declaration and print its canonical form."`
 	Apply    applyCmd    `cmd:"" help:"Put a declaration in force."`
+	Status   statusCmd   `cmd:"" help:"Show the processes and the generation that each has in force."`
 	Dump     dumpCmd     `cmd:"" help:"Print the state dump of a process."`
 	Trial    trialCmd    `cmd:"" help:"Compare placement policies in a queue model."`
+	Keys     keysCmd     `cmd:"" help:"Make or rotate a keys file."`
+	Certs    certsCmd    `cmd:"" help:"Make a test authority and certificates."`
 	Standin  standinCmd  `cmd:"" help:"Run a stand-in of an outside system, for tests."`
 }
 
--- /dev/null
+++ b/cmd/bramleycourse/status.go
@@ -0,0 +1,208 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/config"
+	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/plat"
+	"github.com/bramleycourse/bramleycourse/internal/proc"
+)
+
+type statusCmd struct {
+	Platform string   `help:"Base URL of the platform; lists every balancer and endpoint." xor:"source" required:""`
+	At       []string `help:"Admin addresses of processes to ask, without the platform." xor:"source" required:""`
+	Name     string   `help:"Name of the configuration." default:"main"`
+	JSON     bool     `name:"json" help:"Print JSON."`
+
+	out io.Writer
+}
+
+// process is one line of the status.
+type process struct {
+	Role    string `json:"role"`
+	Name    string `json:"name"`
+	Service string `json:"service,omitempty"`
+	Place   string `json:"place,omitempty"`
+	Admin   string `json:"admin,omitempty"`
+	State   string `json:"state"`
+	// Generation is the configuration in force; nil when it is not known.
+	Generation *ident.Generation `json:"generation"`
+	// AgeSeconds is the time since the process started; nil when it is not known.
+	AgeSeconds *float64 `json:"ageSeconds"`
+	// Behind is true when a higher generation is accepted or in force elsewhere.
+	Behind bool   `json:"behind"`
+	Error  string `json:"error,omitempty"`
+}
+
+// report is the whole status.
+type report struct {
+	// Accepted is the generation on the platform; zero when it was not asked.
+	Accepted  ident.Generation `json:"accepted"`
+	Processes []*process       `json:"processes"`
+}
+
+// Run prints the status.
+func (c *statusCmd) Run(ctx context.Context) error {
+	if c.out == nil {
+		c.out = os.Stdout
+	}
+	var r report
+	for _, a := range c.At {
+		r.Processes = append(r.Processes, &process{Role: "-", Name: "-", State: "-", Admin: a})
+	}
+	if c.Platform != "" {
+		if err := r.list(ctx, plat.New(c.Platform, platformTimeout), c.Name); err != nil {
+			return err
+		}
+	}
+	r.ask(ctx)
+	r.compare()
+	if c.JSON {
+		return printJSON(c.out, &r)
+	}
+	return r.write(c.out)
+}
+
+// entry is the part of a balancer's or endpoint's object that status shows.
+type entry struct {
+	Key struct {
+		Name     string         `json:"name"`
+		Hop      string         `json:"hop"`
+		Instance ident.Instance `json:"instance"`
+	} `json:"key"`
+	State   string `json:"state"`
+	Service string `json:"service"`
+	Place   string `json:"place"`
+	Admin   string `json:"admin"`
+}
+
+// list reads the accepted generation and the processes from the platform.
+func (r *report) list(ctx context.Context, client *plat.Client, name string) error {
+	if cur, err := client.Get(ctx, plat.KindConfig, name); err == nil {
+		var o config.Object
+		if err := json.Unmarshal(cur.Value, &o); err != nil {
+			return fmt.Errorf("configuration %q on the platform: %w", name, err)
+		}
+		r.Accepted = o.Generation
+	}
+	for _, k := range []plat.Kind{plat.KindBalancer, plat.KindEndpoint} {
+		l, err := client.List(ctx, k)
+		if err != nil {
+			return err
+		}
+		for _, o := range l.Objects {
+			var e entry
+			p := &process{Role: string(k), Name: o.Name}
+			if err := json.Unmarshal(o.Value, &e); err != nil {
+				p.Error = err.Error()
+			}
+			p.State, p.Service, p.Place, p.Admin = e.State, e.Service, e.Place, e.Admin
+			r.Processes = append(r.Processes, p)
+		}
+	}
+	return nil
+}
+
+// maxAsking bounds the processes that are asked at once.
+const maxAsking = 16
+
+// ask asks every process that has an admin address.
+func (r *report) ask(ctx context.Context) {
+	var wg sync.WaitGroup
+	free := make(chan struct{}, maxAsking)
+	for _, p := range r.Processes {
+		if p.Admin == "" {
+			continue
+		}
+		wg.Go(func() {
+			free <- struct{}{}
+			defer func() { <-free }()
+			if err := p.ask(ctx); err != nil {
+				p.Error = err.Error()
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// dumped is the part of a state dump that status shows. Agents have the
+// generation at the top, balancers in their configuration.
+type dumped struct {
+	State         string            `json:"state"`
+	Service       string            `json:"service"`
+	Generation    *ident.Generation `json:"generation"`
+	Configuration *struct {
+		Generation ident.Generation `json:"generation"`
+	} `json:"configuration"`
+}
+
+func (p *process) ask(ctx context.Context) error {
+	var (
+		id proc.Identity
+		d  dumped
+	)
+	for path, v := range map[string]any{"/process": &id, "/state": &d} {
+		b, err := fetch(ctx, p.Admin, path)
+		if err != nil {
+			return err
+		}
+		if err := json.Unmarshal(b, v); err != nil {
+			return fmt.Errorf("%s%s: %w", p.Admin, path, err)
+		}
+	}
+	age := id.UptimeSeconds
+	p.Role, p.Name, p.AgeSeconds, p.Generation = id.Role, id.Name, &age, d.Generation
+	if d.State != "" {
+		p.State = d.State
+	}
+	if d.Service != "" {
+		p.Service = d.Service
+	}
+	if d.Configuration != nil {
+		p.Generation = &d.Configuration.Generation
+	}
+	return nil
+}
+
+// compare marks the processes behind the newest generation.
+func (r *report) compare() {
+	newest := r.Accepted
+	for _, p := range r.Processes {
+		if p.Generation != nil {
+			newest = max(newest, *p.Generation)
+		}
+	}
+	for _, p := range r.Processes {
+		p.Behind = p.Generation != nil && *p.Generation < newest
+	}
+}
+
+func (r *report) write(w io.Writer) error {
+	if r.Accepted != 0 {
+		fmt.Fprintf(w, "accepted generation %d\n", r.Accepted)
+	}
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "role\tname\tservice\tplace\tstate\tgeneration\tage\tnote")
+	for _, p := range r.Processes {
+		generation, age, note := "-", "-", p.Error
+		if p.Generation != nil {
+			generation = fmt.Sprint(*p.Generation)
+		}
+		if p.AgeSeconds != nil {
+			age = time.Duration(*p.AgeSeconds * float64(time.Second)).Round(time.Second).String()
+		}
+		if p.Behind {
+			note = "behind"
+		}
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", p.Role, p.Name, p.Service, p.Place, p.State, generation, age, note)
+	}
+	return tw.Flush()
+}
--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -9,7 +9,6 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
-	"fmt"
 	"math/big"
 	"net"
 	"os"
@@ -17,8 +16,6 @@
 	"time"
 
 	"github.com/juju/errors"
-
-	"github.com/bramleycourse/bramleycourse/internal/connid"
 )
 
 // Authority signs certificates.
@@ -60,15 +57,22 @@
 }
 
 // Issue returns the PEM forms of a certificate for loopback and the given
-// names, and of its key.
+// names and IP addresses, and of its key. The first is the common name.
 func (a *Authority) Issue(names ...string) (cert, key []byte, err error) {
 	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return nil, nil, errors.Trace(err)
 	}
 	t := template(names[0], a.validity)
-	t.DNSNames = append(names, "localhost")
+	t.DNSNames = []string{"localhost"}
 	t.IPAddresses = []net.IP{net.IPv4(127, 0, 0, 1)}
+	for _, n := range names {
+		if ip := net.ParseIP(n); ip != nil {
+			t.IPAddresses = append(t.IPAddresses, ip)
+		} else {
+			t.DNSNames = append(t.DNSNames, n)
+		}
+	}
 	der, err := x509.CreateCertificate(rand.Reader, t, a.Cert, &k.PublicKey, a.key)
 	if err != nil {
 		return nil, nil, errors.Trace(err)
@@ -80,9 +84,10 @@
 	return encode("CERTIFICATE", der), encode("EC PRIVATE KEY", kder), nil
 }
 
-// IssueFiles writes a certificate and its key to NAME.crt and NAME.key in dir.
-func (a *Authority) IssueFiles(dir, name string) (certFile, keyFile string, err error) {
-	cert, key, err := a.Issue(name)
+// IssueFiles writes a certificate for a name and further names and IP
+// addresses, and its key, to NAME.crt and NAME.key in dir.
+func (a *Authority) IssueFiles(dir, name string, more ...string) (certFile, keyFile string, err error) {
+	cert, key, err := a.Issue(append([]string{name}, more...)...)
 	if err != nil {
 		return "", "", err
 	}
@@ -94,11 +99,7 @@
 }
 
 // KeysFile returns the JSON of a keys file with one random key.
-func KeysFile(number uint8) []byte {
-	secret := make([]byte, connid.SecretSize)
-	rand.Read(secret)
-	return fmt.Appendf(nil, "{\"current\": %d, \"keys\": [{\"number\": %d, \"secret\": \"%x\"}]}\n", number, number, secret)
-}
+func KeysFile(number uint8) []byte { return NewKeys(number).JSON() }
 
 func template(name string, validity time.Duration) *x509.Certificate {
 	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 120))
