--- a/cmd/bramleycourse/status.go
+++ b/cmd/bramleycourse/status.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -98,6 +100,8 @@
 		if err != nil {
 			return err
 		}
+		// The platform lists objects in no particular order.
+		slices.SortFunc(l.Objects, func(a, b plat.Object) int { return cmp.Compare(a.Name, b.Name) })
 		for _, o := range l.Objects {
 			var e entry
 			p := &process{Role: string(k), Name: o.Name}
