--- a/internal/itest/cluster.go
+++ b/internal/itest/cluster.go
@@ -214,8 +214,28 @@
 	return b[max(0, len(b)-logTail):]
 }
 
-// Signal sends a signal to the process.
-func (p *Process) Signal(s syscall.Signal) { p.cmd.Process.Signal(s) }
+// Terminate asks the process to stop gracefully.
+func (p *Process) Terminate() { p.cmd.Process.Signal(syscall.SIGTERM) }
+
+// Freeze stops the process without ending it.
+func (p *Process) Freeze() { p.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Resume lets a frozen process go on.
+func (p *Process) Resume() { p.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Ended waits for the process to end by itself and fails the test after the
+// limit or when the exit status is not zero.
+func (p *Process) Ended(limit time.Duration) {
+	p.t.Helper()
+	select {
+	case <-p.exited:
+		if p.err != nil {
+			p.t.Errorf("%s ended with %v", p.Name, p.err)
+		}
+	case <-time.After(limit):
+		p.t.Errorf("%s did not end within %v", p.Name, limit)
+	}
+}
 
 // Kill ends the process at once and waits for it.
 func (p *Process) Kill() {
--- /dev/null
+++ b/internal/itest/conf_test.go
@@ -0,0 +1,164 @@
+package itest
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/relay"
+	"github.com/bramleycourse/bramleycourse/internal/store"
+	"github.com/bramleycourse/bramleycourse/pkg/decl"
+)
+
+// inForceLimit is the bound on one machine; 7 s is the bound at the target size.
+const inForceLimit = 2 * time.Second
+
+// generation returns the generation in force on a balancer, 0 if there is none.
+func (s *Scene) generation(b *Process) uint64 {
+	var st relay.State
+	if b.State(&st) != nil || st.Configuration == nil {
+		return 0
+	}
+	return uint64(st.Configuration.Generation)
+}
+
+func (s *Scene) waitGeneration(want uint64, bs ...*Process) {
+	s.T.Helper()
+	for _, b := range bs {
+		s.Eventually(inForceLimit, fmt.Sprintf("generation %d in force on %s", want, b.Name), func() bool {
+			return s.generation(b) == want
+		})
+	}
+}
+
+// apply starts the product's apply command on a declaration.
+func (s *Scene) apply(name string, d *decl.Declaration) *exec.Cmd {
+	s.T.Helper()
+	b, err := d.JSON()
+	s.must(err)
+	file := filepath.Join(s.Dir, name+".json")
+	s.must(os.WriteFile(file, b, 0o600))
+	return exec.Command(s.Binary, "apply", "--platform", s.PlatformURL, file)
+}
+
+func exitCode(err error) int {
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return exit.ExitCode()
+	}
+	if err != nil {
+		return -1
+	}
+	return 0
+}
+
+// TestConfigurationInForce guards promise 8: an accepted configuration is in
+// force on every balancer within 2 s, also after a lost answer, and a balancer
+// that was frozen, one that starts during an outage and a paused operator do
+// not bring an older one back.
+func TestConfigurationInForce(t *testing.T) {
+	c := NewCluster(t, binary)
+	d := Declaration(4, "listas")
+	s := NewScene(c, d, 3, map[string]int{"listas": 1})
+	d2 := Declaration(5, "listas")
+	if out, err := s.apply("two", d2).CombinedOutput(); err != nil {
+		t.Fatalf("apply: %v: %s", err, out)
+	}
+	s.waitGeneration(2, s.Balancers...)
+
+	c.Store.SetFaults(store.Faults{LoseAnswers: 1})
+	out, err := s.apply("three", Declaration(6, "listas")).CombinedOutput()
+	if err != nil {
+		t.Fatalf("apply with a lost answer: %v: %s", err, out)
+	}
+	s.waitGeneration(3, s.Balancers...)
+
+	stale := s.Balancers[0]
+	stale.Freeze()
+	if out, err := s.apply("four", Declaration(7, "listas")).CombinedOutput(); err != nil {
+		t.Fatalf("apply: %v: %s", err, out)
+	}
+	s.waitGeneration(4, s.Balancers[1:]...)
+	c.Store.SetFaults(store.Faults{Outage: true})
+	stale.Resume()
+	s.waitGeneration(4, s.Balancers...)
+	joined := s.AddBalancer()
+	s.waitGeneration(4, joined)
+	for range 20 {
+		for _, b := range s.Balancers {
+			if g := s.generation(b); g != 4 {
+				t.Errorf("%s went back to generation %d", b.Name, g)
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestOperatorsRace guards that of operators who change the same thing at once
+// exactly one succeeds with each generation and the others see a conflict, and
+// that an operator who was paused between reading and writing does not win.
+func TestOperatorsRace(t *testing.T) {
+	c := NewCluster(t, binary)
+	s := NewScene(c, Declaration(1, "listas"), 1, map[string]int{})
+	const operators = 8
+	c.Store.SetFaults(store.Faults{AnswerDelayMillis: 300}) // all read before any writes
+	codes := make([]int, operators)
+	outs := make([]string, operators)
+	var wait sync.WaitGroup
+	for i := range operators {
+		cmd := s.apply(fmt.Sprintf("race%d", i), Declaration(2+i, "listas"))
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			out, err := cmd.CombinedOutput()
+			codes[i], outs[i] = exitCode(err), string(out)
+		}()
+	}
+	wait.Wait()
+	c.Store.SetFaults(store.Faults{})
+	accepted := 0
+	for i, code := range codes {
+		switch code {
+		case 0:
+			accepted++
+		case 3:
+			if !strings.Contains(outs[i], "generation") {
+				t.Errorf("conflict without versions: %s", outs[i])
+			}
+		default:
+			t.Errorf("operator %d: exit status %d: %s", i, code, outs[i])
+		}
+	}
+	if accepted != 1 {
+		t.Errorf("want one operator accepted, have %d", accepted)
+	}
+	s.waitGeneration(2, s.Balancers...)
+
+	c.Store.SetFaults(store.Faults{AnswerDelayMillis: 400})
+	paused := s.apply("paused", Declaration(20, "listas"))
+	var said strings.Builder
+	paused.Stdout, paused.Stderr = &said, &said
+	reads := c.Store.Counts()["read"]
+	s.must(paused.Start())
+	s.Eventually(5*time.Second, "the paused operator has read", func() bool { return c.Store.Counts()["read"] > reads })
+	s.must(paused.Process.Signal(syscall.SIGSTOP))
+	c.Store.SetFaults(store.Faults{})
+	if out, err := s.apply("quick", Declaration(21, "listas")).CombinedOutput(); err != nil {
+		t.Fatalf("apply: %v: %s", err, out)
+	}
+	s.waitGeneration(3, s.Balancers...)
+	s.must(paused.Process.Signal(syscall.SIGCONT))
+	if code := exitCode(paused.Wait()); code != 3 {
+		t.Errorf("paused operator: want exit status 3, have %d: %s", code, said.String())
+	}
+	if g := s.generation(s.Balancers[0]); g != 3 {
+		t.Errorf("want generation 3, have %d", g)
+	}
+}
--- /dev/null
+++ b/internal/itest/once_test.go
@@ -0,0 +1,161 @@
+package itest
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/agent"
+	"github.com/bramleycourse/bramleycourse/internal/fabric"
+	"github.com/bramleycourse/bramleycourse/internal/hdrs"
+	"github.com/bramleycourse/bramleycourse/internal/stub"
+)
+
+// updateLimit is how long the callers wait for the answer to an update.
+const updateLimit = time.Second
+
+// TestAtMostOnce guards promises 3, 4 and 5: whatever is lost, doubled, late,
+// frozen or killed, an update runs at most once, and what the caller is told
+// about it is true.
+func TestAtMostOnce(t *testing.T) {
+	pulses := func(s *Scene, up, down fabric.Faults) {
+		// Flows open first, so that the faults meet updates in progress.
+		for range 4 {
+			time.Sleep(600 * time.Millisecond)
+			s.Fabrics["listas"].SetFaults(up, down)
+			time.Sleep(400 * time.Millisecond)
+			s.Fabrics["listas"].SetFaults(fabric.Faults{}, fabric.Faults{})
+		}
+		time.Sleep(600 * time.Millisecond)
+	}
+	for _, c := range []struct {
+		name string
+		run  func(s *Scene)
+		// wantUnknown is true when the fault must leave some outcomes open.
+		wantUnknown bool
+	}{
+		{"lost answers", func(s *Scene) { pulses(s, fabric.Faults{}, fabric.Faults{Loss: 1}) }, false},
+		{"duplicates out of order", func(s *Scene) {
+			f := fabric.Faults{Duplicate: 0.5, Jitter: 20 * time.Millisecond}
+			pulses(s, f, f)
+		}, false},
+		{"loss in both directions", func(s *Scene) {
+			pulses(s, fabric.Faults{Loss: 0.3}, fabric.Faults{Loss: 0.3})
+		}, false},
+		{"frozen agent", func(s *Scene) {
+			for range 2 {
+				s.Agents["listas"][0].Freeze()
+				time.Sleep(2 * updateLimit)
+				s.Agents["listas"][0].Resume()
+				time.Sleep(500 * time.Millisecond)
+			}
+		}, true},
+		{"killed agent", func(s *Scene) {
+			for range 2 {
+				time.Sleep(300 * time.Millisecond)
+				a := s.Agents["listas"][0]
+				a.Kill()
+				s.RemoveAgent("listas", a)
+				time.Sleep(1500 * time.Millisecond)
+			}
+		}, true},
+		{"killed agent and lost answers", func(s *Scene) {
+			a := s.Agents["listas"][0]
+			s.Fabrics["listas"].SetFaults(fabric.Faults{Loss: 0.1}, fabric.Faults{Loss: 0.5})
+			time.Sleep(500 * time.Millisecond)
+			a.Kill()
+			s.RemoveAgent("listas", a)
+			time.Sleep(1500 * time.Millisecond)
+			s.Fabrics["listas"].SetFaults(fabric.Faults{}, fabric.Faults{})
+			time.Sleep(500 * time.Millisecond)
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := NewScene(NewCluster(t, binary), Declaration(4, "listas"), 2, map[string]int{"listas": 4})
+			all := append([]*Process{}, s.Agents["listas"]...)
+			for _, a := range all {
+				a.Stub.SetSettings(stub.Settings{WorkMillis: 1, UpdateDelayMillis: 20})
+			}
+			tr := s.startUpdates("listas", 16, updateLimit)
+			c.run(s)
+			tr.end()
+			t.Logf("told: %v", tr.ok)
+			tr.check(s, all)
+			if tr.ok[OutcomeDone] == 0 || tr.ok[OutcomeOther] != 0 {
+				t.Errorf("want updates done and none without an outcome, have %v", tr.ok)
+			}
+			if c.wantUnknown && tr.ok[OutcomeUnknown]+tr.ok[OutcomeNotRun] == 0 {
+				t.Error("the fault touched no update")
+			}
+		})
+	}
+}
+
+// TestTicketStoreFull guards the bound on tickets: at the bound the agent
+// refuses new tickets as not run, and those issued before still run once.
+func TestTicketStoreFull(t *testing.T) {
+	s := NewScene(NewCluster(t, binary), Declaration(4, "listas"), 1, map[string]int{"listas": 1})
+	tr := s.plain()
+	defer tr.Close()
+	client := http.Client{Transport: tr, Timeout: 5 * time.Second}
+	post := func(path, ticket, id string) *http.Response {
+		req, _ := http.NewRequest(http.MethodPost, s.URL("listas", path), nil)
+		req.Header.Set("X-Request-Id", id)
+		if ticket != "" {
+			req.Header.Set(hdrs.Ticket, ticket)
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp
+	}
+	var tickets []string
+	refused := false
+	for range 200_000 {
+		resp := post(hdrs.TicketPath, "", "")
+		b, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusCreated {
+			if resp.Header.Get(hdrs.Outcome) != hdrs.NotRun {
+				t.Fatalf("want a refusal as not run, have status %d and %q", resp.StatusCode, resp.Header)
+			}
+			refused = true
+			break
+		}
+		tickets = append(tickets, ticketOf(t, b))
+	}
+	t.Logf("%d tickets issued", len(tickets))
+	if !refused {
+		t.Fatal("the agent never refused a ticket")
+	}
+	for range 2 {
+		resp := post("/update", tickets[0], "first")
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			t.Errorf("ticket issued before the bound: status %d, %v", resp.StatusCode, resp.Header)
+		}
+	}
+	if n := s.Agents["listas"][0].Stub.Counts().Runs["first"]; n != 1 {
+		t.Errorf("want one run, have %d", n)
+	}
+	var st agent.State
+	if err := s.Agents["listas"][0].State(&st); err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("tickets held: %+v", st.Tickets)
+}
+
+// ticketOf decodes the answer to a request for a ticket.
+func ticketOf(t *testing.T, b []byte) string {
+	t.Helper()
+	var a struct {
+		Ticket string `json:"ticket"`
+	}
+	if err := json.Unmarshal(b, &a); err != nil || a.Ticket == "" {
+		t.Fatalf("ticket answer %q: %v", b, err)
+	}
+	return a.Ticket
+}
--- /dev/null
+++ b/internal/itest/scene.go
@@ -0,0 +1,188 @@
+package itest
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/quic-go/quic-go/http3"
+
+	"github.com/bramleycourse/bramleycourse/internal/config"
+	"github.com/bramleycourse/bramleycourse/internal/relay"
+	"github.com/bramleycourse/bramleycourse/pkg/caller"
+	"github.com/bramleycourse/bramleycourse/pkg/decl"
+)
+
+// readyLimit bounds the start of a cluster on a loaded machine.
+const readyLimit = 20 * time.Second
+
+// Declaration returns services of two places with the given slots for each
+// upstream. Paths under /feeds/ are streaming paths.
+func Declaration(slots int, services ...string) *decl.Declaration {
+	d := &decl.Declaration{
+		Name:   "main",
+		Places: []decl.Place{{Name: "recife", Region: "nordeste"}, {Name: "fortaleza", Region: "nordeste"}},
+	}
+	for i, name := range services {
+		d.Services = append(d.Services, decl.Service{
+			Name:        name,
+			Address:     fmt.Sprintf("127.0.0.1:%d", 24431+i),
+			StreamPaths: []string{"/feeds/"},
+			Limits:      decl.Limits{Slots: slots},
+		})
+	}
+	return d
+}
+
+// places are the places of Declaration, taken in turn.
+var places = []string{"recife", "fortaleza"}
+
+// Scene is a running cluster with balancers and agents.
+type Scene struct {
+	*Cluster
+	// Balancers are the balancers that the fabric sprays over.
+	Balancers []*Process
+	// Agents holds the agents of each service that have not been replaced.
+	Agents map[string][]*Process
+
+	started int
+}
+
+// NewScene starts balancers and the given number of agents of each service,
+// and waits until every balancer can use every agent.
+func NewScene(c *Cluster, d *decl.Declaration, balancers int, agents map[string]int) *Scene {
+	c.T.Helper()
+	c.Apply(d)
+	c.StartFabric(1)
+	s := &Scene{Cluster: c, Agents: map[string][]*Process{}}
+	for range balancers {
+		s.AddBalancer()
+	}
+	for _, v := range d.Services {
+		for range agents[v.Name] {
+			s.AddAgent(v.Name, time.Millisecond)
+		}
+	}
+	s.WaitReady()
+	return s
+}
+
+// AddBalancer starts a balancer and makes the fabric spray over it.
+func (s *Scene) AddBalancer(change ...func(*config.Balancer)) *Process {
+	s.T.Helper()
+	s.started++
+	b := s.Balancer(fmt.Sprintf("b%d", s.started), places[s.started%len(places)], change...)
+	s.waitForwarding(b)
+	s.Balancers = append(s.Balancers, b)
+	s.SetFabricTargets(s.Balancers...)
+	return b
+}
+
+// waitForwarding waits until a balancer has a configuration, as a fabric does
+// before it sends packets to a new VM.
+func (s *Scene) waitForwarding(b *Process) {
+	s.T.Helper()
+	s.Eventually(readyLimit, b.Name+" has a configuration", func() bool {
+		var st relay.State
+		return b.State(&st) == nil && st.Configuration != nil
+	})
+}
+
+// AddAgent starts an agent.
+func (s *Scene) AddAgent(service string, work time.Duration, change ...func(*config.Agent)) *Process {
+	s.T.Helper()
+	s.started++
+	a := s.Agent(fmt.Sprintf("%s%d", service, s.started), service, places[s.started%len(places)], work, change...)
+	s.Agents[service] = append(s.Agents[service], a)
+	return a
+}
+
+// RemoveBalancer takes a balancer out of the fabric.
+func (s *Scene) RemoveBalancer(p *Process) {
+	s.Balancers = without(s.Balancers, p)
+	s.SetFabricTargets(s.Balancers...)
+}
+
+// RemoveAgent forgets an agent; it does not stop it.
+func (s *Scene) RemoveAgent(service string, p *Process) {
+	s.Agents[service] = without(s.Agents[service], p)
+}
+
+func without(ps []*Process, p *Process) []*Process {
+	var kept []*Process
+	for _, q := range ps {
+		if q != p {
+			kept = append(kept, q)
+		}
+	}
+	return kept
+}
+
+// WaitReady waits until every balancer can use exactly the agents of the scene.
+func (s *Scene) WaitReady() {
+	s.T.Helper()
+	for _, b := range s.Balancers {
+		s.Eventually(readyLimit, b.Name+" uses all agents", func() bool { return s.uses(b) })
+	}
+}
+
+func (s *Scene) uses(b *Process) bool {
+	wanted := map[string]bool{}
+	for _, as := range s.Agents {
+		for _, a := range as {
+			wanted[a.Hop] = true
+		}
+	}
+	have := s.Usable(b)
+	if len(have) != len(wanted) {
+		return false
+	}
+	for hop := range have {
+		if !wanted[hop] {
+			return false
+		}
+	}
+	return true
+}
+
+// Usable returns the hop addresses of the agents that a balancer sends new flows to.
+func (s *Scene) Usable(b *Process) map[string]bool {
+	have := map[string]bool{}
+	var st relay.State
+	if b.State(&st) != nil {
+		return have
+	}
+	for _, e := range st.Endpoints {
+		if e.Usable {
+			have[e.Key.Hop.String()] = true
+		}
+	}
+	return have
+}
+
+// Client returns a caller of the services.
+func (s *Scene) Client(opts ...caller.Option) *caller.Client {
+	c := caller.New(append([]caller.Option{caller.WithTLS(s.CallerTLS())}, opts...)...)
+	s.T.Cleanup(func() { c.Close() })
+	return c
+}
+
+// URL returns the URL of a path of a service at the fabric.
+func (s *Scene) URL(service, path string) string {
+	return "https://" + s.Fabrics[service].Addr().String() + path
+}
+
+// Misrouted sums the requests that reached an upstream of another service.
+func (s *Scene) Misrouted() int {
+	n := 0
+	for _, as := range s.Agents {
+		for _, a := range as {
+			n += a.Stub.Counts().Misrouted
+		}
+	}
+	return n
+}
+
+// plain returns the transport of an ordinary HTTP/3 client.
+func (s *Scene) plain() *http3.Transport {
+	return &http3.Transport{TLSClientConfig: s.CallerTLS()}
+}
--- a/internal/store/faults.go
+++ b/internal/store/faults.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"net/http"
 	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/plat"
 )
 
 // Faults says how the stand-in misbehaves.
@@ -12,6 +14,8 @@
 	Outage bool `json:"outage"`
 	// DelayMillis delays every call, in milliseconds.
 	DelayMillis int `json:"delayMillis"`
+	// AnswerDelayMillis delays the answer to each call after it took effect, in milliseconds.
+	AnswerDelayMillis int `json:"answerDelayMillis"`
 	// LoseAnswers is the number of writes whose answers are lost after they take effect.
 	LoseAnswers int `json:"loseAnswers"`
 }
@@ -65,15 +69,28 @@
 	s.mu.Lock()
 	f := s.faults
 	s.mu.Unlock()
-	if f.DelayMillis > 0 {
-		select {
-		case <-time.After(time.Duration(f.DelayMillis) * time.Millisecond):
-		case <-r.Context().Done():
-		}
-	}
+	wait(r, f.DelayMillis)
 	return !f.Outage
 }
 
+// holdAnswer delays the answer to a call as set when the call arrived.
+func (s *Store) holdAnswer(r *http.Request) func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	millis := s.faults.AnswerDelayMillis
+	return func() { wait(r, millis) }
+}
+
+func wait(r *http.Request, millis int) {
+	if millis == 0 {
+		return
+	}
+	select {
+	case <-time.After(time.Duration(millis) * time.Millisecond):
+	case <-r.Context().Done():
+	}
+}
+
 // loseAnswer reports whether the answer to the current write is lost; the
 // caller holds the mutex.
 func (s *Store) loseAnswer() bool {
@@ -93,3 +110,10 @@
 	}
 	panic(http.ErrAbortHandler)
 }
+
+// Len returns the number of objects of a kind.
+func (s *Store) Len(k plat.Kind) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.objects[k])
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -67,6 +67,7 @@
 	if !s.inject(r) {
 		panic(http.ErrAbortHandler)
 	}
+	defer s.holdAnswer(r)()
 	kind, name, _ := strings.Cut(rest, "/")
 	switch {
 	case r.Method == http.MethodGet && name == "" && r.URL.Query().Has("watch"):
