--- a/internal/itest/once_test.go
+++ b/internal/itest/once_test.go
@@ -61,6 +61,14 @@
 				time.Sleep(1500 * time.Millisecond)
 			}
 		}, true},
+		{"upstream fails after running", func(s *Scene) {
+			for range 2 {
+				s.setFail(stub.FailAfter)
+				time.Sleep(400 * time.Millisecond)
+				s.setFail(stub.FailNever)
+				time.Sleep(400 * time.Millisecond)
+			}
+		}, true},
 		{"killed agent and lost answers", func(s *Scene) {
 			a := s.Agents["listas"][0]
 			s.Fabrics["listas"].SetFaults(fabric.Faults{Loss: 0.1}, fabric.Faults{Loss: 0.5})
@@ -75,9 +83,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			s := NewScene(NewCluster(t, binary), Declaration(4, "listas"), 2, map[string]int{"listas": 4})
 			all := append([]*Process{}, s.Agents["listas"]...)
-			for _, a := range all {
-				a.Stub.SetSettings(stub.Settings{WorkMillis: 1, UpdateDelayMillis: 20})
-			}
+			s.setFail(stub.FailNever)
 			tr := s.startUpdates("listas", 16, updateLimit)
 			c.run(s)
 			tr.end()
@@ -93,6 +99,13 @@
 	}
 }
 
+// setFail makes the upstreams of listas fail updates, or not.
+func (s *Scene) setFail(f stub.UpdateFail) {
+	for _, a := range s.Agents["listas"] {
+		a.Stub.SetSettings(stub.Settings{WorkMillis: 1, UpdateDelayMillis: 20, UpdateFail: f})
+	}
+}
+
 // TestTicketStoreFull guards the bound on tickets: at the bound the agent
 // refuses new tickets as not run, and those issued before still run once.
 func TestTicketStoreFull(t *testing.T) {
