--- a/cmd/bramleycourse/standin.go
+++ b/cmd/bramleycourse/standin.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"time"
@@ -30,6 +32,7 @@
 type fabricCmd struct {
 	Listen  string   `help:"UDP address that callers use." required:""`
 	Targets []string `help:"UDP addresses of the balancers for the service." required:""`
+	Control string   `help:"TCP address at which PUT /targets with a JSON list of addresses replaces the targets."`
 	Seed    uint64   `help:"Seed of the spraying." default:"1"`
 }
 
@@ -39,19 +42,52 @@
 	if err != nil {
 		return err
 	}
-	var targets []netip.AddrPort
-	for _, t := range c.Targets {
-		a, err := netip.ParseAddrPort(t)
-		if err != nil {
-			return err
-		}
-		targets = append(targets, a)
+	targets, err := addresses(c.Targets)
+	if err != nil {
+		return err
 	}
 	f, err := fabric.New(listen, c.Seed, targets...)
 	if err != nil {
 		return err
 	}
-	return ended(ctx, f.Run(ctx))
+	if c.Control == "" {
+		return ended(ctx, f.Run(ctx))
+	}
+	ctx, stop := context.WithCancelCause(ctx)
+	go func() { stop(serveHTTP(ctx, c.Control, control(f))) }()
+	err = ended(ctx, f.Run(ctx))
+	if cause := context.Cause(ctx); !errors.Is(cause, context.Canceled) {
+		return cause
+	}
+	return err
+}
+
+func addresses(texts []string) ([]netip.AddrPort, error) {
+	var as []netip.AddrPort
+	for _, t := range texts {
+		a, err := netip.ParseAddrPort(t)
+		if err != nil {
+			return nil, err
+		}
+		as = append(as, a)
+	}
+	return as, nil
+}
+
+// control replaces the targets of a running fabric.
+func control(f *fabric.Fabric) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /targets", func(w http.ResponseWriter, r *http.Request) {
+		var texts []string
+		err := json.NewDecoder(r.Body).Decode(&texts)
+		targets, bad := addresses(texts)
+		if err = errors.Join(err, bad); err != nil || len(targets) == 0 {
+			http.Error(w, fmt.Sprintf("targets are not a JSON list of ip:port: %v", err), http.StatusBadRequest)
+			return
+		}
+		f.SetTargets(targets...)
+	})
+	return mux
 }
 
 type upstreamCmd struct {
