--- a/internal/config/agent.go
+++ b/internal/config/agent.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"net/url"
 	"strings"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // Reply policies of an agent.
@@ -28,7 +31,8 @@
 	Place string `json:"place"`
 	// Group labels the upstream for weighted shares; may be empty.
 	Group string `json:"group"`
-	// HopAddress is the UDP address for the hop from the balancers, IPv4 "ip:port".
+	// HopAddress is the UDP address for the hop from the balancers, IPv4
+	// "ip:port". It is announced, so the IP must not be 0.0.0.0.
 	HopAddress string `json:"hopAddress"`
 	// AdminAddress is the TCP address of the admin server, "ip:port".
 	AdminAddress string `json:"adminAddress"`
@@ -44,7 +48,7 @@
 	DrainLimitSeconds int `json:"drainLimitSeconds"`
 	// ReplyPolicy is "perCaller", the default, or "perPacket".
 	ReplyPolicy string `json:"replyPolicy"`
-	// Balancers lists peer addresses of balancers to begin with.
+	// Balancers lists peer addresses of balancers to begin with, IPv4 "ip:port".
 	Balancers []string `json:"balancers"`
 	// PeerTLS turns on mutual TLS for sessions to balancers.
 	PeerTLS *PeerTLS `json:"peerTLS,omitempty"`
@@ -63,7 +67,7 @@
 	if err := load(path, &a); err != nil {
 		return nil, err
 	}
-	return &a, a.check()
+	return &a, errors.Annotatef(a.check(), "settings file %s", path)
 }
 
 func (a *Agent) check() error {
@@ -86,6 +90,10 @@
 			return err
 		}
 	}
+	// The agent announces the address that its socket is bound to.
+	if netip.MustParseAddrPort(a.HopAddress).Addr().IsUnspecified() {
+		return &FieldError{"hopAddress", "must not be the unspecified address"}
+	}
 	if err := a.checkUpstream(); err != nil {
 		return err
 	}
@@ -103,9 +111,22 @@
 	if p := a.ReplyPolicy; p != "" && p != ReplyPerCaller && p != ReplyPerPacket {
 		return &FieldError{"replyPolicy", fmt.Sprintf("%q is neither %q nor %q", p, ReplyPerCaller, ReplyPerPacket)}
 	}
+	if err := a.checkSessions(); err != nil {
+		return err
+	}
 	return a.Platform.check()
 }
 
+// checkSessions checks what the agent needs for its sessions to balancers.
+func (a *Agent) checkSessions() error {
+	for i, b := range a.Balancers {
+		if err := checkRemote(fmt.Sprintf("balancers[%d]", i), b); err != nil {
+			return err
+		}
+	}
+	return a.PeerTLS.check()
+}
+
 func (a *Agent) checkUpstream() error {
 	u, err := url.Parse(a.Upstream)
 	if err != nil || u.Scheme != "http" || u.Host == "" || u.Path != "" || u.RawQuery != "" || u.User != nil {
--- a/internal/config/balancer.go
+++ b/internal/config/balancer.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/netip"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 const (
@@ -76,7 +78,7 @@
 	if err := load(path, &b); err != nil {
 		return nil, err
 	}
-	return &b, b.check()
+	return &b, errors.Annotatef(b.check(), "settings file %s", path)
 }
 
 func (b *Balancer) check() error {
