--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	protocolVersion = 1
+	protocolVersion = 2
 	lengthSize      = 4
 	// maxFrame covers a configuration of 1 MiB, the largest platform value.
 	maxFrame = 1<<20 + 1<<16
@@ -50,6 +50,12 @@
 		return "marks"
 	case *Frame_Config:
 		return "config"
+	case *Frame_Vouch:
+		return "vouch"
+	case *Frame_MarksWanted:
+		return "marksWanted"
+	case *Frame_MarkVersions:
+		return "markVersions"
 	}
 	return "unknown"
 }
@@ -185,30 +191,3 @@
 	}
 	return ps
 }
-
-func marksFrame(by view.Key, ms []view.Mark) packet {
-	m := &Marks{By: putKey(by)}
-	for _, k := range ms {
-		m.Marks = append(m.Marks, &Mark{Target: putKey(k.Target), Seq: k.Seq, Condition: uint32(k.Condition)})
-	}
-	return encode(&Frame{Body: &Frame_Marks{m}})
-}
-
-func getMarks(m *Marks) ([]view.Mark, error) {
-	by, err := getKey(m.GetBy())
-	if err != nil {
-		return nil, err
-	}
-	var ms []view.Mark
-	for _, k := range m.GetMarks() {
-		target, err := getKey(k.GetTarget())
-		if err != nil {
-			return nil, err
-		}
-		if k.GetCondition() > uint32(view.Down) {
-			return nil, &FrameError{"marks", fmt.Sprintf("condition %d is unknown", k.GetCondition())}
-		}
-		ms = append(ms, view.Mark{Target: target, By: by, Seq: k.GetSeq(), Condition: view.Condition(k.GetCondition())})
-	}
-	return ms, nil
-}
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -69,13 +69,19 @@
 	defer manage.Stop()
 	exchange := time.NewTicker(exchangeInterval)
 	defer exchange.Stop()
+	vouch := time.NewTicker(vouchInterval)
+	defer vouch.Stop()
 	defer n.closeAll()
+	n.setAlive()
 	for {
+		n.resume()
 		n.manage(ctx)
 		select {
 		case <-manage.C:
 		case <-exchange.C:
 			n.exchange()
+		case <-vouch.C:
+			n.vouch()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -119,7 +125,7 @@
 		}
 		addrs[i.Key] = i.Peer.String()
 		all = append(all, i.Key)
-		if n.own[i.Key].Condition == view.Clear && n.marks.Of(n.now(), i.Key, n.self.Key) == view.Clear {
+		if n.marks.Own(i.Key, n.self.Key) == view.Clear && n.marks.Of(n.now(), i.Key, n.self.Key) == view.Clear {
 			live = append(live, i.Key)
 		}
 	}
--- a/internal/peer/handle.go
+++ b/internal/peer/handle.go
@@ -129,6 +129,12 @@
 		return n.handleEntries(s, b.Entries)
 	case *Frame_Marks:
 		return n.handleMarks(s, b.Marks)
+	case *Frame_Vouch:
+		n.handleVouch(s, b.Vouch)
+	case *Frame_MarksWanted:
+		n.handleMarksWanted(s, b.MarksWanted)
+	case *Frame_MarkVersions:
+		n.handleMarkVersions(s, b.MarkVersions)
 	case *Frame_Config:
 		if n.o.OnConfig != nil {
 			n.o.OnConfig(b.Config.GetValue())
@@ -252,34 +258,10 @@
 	return nil
 }
 
-func (n *Node) handleMarks(s *session, m *Marks) error {
-	if len(m.GetMarks()) > maxItems {
-		return &FrameError{"marks", "has too many items"}
-	}
-	ms, err := getMarks(m)
-	if err != nil {
-		return err
-	}
-	var news []view.Mark
-	n.mu.Lock()
-	for _, k := range ms {
-		_, known := n.view.Get(k.Target)
-		if known && k.By != n.self.Key && n.marks.Put(n.now(), k) {
-			news = append(news, k)
-		}
-	}
-	n.marksForwarded.Add(uint64(len(news)))
-	n.changes++
-	n.sendMarks(news, s)
-	n.mu.Unlock()
-	n.viewChanged(marksChange(news))
-	return nil
-}
-
 const exchangeInterval = time.Second
 
-// exchange sends the digest to the dialed peers, refreshes the own marks and
-// removes what expired; called once per exchangeInterval.
+// exchange sends the digest to the dialed peers and removes tombstones that
+// expired; called once per exchangeInterval.
 func (n *Node) exchange() {
 	n.mu.Lock()
 	p := n.digestFrame()
@@ -288,21 +270,6 @@
 			s.send(p)
 		}
 	}
-	var ms []view.Mark
-	for k, m := range n.own {
-		if e, ok := n.view.Get(k); !ok || e.State == view.Gone {
-			delete(n.own, k)
-			continue
-		}
-		n.markSeq++
-		m.Seq = n.markSeq
-		n.own[k] = m
-		ms = append(ms, m)
-	}
-	n.sendMarks(ms, nil)
 	n.view.Expire(n.now())
-	expired := n.marks.Expire(n.now())
-	n.changes += uint64(len(expired))
 	n.mu.Unlock()
-	n.viewChanged(changedIf(len(expired) > 0))
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -68,12 +68,12 @@
 	traffic *traffic
 	start   time.Time
 
-	mu       sync.Mutex
-	self     view.Item
-	view     *view.View
-	marks    *view.Marks
-	own      map[view.Key]view.Mark
-	markSeq  uint64
+	mu    sync.Mutex
+	self  view.Item
+	view  *view.View
+	marks *view.Marks
+	// alive is when Run last had its turn; see paused.
+	alive    time.Duration
 	conf     Config
 	sessions map[*session]struct{}
 	dialers  map[string]*dialer
@@ -86,6 +86,7 @@
 	pending                          atomic.Int64
 	refusedSessions, refusedFrames   atomic.Uint64
 	slowSessions, configConflicts    atomic.Uint64
+	pauses                           atomic.Uint64
 	lastConflict                     uint64
 	entriesForwarded, marksForwarded atomic.Uint64
 }
@@ -104,7 +105,6 @@
 		self:      view.Item{Entry: o.Self},
 		view:      view.New(),
 		marks:     view.NewMarks(),
-		own:       map[view.Key]view.Mark{},
 		sessions:  map[*session]struct{}{},
 		dialers:   map[string]*dialer{},
 		selfAddrs: map[string]bool{},
@@ -164,16 +164,6 @@
 	return unchanged
 }
 
-func marksChange(ms []view.Mark) change {
-	c := changedIf(len(ms) > 0)
-	for _, m := range ms {
-		if m.Condition != view.Clear {
-			c = worse
-		}
-	}
-	return c
-}
-
 // outranks replaces a version of the own entry that this process did not make
 // by a higher one.
 func (n *Node) outranks(i *view.Item) bool {
@@ -284,46 +274,6 @@
 	n.Merge(view.Item{Entry: e})
 }
 
-// Mark sets what this balancer itself found out about a process.
-func (n *Node) Mark(k view.Key, c view.Condition) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.own[k].Condition == c {
-		return
-	}
-	n.markSeq++
-	n.changes++
-	m := view.Mark{Target: k, By: n.self.Key, Seq: n.markSeq, Condition: c}
-	if c == view.Clear {
-		delete(n.own, k)
-	} else {
-		n.own[k] = m
-	}
-	n.sendMarks([]view.Mark{m}, nil)
-}
-
-// MarkOf returns the worst condition that other balancers report of a process.
-func (n *Node) MarkOf(k view.Key) view.Condition {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.marks.Of(n.now(), k, n.self.Key)
-}
-
-// sendMarks sends marks of one balancer to all balancers but from; the caller
-// holds the mutex.
-func (n *Node) sendMarks(ms []view.Mark, from *session) {
-	for len(ms) > 0 {
-		count := min(len(ms), maxItems)
-		p := marksFrame(ms[0].By, ms[:count])
-		ms = ms[count:]
-		for s := range n.sessions {
-			if s != from && s.remote.Key.IsBalancer() {
-				s.send(p)
-			}
-		}
-	}
-}
-
 // SetConfig stores a configuration that is in force and passes it on if its
 // generation is higher than that of the one held.
 func (n *Node) SetConfig(g ident.Generation, value []byte) {
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -1,6 +1,10 @@
 package peer
 
-import "github.com/bramleycourse/bramleycourse/internal/view"
+import (
+	"maps"
+
+	"github.com/bramleycourse/bramleycourse/internal/view"
+)
 
 // State is the part of a state dump about sessions.
 type State struct {
@@ -20,14 +24,16 @@
 	for s := range n.sessions {
 		st.Sessions[s.remote.Key.String()] = s.dialed
 	}
-	for k, m := range n.own {
-		st.Marks[k.String()] = m.Condition.String()
+	for k, c := range n.marks.List(n.self.Key) {
+		st.Marks[k.String()] = c.String()
 	}
 	st.Counts = map[string]uint64{
 		"entries":          uint64(n.view.Len()),
 		"refusedEntries":   n.view.Refused(),
+		"refusedMarks":     n.marks.Refused(),
 		"refusedSessions":  n.refusedSessions.Load(),
 		"refusedFrames":    n.refusedFrames.Load(),
+		"pauses":           n.pauses.Load(),
 		"slowSessions":     n.slowSessions.Load(),
 		"configConflicts":  n.configConflicts.Load(),
 		"entriesForwarded": n.entriesForwarded.Load(),
@@ -40,9 +46,5 @@
 func (n *Node) Conditions() map[view.Key]view.Condition {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	cs := make(map[view.Key]view.Condition, len(n.own))
-	for k, m := range n.own {
-		cs[k] = m.Condition
-	}
-	return cs
+	return maps.Clone(n.marks.List(n.self.Key))
 }
