--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -270,6 +270,15 @@
 	return marked == view.Clear || t.everHeard && now-t.heard < evidenceTime
 }
 
+// EvidenceEnd returns until when own evidence of life overrides marks that an
+// endpoint is down; it is not after now if there is none.
+func (h *Health) EvidenceEnd(k view.Key) time.Duration {
+	if t := h.targets[k]; t != nil && t.everHeard {
+		return t.heard + evidenceTime
+	}
+	return 0
+}
+
 func (t *target) condition() view.Condition {
 	switch {
 	case t.down:
--- a/internal/relay/control_test.go
+++ b/internal/relay/control_test.go
@@ -105,7 +105,7 @@
 	kill, freeze func()
 }
 
-func (s *site) agent(b *running, service ident.ServiceName) *fakeAgent {
+func (s *site) agent(b *running) *fakeAgent {
 	s.t.Helper()
 	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
@@ -124,14 +124,14 @@
 			if _, fault := h.Parse(keys, buf[:n]); fault != encap.FaultNone || h.Kind != encap.Probe {
 				continue
 			}
-			h = encap.Header{Kind: encap.ProbeAnswer, Service: ident.TagOf(service), Instance: k.Instance}
+			h = encap.Header{Kind: encap.ProbeAnswer, Service: ident.TagOf("listas"), Instance: k.Instance}
 			p := make([]byte, h.Size()+1)
 			h.Put(keys.Current, p)
 			c.WriteToUDPAddrPort(p, from)
 		}
 	}()
 	p := peer.NewClient(peer.ClientOptions{
-		Self:  view.Entry{Key: k, State: view.Serving, Service: service, Place: "recife"},
+		Self:  view.Entry{Key: k, State: view.Serving, Service: "listas", Place: "recife"},
 		Seeds: s.peers,
 	})
 	ctx, cancel := context.WithCancel(s.t.Context())
@@ -185,7 +185,7 @@
 func TestKilledAgent(t *testing.T) {
 	s := newSite(t)
 	bs := []*running{s.balancer(), s.balancer(), s.balancer(), s.balancer()}
-	as := []*fakeAgent{s.agent(bs[0], "listas"), s.agent(bs[0], "listas"), s.agent(bs[0], "listas")}
+	as := []*fakeAgent{s.agent(bs[0]), s.agent(bs[0]), s.agent(bs[0])}
 	s.eventually(10*time.Second, "three usable endpoints everywhere", each(bs, func(b *running) bool { return b.usable() == 3 }))
 	object, err := json.Marshal(entryObject{Entry: view.Entry{Key: as[0].key, State: view.Serving, Seq: 1, Service: "listas", Place: "recife"}})
 	if err != nil {
--- a/internal/relay/member.go
+++ b/internal/relay/member.go
@@ -52,7 +52,10 @@
 	health *health.Health
 	// current is what the routing table was built from; owned by the loop but
 	// for State, which holds mu.
-	current  current
+	current current
+	// doubtful holds the endpoints that are usable only as long as this
+	// balancer's own evidence of life is recent.
+	doubtful []view.Key
 	assigned assignment
 	ticks    int
 	// objects maps the names of platform objects of each kind to what they hold.
@@ -151,6 +154,7 @@
 		rebuilt time.Time
 		wait    time.Duration
 		due     <-chan time.Time
+		evident <-chan time.Time
 	)
 	for {
 		now := false
@@ -165,6 +169,8 @@
 			}
 		case <-due:
 			now = true
+		case <-evident:
+			now, evident = m.evidence()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -173,10 +179,21 @@
 			m.rebuild()
 			rebuilt, due = time.Now(), nil
 			wait = max(rebuildInterval, rebuildShare*rebuilt.Sub(begin))
+			_, evident = m.evidence()
 		}
 	}
 }
 
+// evidence reports whether the routing table must be rebuilt because own
+// evidence of life has ended, and when to ask again.
+func (m *membership) evidence() (bool, <-chan time.Time) {
+	ended, after := m.recheck()
+	if after < 0 && !ended {
+		return false, nil
+	}
+	return ended, time.After(max(after, 0))
+}
+
 // tick feeds the liveness decisions and carries out what they demand. It
 // reports whether the routing table must be rebuilt.
 func (m *membership) tick() bool {
@@ -226,9 +243,7 @@
 	wall := time.Now().UnixNano()
 	for a, s := range m.current.stats {
 		k := m.current.byHop[a]
-		if heard := s.lastHeard.Load(); heard != 0 {
-			events = append(events, m.health.Heard(now-time.Duration(wall-heard), k)...)
-		}
+		events = append(events, m.heard(now, wall, k, s)...)
 		if since := s.unanswered.Load(); since != 0 {
 			m.health.Unanswered(now, now-time.Duration(wall-since), k)
 		}
@@ -236,6 +251,16 @@
 	return events
 }
 
+// heard reports when the data path last heard an endpoint. The caller holds
+// the mutex.
+func (m *membership) heard(now time.Duration, wall int64, k view.Key, s *agentStat) []health.Event {
+	at := s.lastHeard.Load()
+	if at == 0 {
+		return nil
+	}
+	return m.health.Heard(now-time.Duration(wall-at), k)
+}
+
 // act passes on what this balancer itself found out about an endpoint.
 func (m *membership) act(e health.Event) {
 	log := m.b.frame.Log.WithField("endpoint", e.Key)
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/bramleycourse/bramleycourse/internal/health"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
@@ -20,6 +21,36 @@
 	usable map[view.Key]bool
 }
 
+// doubtful returns the usable endpoints that others have marked down.
+func doubtful(c *current, marks map[view.Key]view.Condition) []view.Key {
+	var ks []view.Key
+	for k, mark := range marks {
+		if mark == view.Down && c.usable[k] {
+			ks = append(ks, k)
+		}
+	}
+	return ks
+}
+
+// recheck reports whether own evidence of life has ended for an endpoint that
+// others have marked down, and otherwise after which time it may.
+func (m *membership) recheck() (ended bool, after time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.doubtful) == 0 {
+		return false, -1
+	}
+	now := m.now()
+	wall := time.Now().UnixNano()
+	after = time.Hour
+	for _, k := range m.doubtful {
+		// The endpoint is not down here, so this causes no event.
+		m.heard(now, wall, k, m.current.stats[k.Hop])
+		after = min(after, m.health.EvidenceEnd(k)-now)
+	}
+	return after <= 0, after
+}
+
 // assignment remembers which endpoints this balancer probes. It holds for one
 // set of live balancers.
 type assignment struct {
@@ -57,6 +88,7 @@
 	for k, e := range next.entries {
 		next.usable[k] = e.State == view.Serving && m.health.Usable(now, k, marks[k])
 	}
+	m.doubtful = doubtful(&next, marks)
 	m.current = next
 	m.b.stats.Store(&next.stats)
 	m.b.table.Store(m.table())
