--- a/cmd/bramleycourse/status.go
+++ b/cmd/bramleycourse/status.go
@@ -27,6 +27,9 @@
 	out io.Writer
 }
 
+// unnamed stands for the name of a process that has not answered.
+const unnamed = "-"
+
 // process is one line of the status.
 type process struct {
 	Role    string `json:"role"`
@@ -58,7 +61,7 @@
 	}
 	var r report
 	for _, a := range c.At {
-		r.Processes = append(r.Processes, &process{Role: "-", Name: "-", State: "-", Admin: a})
+		r.Processes = append(r.Processes, &process{Role: "-", Name: unnamed, State: "-", Admin: a})
 	}
 	if c.Platform != "" {
 		if err := r.list(ctx, plat.New(c.Platform, platformTimeout), c.Name); err != nil {
@@ -163,7 +166,11 @@
 		}
 	}
 	age := id.UptimeSeconds
-	p.Role, p.Name, p.AgeSeconds, p.Generation = id.Role, id.Name, &age, d.Generation
+	p.Role, p.AgeSeconds, p.Generation = id.Role, &age, d.Generation
+	if p.Name == unnamed {
+		// All agents of a service have its name; the platform's names differ.
+		p.Name = id.Name
+	}
 	if d.State != "" {
 		p.State = d.State
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -33,8 +33,10 @@
 	frame    *proc.Frame
 	client   *plat.Client
 	// keys returns the accepted keys; it is safe for concurrent use.
-	keys       func() *connid.Set
-	self       ident.EndpointID
+	keys func() *connid.Set
+	self ident.EndpointID
+	// adminAddr is where others reach the admin server.
+	adminAddr  netip.AddrPort
 	tag        ident.ServiceTag
 	hop        *hopConn
 	server     *http3.Server
@@ -87,6 +89,7 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "adminAddress")
 	}
+	a.adminAddr = proc.AdminAddr(admin, a.self.Addr.Addr())
 	f.Admin(admin, func() any { return a.State() })
 	a.server = &http3.Server{
 		Handler:        a.handler,
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -62,6 +62,7 @@
 		Service: ident.ServiceName(a.settings.Service),
 		Group:   ident.GroupName(a.settings.Group),
 		Place:   ident.PlaceName(a.settings.Place),
+		Admin:   a.adminAddr,
 	}
 	n.sessions = peer.NewClient(peer.ClientOptions{
 		Self: self, Seeds: a.settings.Balancers, TLS: secure, Scope: a.frame.Scope,
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -94,7 +94,7 @@
 	a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 7000)
 	return view.Item{Entry: view.Entry{
 		Key:   view.Key{Hop: a, Instance: ident.Instance(1<<23 + n)},
-		State: view.Serving, Seq: 1, Service: "listas", Place: "fortaleza",
+		State: view.Serving, Seq: 1, Service: "listas", Place: "fortaleza", Admin: a,
 	}}
 }
 
--- a/internal/proc/admin.go
+++ b/internal/proc/admin.go
@@ -8,6 +8,7 @@
 	"log"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -41,6 +42,16 @@
 	})
 }
 
+// AdminAddr returns the address at which others reach the admin server. A
+// listener on all addresses is announced with the given IP.
+func AdminAddr(l net.Listener, ip netip.Addr) netip.AddrPort {
+	a := l.Addr().(*net.TCPAddr).AddrPort()
+	if a.Addr().IsUnspecified() {
+		return netip.AddrPortFrom(ip, a.Port())
+	}
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
 func (f *Frame) adminHandler(state func() any) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", f.reporter.HTTPHandler())
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -115,7 +115,7 @@
 			State: view.Serving, Seq: 1,
 			Place: ident.PlaceName(s.Place),
 			Peer:  netip.MustParseAddrPort(s.PeerAddress),
-			Admin: netip.MustParseAddrPort(admin.Addr().String()),
+			Admin: proc.AdminAddr(admin, b.hopAddr.Addr()),
 		},
 		Seeds: s.Peers, TLS: secure, Scope: f.Scope,
 		OnSelf:     b.announce,
--- a/internal/view/entry.go
+++ b/internal/view/entry.go
@@ -98,8 +98,9 @@
 	Service ident.ServiceName `json:"service,omitempty"`
 	Group   ident.GroupName   `json:"group,omitempty"`
 	Place   ident.PlaceName   `json:"place"`
-	// Peer and Admin are the TCP addresses of a balancer.
-	Peer  netip.AddrPort `json:"peer,omitzero"`
+	// Peer is the TCP address of a balancer for sessions.
+	Peer netip.AddrPort `json:"peer,omitzero"`
+	// Admin is the TCP address of the admin server.
 	Admin netip.AddrPort `json:"admin,omitzero"`
 }
 
