--- a/internal/config/accept.go
+++ b/internal/config/accept.go
@@ -11,7 +11,17 @@
 	"github.com/bramleycourse/bramleycourse/pkg/decl"
 )
 
-// Accepted is a configuration as the platform holds it.
+// Object is the platform object of a configuration.
+type Object struct {
+	// Generation orders the accepted configurations of one name; the first is 1.
+	Generation ident.Generation `json:"generation"`
+	// Writer is the token of the write, which tells a lost answer from a lost race.
+	Writer string `json:"writer"`
+	// Declaration is the JSON form of a declaration.
+	Declaration json.RawMessage `json:"declaration"`
+}
+
+// Accepted is an object that has been checked.
 type Accepted struct {
 	Generation  ident.Generation  `json:"generation"`
 	Declaration *decl.Declaration `json:"declaration"`
@@ -20,16 +30,10 @@
 	Value []byte `json:"-"`
 }
 
-type configObject struct {
-	Generation  ident.Generation `json:"generation"`
-	Writer      string           `json:"writer"`
-	Declaration json.RawMessage  `json:"declaration"`
-}
-
 // ParseAccepted decodes and validates a configuration object with the given
 // name, whole or not at all. An error names the field.
 func ParseAccepted(name string, value []byte) (*Accepted, error) {
-	var o configObject
+	var o Object
 	if err := decodeStrict(value, &o); err != nil {
 		return nil, err
 	}
