--- a/cmd/bramleycourse/agent.go
+++ b/cmd/bramleycourse/agent.go
@@ -21,7 +21,11 @@
 	if err != nil {
 		return err
 	}
-	a, err := agent.New(s, proc.New("agent", s.Service, os.Stderr))
+	f := proc.New("agent", s.Service, os.Stderr)
+	if err := f.SetLevel(s.LogLevel); err != nil {
+		return err
+	}
+	a, err := agent.New(s, f)
 	if err != nil {
 		return err
 	}
--- a/cmd/bramleycourse/balancer.go
+++ b/cmd/bramleycourse/balancer.go
@@ -19,7 +19,11 @@
 	if err != nil {
 		return err
 	}
-	b, err := relay.New(s, proc.New("balancer", s.Name, os.Stderr))
+	f := proc.New("balancer", s.Name, os.Stderr)
+	if err := f.SetLevel(s.LogLevel); err != nil {
+		return err
+	}
+	b, err := relay.New(s, f)
 	if err != nil {
 		return err
 	}
--- a/internal/config/agent.go
+++ b/internal/config/agent.go
@@ -5,6 +5,8 @@
 	"net/url"
 	"strings"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // Reply policies of an agent.
@@ -53,7 +55,10 @@
 	CertFile string `json:"certFile"`
 	KeyFile  string `json:"keyFile"`
 	// KeysFile is the path of the keys file; not empty.
-	KeysFile string   `json:"keysFile"`
+	KeysFile string `json:"keysFile"`
+	// LogLevel is the lowest level that is logged: "debug", "info", the default,
+	// "warn" or "error".
+	LogLevel string   `json:"logLevel"`
 	Platform Platform `json:"platform"`
 }
 
@@ -63,7 +68,7 @@
 	if err := load(path, &a); err != nil {
 		return nil, err
 	}
-	return &a, a.check()
+	return &a, errors.Annotatef(a.check(), "settings file %s", path)
 }
 
 func (a *Agent) check() error {
@@ -86,6 +91,12 @@
 			return err
 		}
 	}
+	if err := checkLevel(&a.LogLevel); err != nil {
+		return err
+	}
+	if err := a.PeerTLS.check(); err != nil {
+		return err
+	}
 	if err := a.checkUpstream(); err != nil {
 		return err
 	}
--- a/internal/config/agent_test.go
+++ b/internal/config/agent_test.go
@@ -37,6 +37,9 @@
 		{"keyFile", "", "keyFile"},
 		{"keysFile", "", "keysFile"},
 		{"platform", map[string]any{}, "platform.url"},
+		{"logLevel", "debug", ""},
+		{"logLevel", "loud", "logLevel"},
+		{"peerTLS", map[string]any{"certFile": "c"}, "peerTLS.keyFile"},
 	} {
 		s := map[string]any{
 			"service": "listas", "place": "recife", "hopAddress": "127.0.0.1:1", "adminAddress": "127.0.0.1:2",
--- a/internal/config/balancer.go
+++ b/internal/config/balancer.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/netip"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 const (
@@ -42,8 +44,11 @@
 	KeysFile string `json:"keysFile"`
 	// DrainLimitSeconds ends a drain that takes longer; 0 to 604800, default 0,
 	// which means no limit.
-	DrainLimitSeconds int      `json:"drainLimitSeconds"`
-	Platform          Platform `json:"platform"`
+	DrainLimitSeconds int `json:"drainLimitSeconds"`
+	// LogLevel is the lowest level that is logged: "debug", "info", the default,
+	// "warn" or "error".
+	LogLevel string   `json:"logLevel"`
+	Platform Platform `json:"platform"`
 }
 
 // PeerTLS names the files of mutual TLS between our processes, PEM; none is empty.
@@ -76,7 +81,7 @@
 	if err := load(path, &b); err != nil {
 		return nil, err
 	}
-	return &b, b.check()
+	return &b, errors.Annotatef(b.check(), "settings file %s", path)
 }
 
 func (b *Balancer) check() error {
@@ -88,7 +93,7 @@
 	if b.DrainLimitSeconds < 0 || b.DrainLimitSeconds > maxDrainLimit {
 		return &FieldError{"drainLimitSeconds", fmt.Sprintf("%d is not in 0 to %d", b.DrainLimitSeconds, maxDrainLimit)}
 	}
-	return nil
+	return checkLevel(&b.LogLevel)
 }
 
 func (b *Balancer) checkNames() error {
--- a/internal/config/balancer_test.go
+++ b/internal/config/balancer_test.go
@@ -35,6 +35,7 @@
 		{`["10.0.0.0/8"]`, `["10.0.0.1/8"]`, "agentNetworks[0]"},
 		{`"keys.json"`, `""`, "keysFile"},
 		{`"drainLimitSeconds": 5`, `"drainLimitSeconds": -1`, "drainLimitSeconds"},
+		{`"name"`, `"logLevel": "loud", "name"`, "logLevel"},
 		{`"caFile": "a"`, `"caFile": ""`, "peerTLS.caFile"},
 		{`"http://127.0.0.1:8000"`, `"127.0.0.1:8000"`, "platform.url"},
 		{`:8000"`, `:8000", "requestTimeoutMillis": 9`, "platform.requestTimeoutMillis"},
@@ -48,6 +49,9 @@
 		}
 		_, err := LoadBalancer(file)
 		var field *FieldError
+		if err != nil && !strings.Contains(err.Error(), file) {
+			t.Errorf("%s -> %s: the error does not name the settings file: %v", c.old, c.new, err)
+		}
 		switch {
 		case c.want == "" && err != nil:
 			t.Errorf("want no error, have %v", err)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -62,6 +63,21 @@
 	return nil
 }
 
+const defaultLogLevel = "info"
+
+var logLevels = []string{"debug", defaultLogLevel, "warn", "error"}
+
+// checkLevel checks a log level; an empty one becomes the default.
+func checkLevel(level *string) error {
+	if *level == "" {
+		*level = defaultLogLevel
+	}
+	if !slices.Contains(logLevels, *level) {
+		return &FieldError{"logLevel", fmt.Sprintf("%q is not debug, info, warn or error", *level)}
+	}
+	return nil
+}
+
 func checkAddr(path, v string) error {
 	if a, err := netip.ParseAddrPort(v); err != nil || !a.Addr().Is4() {
 		return &FieldError{path, fmt.Sprintf("%q is not an IPv4 address and port", v)}
