--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "keys file %s", s.KeysFile)
 	}
-	cert, err := newCertSource(s.CertFile, s.KeyFile, f.Log)
+	cert, err := proc.FollowCertificate(f.Log, s.CertFile, s.KeyFile)
 	if err != nil {
 		return nil, errors.Annotatef(err, "certFile and keyFile")
 	}
@@ -95,7 +95,7 @@
 		Handler:        a.handler,
 		MaxHeaderBytes: maxHeaderBytes,
 		IdleTimeout:    emptyTimeout,
-		TLSConfig:      http3.ConfigureTLSConfig(&tls.Config{GetCertificate: cert.get}),
+		TLSConfig:      http3.ConfigureTLSConfig(&tls.Config{GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return cert.Get(), nil }}),
 	}
 	a.late = &http3.Server{Handler: http.HandlerFunc(a.refuseLate), MaxHeaderBytes: maxHeaderBytes}
 	f.Add("upstream check", a.checkUpstream)
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"fmt"
 	"net/netip"
 	"sync"
@@ -48,10 +47,10 @@
 // newAnnouncer returns an announcer of the agent's own entry. Its fields may be
 // set until Run is called.
 func newAnnouncer(a *Agent) (*announcer, error) {
-	var secure *tls.Config
+	var secure *peer.Secure
 	if t := a.settings.PeerTLS; t != nil {
 		var err error
-		if secure, err = peer.LoadTLS(t.CertFile, t.KeyFile, t.CAFile); err != nil {
+		if secure, err = peer.LoadTLS(t.CertFile, t.KeyFile, t.CAFile, a.frame.Log); err != nil {
 			return nil, errors.Annotatef(err, "peerTLS")
 		}
 	}
--- a/internal/agent/stop_test.go
+++ b/internal/agent/stop_test.go
@@ -12,7 +12,6 @@
 	"testing"
 	"time"
 
-	"github.com/bramleycourse/bramleycourse/internal/certs"
 	"github.com/bramleycourse/bramleycourse/internal/drain"
 	"github.com/bramleycourse/bramleycourse/internal/hdrs"
 	"github.com/bramleycourse/bramleycourse/pkg/decl"
@@ -241,34 +240,3 @@
 		}
 	}
 }
-
-// TestCertificate guards against a certificate that is not read again, and
-// against one that is lost while its files do not fit each other.
-func TestCertificate(t *testing.T) {
-	dir := t.TempDir()
-	ca, err := certs.NewAuthority(time.Hour)
-	must(t, err)
-	certFile, keyFile, err := ca.IssueFiles(dir, "service")
-	must(t, err)
-	s, err := newCertSource(certFile, keyFile, quietLog())
-	must(t, err)
-	current := func() string {
-		s.checked = time.Time{}
-		c, err := s.get(nil)
-		must(t, err)
-		return string(c.Certificate[0])
-	}
-	first := current()
-	cert, key, err := ca.Issue("service")
-	must(t, err)
-	must(t, os.WriteFile(certFile, cert, 0o600))
-	must(t, os.Chtimes(certFile, time.Now(), time.Now().Add(time.Second)))
-	if current() != first {
-		t.Error("want the first certificate while the key does not fit the new one")
-	}
-	must(t, os.WriteFile(keyFile, key, 0o600))
-	must(t, os.Chtimes(keyFile, time.Now(), time.Now().Add(time.Second)))
-	if current() == first {
-		t.Error("want the new certificate")
-	}
-}
--- /dev/null
+++ b/internal/itest/tls_test.go
@@ -0,0 +1,82 @@
+package itest
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/certs"
+	"github.com/bramleycourse/bramleycourse/internal/config"
+	"github.com/bramleycourse/bramleycourse/internal/relay"
+)
+
+// peerTLS issues a certificate of an authority for mutual TLS.
+func (c *Cluster) peerTLS(a *certs.Authority, name string) *config.PeerTLS {
+	c.T.Helper()
+	cert, key, err := a.IssueFiles(c.Dir, name)
+	c.must(err)
+	ca := filepath.Join(c.Dir, "ca.crt")
+	c.must(os.WriteFile(ca, c.Authority.PEM, 0o600))
+	return &config.PeerTLS{CertFile: cert, KeyFile: key, CAFile: ca}
+}
+
+// sessions returns the balancers that a balancer has sessions with.
+func sessions(p *Process) []string {
+	var st relay.State
+	if p.State(&st) != nil {
+		return nil
+	}
+	var names []string
+	for k := range st.Peers.Sessions {
+		if name, _, _ := strings.Cut(k, "@"); name != "" {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// TestPeerTLS guards the admission of processes: with mutual TLS, sessions
+// work, a balancer with a certificate of another authority gets none, which is
+// counted and logged, and it gets some once its files are replaced.
+func TestPeerTLS(t *testing.T) {
+	c := NewCluster(t, binary)
+	c.Apply(Declaration(2, "listas"))
+	c.StartFabric(1)
+	s := &Scene{Cluster: c, Agents: map[string][]*Process{}}
+	good := c.peerTLS(c.Authority, "peer")
+	use := func(p *config.PeerTLS) func(*config.Balancer) {
+		return func(b *config.Balancer) { b.PeerTLS = p }
+	}
+	for range 2 {
+		s.AddBalancer(use(good))
+	}
+	s.AddAgent("listas", time.Millisecond, func(a *config.Agent) { a.PeerTLS = good })
+	s.WaitReady()
+	s.Eventually(5*time.Second, "session between the balancers", func() bool { return len(sessions(s.Balancers[0])) == 1 })
+
+	other, err := certs.NewAuthority(time.Hour)
+	c.must(err)
+	bad := c.peerTLS(other, "stranger")
+	stranger := c.Balancer("stranger", "recife", use(bad))
+	s.waitForwarding(stranger)
+	for _, b := range s.Balancers {
+		s.Eventually(10*time.Second, b.Name+" counts and logs refused sessions", func() bool {
+			var st relay.State
+			log, err := os.ReadFile(filepath.Join(c.Dir, b.Name+".log"))
+			return err == nil && b.State(&st) == nil && st.Peers.Counts["refusedSessions"] >= 2 &&
+				bytes.Contains(log, []byte("session refused"))
+		})
+		if have := sessions(b); len(have) != 1 {
+			t.Errorf("%s: want a session with one balancer, have %v", b.Name, have)
+		}
+	}
+	if have := sessions(stranger); len(have) != 0 {
+		t.Errorf("want no sessions of the stranger, have %v", have)
+	}
+	_, _, err = c.Authority.IssueFiles(c.Dir, "stranger")
+	c.must(err)
+	s.Eventually(20*time.Second, "sessions with the replaced certificate", func() bool { return len(sessions(stranger)) == 2 })
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"crypto/tls"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -26,7 +25,7 @@
 	// Seeds are peer addresses of balancers to begin with.
 	Seeds []string
 	// TLS is nil for plain TCP.
-	TLS *tls.Config
+	TLS *Secure
 	// Scope receives the metrics; may be nil.
 	Scope tally.Scope
 	// OnConfig receives a configuration, possibly one that was received before.
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"crypto/x509"
 	"math/rand/v2"
 	"net"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/bramleycourse/bramleycourse/internal/view"
 )
 
@@ -15,6 +18,8 @@
 	maxBackoff     = 3 * time.Second
 	// downAfter is how long a balancer must be unreachable before it is marked.
 	downAfter = time.Second
+	// refusalInterval bounds the reports of refused sessions; anyone can connect.
+	refusalInterval = time.Second
 )
 
 // dialer keeps one session to an address.
@@ -50,12 +55,29 @@
 	s, err := accept(c, n.o.TLS, n.traffic, n.hello())
 	n.pending.Add(-1)
 	if err != nil {
-		n.refusedSessions.Add(1)
+		n.refused(c.RemoteAddr().String(), err)
 		return
 	}
 	n.run(s)
 }
 
+// refused counts and reports a session that was refused.
+func (n *Node) refused(addr string, err error) {
+	n.refusedSessions.Add(1)
+	last, now := n.lastRefusal.Load(), int64(n.now())
+	due := last == 0 || time.Duration(now-last) >= refusalInterval
+	if due && n.lastRefusal.CompareAndSwap(last, now) && n.o.OnRefused != nil {
+		n.o.OnRefused(addr, err)
+	}
+}
+
+// refusedByUs reports whether a dial failed because of the other side's certificate.
+func refusedByUs(err error) bool {
+	var unknown x509.UnknownAuthorityError
+	var invalid x509.CertificateInvalidError
+	return errors.As(err, &unknown) || errors.As(err, &invalid)
+}
+
 func (n *Node) hello() view.Item {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -157,9 +179,14 @@
 			backoff, failing = minBackoff, time.Time{}
 			n.reached(addr, s)
 			n.hold(ctx, s, d)
-		} else if failing.IsZero() {
+		} else if refusedByUs(err) {
+			n.refused(addr, err)
+		}
+		switch {
+		case err == nil:
+		case failing.IsZero():
 			failing = time.Now()
-		} else if time.Since(failing) >= downAfter && ctx.Err() == nil {
+		case time.Since(failing) >= downAfter && ctx.Err() == nil:
 			n.unreachable(addr)
 		}
 		wait := backoff/2 + rand.N(backoff)
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"crypto/tls"
 	"encoding/json"
 	"math/rand/v2"
 	"sync"
@@ -36,7 +35,7 @@
 	// Seeds are peer addresses of balancers to begin with.
 	Seeds []string
 	// TLS is nil for plain TCP.
-	TLS *tls.Config
+	TLS *Secure
 	// Scope receives the metrics; may be nil.
 	Scope tally.Scope
 	// OnView is called after the view or the marks have changed; urgent means
@@ -50,6 +49,10 @@
 	OnConfig func(value []byte)
 	// OnConflict reports that a peer has other content under the generation in force.
 	OnConflict func(ident.Generation)
+	// OnRefused receives the reason for a session that was refused, either
+	// because of the other side's certificate or because it broke off before
+	// it said hello; at most one for each refusalInterval.
+	OnRefused func(addr string, err error)
 	// OnAgentBroken reports that the last session of an agent broke before the
 	// agent said that it is gone.
 	OnAgentBroken func(view.Key)
@@ -87,6 +90,7 @@
 	refusedSessions, refusedFrames   atomic.Uint64
 	slowSessions, configConflicts    atomic.Uint64
 	pauses                           atomic.Uint64
+	lastRefusal                      atomic.Int64
 	lastConflict                     uint64
 	entriesForwarded, marksForwarded atomic.Uint64
 }
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/bramleycourse/bramleycourse/internal/certs"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/view"
@@ -233,7 +235,7 @@
 	if err := os.WriteFile(ca, a.PEM, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	secure, err := LoadTLS(cert, key, ca)
+	secure, err := LoadTLS(cert, key, ca, logrus.NewEntry(logrus.New()))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -58,7 +57,7 @@
 }
 
 // dial opens a session and says hello.
-func dial(ctx context.Context, addr string, secure *tls.Config, t *traffic, hello view.Item) (*session, error) {
+func dial(ctx context.Context, addr string, secure *Secure, t *traffic, hello view.Item) (*session, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	var d net.Dialer
@@ -66,9 +65,8 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	c = countedConn{c, t}
-	if secure != nil {
-		c = tls.Client(c, secure)
+	if c, err = secure.client(ctx, countedConn{c, t}); err != nil {
+		return nil, err
 	}
 	mux, err := yamux.Client(c, muxConfig())
 	if err != nil {
@@ -85,10 +83,12 @@
 }
 
 // accept takes a connection of another process and says hello.
-func accept(c net.Conn, secure *tls.Config, t *traffic, hello view.Item) (*session, error) {
-	c = countedConn{c, t}
-	if secure != nil {
-		c = tls.Server(c, secure)
+func accept(c net.Conn, secure *Secure, t *traffic, hello view.Item) (*session, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), helloTimeout)
+	defer cancel()
+	c, err := secure.server(ctx, countedConn{c, t})
+	if err != nil {
+		return nil, err
 	}
 	mux, err := yamux.Server(c, muxConfig())
 	if err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/netip"
 	"sync"
@@ -93,10 +92,10 @@
 // join prepares the sessions, the membership and the admin server.
 func (b *Balancer) join() error {
 	s, f := b.settings, b.frame
-	var secure *tls.Config
+	var secure *peer.Secure
 	if t := s.PeerTLS; t != nil {
 		var err error
-		if secure, err = peer.LoadTLS(t.CertFile, t.KeyFile, t.CAFile); err != nil {
+		if secure, err = peer.LoadTLS(t.CertFile, t.KeyFile, t.CAFile, f.Log); err != nil {
 			return errors.Annotatef(err, "peerTLS")
 		}
 	}
@@ -121,6 +120,9 @@
 		OnSelf:     b.announce,
 		OnConfig:   func(value []byte) { b.accept(fromPeer, value) },
 		OnConflict: b.configConflict,
+		OnRefused: func(addr string, err error) {
+			f.Log.WithError(err).WithField("address", addr).Warn("session refused")
+		},
 	})
 	f.Admin(admin, func() any { return b.State() })
 	f.Add("peer server", func(ctx context.Context) error { return b.views.node.Serve(ctx, sessions) })
