--- a/internal/config/agent.go
+++ b/internal/config/agent.go
@@ -57,7 +57,10 @@
 	CertFile string `json:"certFile"`
 	KeyFile  string `json:"keyFile"`
 	// KeysFile is the path of the keys file; not empty.
-	KeysFile string   `json:"keysFile"`
+	KeysFile string `json:"keysFile"`
+	// LogLevel is the lowest level that is logged: "debug", "info", the default,
+	// "warn" or "error".
+	LogLevel string   `json:"logLevel"`
 	Platform Platform `json:"platform"`
 }
 
@@ -94,6 +97,9 @@
 	if netip.MustParseAddrPort(a.HopAddress).Addr().IsUnspecified() {
 		return &FieldError{"hopAddress", "must not be the unspecified address"}
 	}
+	if err := checkLevel(&a.LogLevel); err != nil {
+		return err
+	}
 	if err := a.checkUpstream(); err != nil {
 		return err
 	}
