--- a/internal/agent/desk.go
+++ b/internal/agent/desk.go
@@ -70,6 +70,19 @@
 	return c, nil
 }
 
+// reject uses up a ticket that was not used yet and whose request is at fault.
+// It returns the reason if the request never ran and never will.
+func (d *desk) reject(text, reason string) (string, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	c := d.book.Begin(now, text)
+	if c.Action == ticket.Run {
+		return reason, d.book.Refuse(now, c.Serial, ticket.Reason(reason))
+	}
+	return string(c.Reason), c.Action == ticket.NotRun
+}
+
 func (d *desk) called(r *run) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -149,12 +162,22 @@
 
 // serveTicket runs a request with a ticket, or answers its repetition. The
 // body is read first, so that a caller that leaves meanwhile uses up no ticket.
-func (h *handler) serveTicket(w http.ResponseWriter, r *http.Request, deadline time.Time) {
-	o, ok := h.outgoing(w, r, deadline, true)
-	if !ok {
+// The reason is that of a request at fault, or empty.
+func (h *handler) serveTicket(w http.ResponseWriter, r *http.Request, deadline time.Time, reason string) {
+	text := r.Header.Get(hdrs.Ticket)
+	if reason == "" && r.URL.Path == hdrs.TicketPath {
+		reason = reasonTarget
+	}
+	if reason != "" {
+		h.rejectTicket(w, text, http.StatusBadRequest, reason)
 		return
 	}
-	d, run := h.desk.begin(r.Header.Get(hdrs.Ticket))
+	o := h.outgoing(r, deadline, true)
+	if o == nil {
+		h.rejectTicket(w, text, http.StatusRequestEntityTooLarge, reasonBody)
+		return
+	}
+	d, run := h.desk.begin(text)
 	switch d.Action {
 	case ticket.Run:
 		h.active.Add(1)
@@ -171,6 +194,20 @@
 	}
 }
 
+// rejectTicket answers a request at fault. Only a ticket that has not begun may
+// be answered not-run: the fault concerns this repetition and not the first request.
+func (h *handler) rejectTicket(w http.ResponseWriter, text string, status int, reason string) {
+	first, notRun := h.desk.reject(text, reason)
+	switch {
+	case !notRun:
+		h.unknown(w, status, reason)
+	case first == reason:
+		h.refuse(w, status, reason)
+	default:
+		h.refuse(w, http.StatusServiceUnavailable, first)
+	}
+}
+
 // run runs a request with a ticket. It goes on when the caller's stream ends.
 func (h *handler) run(ctx context.Context, path string, r *run, o *outgoing, deadline time.Time) {
 	defer h.active.Add(-1)
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -63,33 +63,40 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	h.requested(r.Context())
+	deadline, reason := check(r)
+	switch {
+	case r.Header.Get(hdrs.Ticket) != "":
+		h.serveTicket(w, r, deadline, reason)
+	case reason != "":
+		h.refuse(w, http.StatusBadRequest, reason)
+	case r.URL.Path == hdrs.TicketPath:
+		h.issue(w, r)
+	default:
+		h.serve(w, r, deadline)
+	}
+}
+
+// check returns the deadline of a request, zero without one, or the reason why
+// the request is at fault.
+func check(r *http.Request) (deadline time.Time, reason string) {
 	if !strings.HasPrefix(r.URL.RequestURI(), "/") || r.Method == http.MethodConnect {
-		h.refuse(w, http.StatusBadRequest, reasonTarget)
-		return
+		return time.Time{}, reasonTarget
 	}
 	d, ok := timeout(r)
 	if !ok {
-		h.refuse(w, http.StatusBadRequest, reasonTimeout)
-		return
+		return time.Time{}, reasonTimeout
 	}
-	var deadline time.Time
 	if d > 0 {
 		deadline = time.Now().Add(d)
 	}
-	switch {
-	case r.URL.Path == hdrs.TicketPath:
-		h.issue(w, r)
-	case r.Header.Get(hdrs.Ticket) != "":
-		h.serveTicket(w, r, deadline)
-	default:
-		h.serve(w, r, deadline)
-	}
+	return deadline, ""
 }
 
 // serve runs a request that may be repeated by its caller's own judgement.
 func (h *handler) serve(w http.ResponseWriter, r *http.Request, deadline time.Time) {
-	o, ok := h.outgoing(w, r, deadline, false)
-	if !ok {
+	o := h.outgoing(r, deadline, false)
+	if o == nil {
+		h.refuse(w, http.StatusRequestEntityTooLarge, reasonBody)
 		return
 	}
 	ctx, cancel := context.WithCancelCause(r.Context())
@@ -114,14 +121,14 @@
 	h.answer(w, resp)
 }
 
-// outgoing prepares the request to the upstream. If it returns false, the
-// request was answered or its caller has left.
-func (h *handler) outgoing(w http.ResponseWriter, r *http.Request, deadline time.Time, whole bool) (*outgoing, bool) {
+// outgoing prepares the request to the upstream, or returns nil if the body is
+// too long. A body that ends early resets the stream, which tells the caller
+// nothing about the outcome.
+func (h *handler) outgoing(r *http.Request, deadline time.Time, whole bool) *outgoing {
 	body, n, err := requestBody(r, h.service.Load().Limits.RequestBytes, whole)
 	var tooLong *bodySizeError
 	if errors.As(err, &tooLong) {
-		h.refuse(w, http.StatusRequestEntityTooLarge, reasonBody)
-		return nil, false
+		return nil
 	}
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -130,7 +137,7 @@
 		method: r.Method, uri: r.URL.RequestURI(), host: r.Host,
 		header: requestHeader(r, deadline, time.Now()),
 		body:   body, length: n,
-	}, true
+	}
 }
 
 // enter waits for a slot; a request without a deadline waits for queueLimit.
--- /dev/null
+++ b/internal/agent/ticket_test.go
@@ -0,0 +1,120 @@
+package agent
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/bramleycourse/bramleycourse/internal/hdrs"
+	"github.com/bramleycourse/bramleycourse/pkg/decl"
+)
+
+// faultyRequests are requests that the agent refuses before admission.
+var faultyRequests = []struct {
+	name, method, path string
+	body               string
+	timeout            string
+	want               result
+}{
+	{"timeout not a number", "POST", "/", "x", "soon", result{status: 400, reason: reasonTimeout}},
+	{"timeout expired", "POST", "/", "x", "0", result{status: 400, reason: reasonTimeout}},
+	{"body too long", "POST", "/", strings.Repeat("x", 101), "1000", result{status: 413, reason: reasonBody}},
+	{"target", "CONNECT", "", "", "1000", result{status: 400, reason: reasonTarget}},
+	{"path of tickets", "POST", hdrs.TicketPath, "", "1000", result{status: 400, reason: reasonTarget}},
+}
+
+// TestFaultyRepetition guards R4 and R5: a repetition that is itself at fault
+// is never answered not-run after the first request ran, and a ticket that was
+// refused for such a fault does not run later.
+func TestFaultyRepetition(t *testing.T) {
+	u, url := newTestUpstream(t)
+	f := newFront(t, url, decl.Service{Limits: decl.Limits{RequestBytes: 100}})
+	send := func(method, path, body, timeout, text string) result {
+		return f.do(t.Context(), method, path, onlyReader{strings.NewReader(body)}, hdrs.Ticket, text, hdrs.Timeout, timeout)
+	}
+	for _, c := range faultyRequests {
+		text := f.ticket()
+		if r := send("POST", "/", "x", "1000", text); r.status != 200 {
+			t.Fatalf("%s: first request: want status 200, have %+v", c.name, r)
+		}
+		want := c.want
+		want.outcome = hdrs.Unknown
+		if have := send(c.method, c.path, c.body, c.timeout, text); have != want {
+			t.Errorf("%s after a run: want %+v, have %+v", c.name, want, have)
+		}
+		before := u.calls.Load()
+		text = f.ticket()
+		want.outcome = hdrs.NotRun
+		if have := send(c.method, c.path, c.body, c.timeout, text); have != want {
+			t.Errorf("%s at first: want %+v, have %+v", c.name, want, have)
+		}
+		want.status = http.StatusServiceUnavailable
+		if have := send("POST", "/", "x", "1000", text); have != want {
+			t.Errorf("%s, then a proper request: want %+v, have %+v", c.name, want, have)
+		}
+		if n := u.calls.Load() - before; n != 0 {
+			t.Errorf("%s: calls of the upstream with a refused ticket: want 0, have %d", c.name, n)
+		}
+	}
+}
+
+// brokenBody fails after n octets, which makes the client reset the stream. It
+// waits first, because a reset may overtake the head of the request.
+type brokenBody struct {
+	n    int
+	wait func()
+}
+
+func (b *brokenBody) Read(p []byte) (int, error) {
+	if b.n == 0 {
+		b.wait()
+		return 0, errors.New("broken")
+	}
+	n := min(len(p), b.n)
+	b.n -= n
+	return n, nil
+}
+
+// TestBodyEndsEarly guards against a request whose body was cut off by a reset
+// of the stream and that the upstream takes for complete.
+func TestBodyEndsEarly(t *testing.T) {
+	var complete atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			complete.Add(1)
+		}
+	}))
+	defer srv.Close()
+	f := newFront(t, srv.URL, decl.Service{})
+	for _, n := range []int{10, readAhead - 1, readAhead, 3 * readAhead} {
+		for _, length := range []int64{-1, int64(n) + 1} {
+			for _, ticket := range []string{"", f.ticket()} {
+				received := f.handler.requests.Load()
+				body := &brokenBody{n, func() {
+					eventually(t, "request received", func() bool { return f.handler.requests.Load() > received })
+				}}
+				req, err := http.NewRequestWithContext(t.Context(), "POST", f.base+"/", body)
+				must(t, err)
+				req.ContentLength = length
+				if ticket != "" {
+					req.Header.Set(hdrs.Ticket, ticket)
+				}
+				if resp, err := f.client.Do(req); err == nil {
+					resp.Body.Close()
+					if resp.Header.Get(hdrs.Outcome) != hdrs.Unknown {
+						t.Errorf("%d of %d octets, ticket %v: want an error, have %v", n, length, ticket != "", resp)
+					}
+				}
+				eventually(t, "request ended", func() bool { return f.handler.active.Load() == 0 })
+			}
+		}
+	}
+	srv.Close() // waits for the calls of the upstream
+	if complete.Load() != 0 {
+		t.Errorf("complete bodies at the upstream: want 0, have %d", complete.Load())
+	}
+}
