--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/bramleycourse/bramleycourse/internal/config"
 	"github.com/bramleycourse/bramleycourse/internal/connid"
 	"github.com/bramleycourse/bramleycourse/internal/drain"
+	"github.com/bramleycourse/bramleycourse/internal/hdrs"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/peer"
 	"github.com/bramleycourse/bramleycourse/internal/plat"
@@ -179,7 +180,11 @@
 	}
 }
 
-func (a *Agent) refuseLate(w http.ResponseWriter, _ *http.Request) {
+func (a *Agent) refuseLate(w http.ResponseWriter, r *http.Request) {
+	if text := r.Header.Get(hdrs.Ticket); text != "" {
+		a.handler.rejectTicket(w, text, http.StatusServiceUnavailable, string(admit.Draining))
+		return
+	}
 	a.handler.refuse(w, http.StatusServiceUnavailable, string(admit.Draining))
 }
 
--- a/internal/agent/ticket_test.go
+++ b/internal/agent/ticket_test.go
@@ -62,6 +62,28 @@
 	}
 }
 
+// TestLateRepetition guards R4 during a drain: a repetition on a flow whose
+// handshake ended after the drain began is not answered not-run after a run.
+func TestLateRepetition(t *testing.T) {
+	_, url := newTestUpstream(t)
+	f := newFront(t, url, decl.Service{})
+	late := func(text string) string {
+		w, r := httptest.NewRecorder(), httptest.NewRequest("POST", "/", nil)
+		r.Header.Set(hdrs.Ticket, text)
+		(&Agent{handler: f.handler}).refuseLate(w, r)
+		return w.Header().Get(hdrs.Outcome)
+	}
+	used, unused := f.ticket(), f.ticket()
+	if r := f.do(t.Context(), "POST", "/", nil, hdrs.Ticket, used); r.status != 200 {
+		t.Fatalf("first request: want status 200, have %+v", r)
+	}
+	for text, want := range map[string]string{used: hdrs.Unknown, unused: hdrs.NotRun, "": hdrs.NotRun} {
+		if have := late(text); have != want {
+			t.Errorf("ticket %q: want %s, have %s", text, want, have)
+		}
+	}
+}
+
 // brokenBody fails after n octets, which makes the client reset the stream. It
 // waits first, because a reset may overtake the head of the request.
 type brokenBody struct {
