--- a/pkg/caller/options.go
+++ b/pkg/caller/options.go
@@ -15,9 +15,9 @@
 	// DefaultSilence is the shortest time without an answer after which a path
 	// counts as silent. It covers short stalls of either end.
 	DefaultSilence = 300 * time.Millisecond
-	// DefaultFeedSilence is the time after which a feed gives up a flow that
-	// stays silent on new sockets too, and opens another.
-	DefaultFeedSilence = 5 * time.Second
+	// DefaultGiveUp is the time without an answer to pings after which a flow
+	// that stays silent on new sockets too is closed.
+	DefaultGiveUp = 5 * time.Second
 	// DefaultIdleTimeout closes flows without requests.
 	DefaultIdleTimeout = time.Minute
 	// DefaultDialTimeout leaves room for several retransmissions of the first packet.
@@ -48,7 +48,7 @@
 	tls             *tls.Config
 	keepAlive       time.Duration
 	silence         time.Duration
-	feedSilence     time.Duration
+	giveUp          time.Duration
 	idleTimeout     time.Duration
 	dialTimeout     time.Duration
 	requestsPerFlow int
@@ -65,7 +65,7 @@
 		tls:             &tls.Config{},
 		keepAlive:       DefaultKeepAlive,
 		silence:         DefaultSilence,
-		feedSilence:     DefaultFeedSilence,
+		giveUp:          DefaultGiveUp,
 		idleTimeout:     DefaultIdleTimeout,
 		dialTimeout:     DefaultDialTimeout,
 		requestsPerFlow: DefaultRequestsPerFlow,
@@ -92,8 +92,11 @@
 // counts as silent; four smoothed round trips hold if they are longer.
 func WithSilence(d time.Duration) Option { return func(s *settings) { s.silence = d } }
 
-// WithFeedSilence sets the time after which a feed gives up a silent flow.
-func WithFeedSilence(d time.Duration) Option { return func(s *settings) { s.feedSilence = d } }
+// WithGiveUp sets the time without an answer to pings, also from new sockets,
+// after which a flow is closed. A feed opens again on another flow, a request
+// with a ticket repeats the ticket there, and the outcome of other requests in
+// progress is unknown.
+func WithGiveUp(d time.Duration) Option { return func(s *settings) { s.giveUp = d } }
 
 // WithIdleTimeout sets the time after which a flow without requests is closed.
 func WithIdleTimeout(d time.Duration) Option { return func(s *settings) { s.idleTimeout = d } }
--- a/pkg/caller/path.go
+++ b/pkg/caller/path.go
@@ -50,7 +50,7 @@
 // watchPath pings, migrates and closes the flow until the connection ends.
 func (f *flow) watchPath() {
 	s := f.client.settings
-	f.watch.init(now(), s.keepAlive, s.silence, s.feedSilence)
+	f.watch.init(now(), s.keepAlive, s.silence, s.giveUp)
 	defer context.AfterFunc(f.client.ctx, f.shut)()
 	migrated := make(chan struct{}, 1)
 	migrating := false
--- a/pkg/caller/path_test.go
+++ b/pkg/caller/path_test.go
@@ -113,7 +113,7 @@
 func TestFrozenServer(t *testing.T) {
 	s := newServer(t, stub.New("listas", 0))
 	fab := newFabric(t, s)
-	c := newClient(t, WithFeedSilence(5*time.Second))
+	c := newClient(t, WithGiveUp(5*time.Second))
 	feed, err := c.Feed(t.Context(), "https://"+fab.Addr().String()+"/feeds/prices?everyMillis=10", nil)
 	must(t, err)
 	defer feed.Close()
@@ -148,7 +148,7 @@
 
 // TestSilence guards the decision: a ping is due within the time of the use, a
 // path with answers within the limit is never left, and a silent one is left
-// within the sum of both and one step, with growing waits.
+// within the sum of both and one step, with growing waits, and given up at last.
 func TestSilence(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rtt := time.Duration(rapid.IntRange(0, 300).Draw(t, "rtt")) * time.Millisecond
@@ -156,14 +156,15 @@
 		answer := time.Duration(rapid.IntRange(0, 2000).Draw(t, "answer")) * time.Millisecond
 		start := time.Unix(0, 0)
 		var s silence
-		s.init(start, 10*time.Second, 300*time.Millisecond, time.Hour)
+		s.init(start, 10*time.Second, 300*time.Millisecond, 5*time.Second)
 		limit := max(4*rtt, 300*time.Millisecond)
 		var (
 			received     uint64
 			pinged, last time.Time
 			moves        []time.Time
+			closed       bool
 		)
-		for at := start; at.Before(start.Add(40 * time.Second)); {
+		for at := start; at.Before(start.Add(40*time.Second)) && !closed; {
 			if !pinged.IsZero() && at.Sub(pinged) >= answer && answer < limit-busyStep {
 				received++
 				pinged = time.Time{}
@@ -178,17 +179,27 @@
 				last = at
 			case actMigrate:
 				moves = append(moves, at)
+			case actClose:
+				closed = true
+				checkBetween(t, "time from ping to give-up", at.Sub(last), 5*time.Second, 5*time.Second+busyStep)
 			}
 			at = at.Add(next)
 		}
 		if answer < limit-busyStep && len(moves) > 0 {
 			t.Fatalf("left a path that answers after %v within the limit %v", answer, limit)
 		}
-		if answer >= limit && len(moves) < 2 {
-			t.Fatalf("left a silent path %d times in 40 s", len(moves))
+		if answer < limit {
+			return
 		}
-		if answer >= limit && moves[0].Sub(last) > limit+busyStep {
-			t.Fatalf("left %v after the ping, limit %v", moves[0].Sub(last), limit)
+		if len(moves) < 2 || !closed {
+			t.Fatalf("left a silent path %d times in 40 s, closed %v", len(moves), closed)
 		}
+		checkBetween(t, "time from ping to migration", moves[0].Sub(last), limit, limit+busyStep)
 	})
 }
+
+func checkBetween(t *rapid.T, what string, have, low, high time.Duration) {
+	if have < low || have > high {
+		t.Fatalf("%s: want %v to %v, have %v", what, low, high, have)
+	}
+}
--- a/pkg/caller/silence.go
+++ b/pkg/caller/silence.go
@@ -45,7 +45,7 @@
 // silence decides when a path is silent. A path is silent when a ping is not
 // answered within the limit, because silence alone may be a slow upstream.
 type silence struct {
-	keepAlive, floor, feedLimit time.Duration
+	keepAlive, floor, giveUp time.Duration
 
 	received     uint64
 	lastReceived time.Time
@@ -57,8 +57,8 @@
 	nextMigration time.Time
 }
 
-func (s *silence) init(now time.Time, keepAlive, floor, feedLimit time.Duration) {
-	*s = silence{keepAlive: keepAlive, floor: floor, feedLimit: feedLimit, lastReceived: now}
+func (s *silence) init(now time.Time, keepAlive, floor, giveUp time.Duration) {
+	*s = silence{keepAlive: keepAlive, floor: floor, giveUp: giveUp, lastReceived: now}
 }
 
 // limit is the longest time without an answer to a ping.
@@ -92,7 +92,7 @@
 	quiet := now.Sub(s.lastReceived)
 	limit := s.limit(rtt)
 	switch {
-	case u == useFeed && quiet >= s.feedLimit:
+	case !s.pinged.IsZero() && now.Sub(s.pinged) >= s.giveUp:
 		return actClose
 	case s.pinged.IsZero() && quiet >= s.pingAfter(limit, u):
 		s.pinged = now
