--- a/cmd/bramleycourse/load.go
+++ b/cmd/bramleycourse/load.go
@@ -21,16 +21,20 @@
 	Feeds       int           `help:"Feeds per target." default:"0"`
 	Downloads   int           `help:"Download flows per target." default:"0"`
 	Shorts      int           `help:"Flows for short requests per target." default:"0"`
+	Tiles       int           `help:"Flows for tiles per target." default:"0"`
 	Tickets     int           `help:"Flows for updates with tickets per target." default:"0"`
 	ShortRate   float64       `help:"Short requests per second and target." default:"100"`
+	TileRate    float64       `help:"Tiles per second and target." default:"100"`
 	TicketRate  float64       `help:"Updates per second and target." default:"10"`
 	SheetBytes  int           `help:"Size of a download in octets." default:"1000000"`
+	SheetRate   float64       `help:"Speed of a download in octets per second; 0 means no limit." default:"0"`
 	Duration    time.Duration `help:"Length of the run." default:"10s"`
 	Timeout     time.Duration `help:"Deadline of one request." default:"5s"`
 	Seed        uint64        `help:"Seed of the arrivals." default:"1"`
 	AllowRemote bool          `help:"Allow addresses that are not loopback."`
 	Stub        []string      `help:"Base URL of an upstream stand-in to collect counts from; repeated."`
 	JSON        bool          `name:"json" help:"Print the result as one JSON object on the last line."`
+	Quiet       bool          `help:"Show no progress."`
 }
 
 // Run runs the load and fails when a flow broke or an answer was wrong.
@@ -43,20 +47,22 @@
 	if err != nil {
 		return err
 	}
-	b, err := json.MarshalIndent(s, "", "  ")
+	s.Print(os.Stdout)
 	if c.JSON {
-		b, err = json.Marshal(s)
-	}
-	if err != nil {
-		return err
+		if err := json.NewEncoder(os.Stdout).Encode(s); err != nil {
+			return err
+		}
 	}
-	fmt.Println(string(b))
 	if s.Failed() {
-		return fmt.Errorf("%d flows broke and %d answers were wrong", s.BrokenFlows, s.WrongAnswers)
+		return fmt.Errorf("%d flows broke, %d connections were lost, %d answers were wrong, or a count of the stubs does not fit", s.BrokenFlows, s.LostConnections, s.WrongAnswers)
 	}
 	return nil
 }
 
+func showProgress(p load.Progress) {
+	fmt.Fprintf(os.Stderr, "%3.0f s: %d requests, %d in progress, %d failures\n", p.Elapsed.Seconds(), p.Requests, p.InFlight, p.Failures)
+}
+
 func (c *loadCmd) config() (load.Config, error) {
 	pem, err := os.ReadFile(c.CA)
 	if err != nil {
@@ -67,19 +73,25 @@
 		return load.Config{}, fmt.Errorf("%s holds no certificate", c.CA)
 	}
 	conf := load.Config{
-		Feeds: c.Feeds, Downloads: c.Downloads, Shorts: c.Shorts, Tickets: c.Tickets,
-		ShortRate: c.ShortRate, TicketRate: c.TicketRate, SheetBytes: c.SheetBytes,
 		Duration: c.Duration, Timeout: c.Timeout, Seed: c.Seed,
 		TLS:         &tls.Config{RootCAs: pool, ServerName: c.ServerName},
 		AllowRemote: c.AllowRemote, Stubs: c.Stub,
 	}
+	if !c.Quiet {
+		conf.Progress = showProgress
+	}
+	mix := load.Mix{
+		Feeds: c.Feeds, Downloads: c.Downloads, Shorts: c.Shorts, Tiles: c.Tiles, Tickets: c.Tickets,
+		ShortRate: c.ShortRate, TileRate: c.TileRate, TicketRate: c.TicketRate,
+		SheetBytes: c.SheetBytes, SheetRate: c.SheetRate,
+	}
 	for _, t := range c.Target {
 		name, addr, _ := strings.Cut(t, "=")
 		a, err := netip.ParseAddrPort(addr)
 		if err != nil {
 			return load.Config{}, fmt.Errorf("target %q is not NAME=IP:PORT: %w", t, err)
 		}
-		conf.Targets = append(conf.Targets, load.Target{Service: name, Addr: a})
+		conf.Targets = append(conf.Targets, load.Target{Service: name, Addr: a, Mix: mix})
 	}
 	return conf, nil
 }
--- /dev/null
+++ b/internal/load/compare.go
@@ -0,0 +1,105 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/stub"
+)
+
+const collectTimeout = 10 * time.Second
+
+type stubCounts = stub.Counts
+
+// readStubs returns the counts of the stubs by base URL.
+func (r *runner) readStubs() map[string]*stubCounts {
+	all := map[string]*stubCounts{}
+	client := http.Client{Timeout: collectTimeout}
+	defer client.CloseIdleConnections()
+	for _, u := range r.config.Stubs {
+		c := new(stubCounts)
+		resp, err := client.Get(u + "/counts")
+		if err == nil {
+			err = json.NewDecoder(resp.Body).Decode(c)
+			resp.Body.Close()
+		}
+		if err != nil {
+			r.result.StubErrors = append(r.result.StubErrors, fmt.Sprintf("%s: %v", u, err))
+			continue
+		}
+		all[u] = c
+	}
+	return all
+}
+
+// compare compares what the callers were told with what the stubs counted
+// between two readings.
+func (r *runner) compare(before, after map[string]*stubCounts) {
+	s := &r.result
+	runs, overflowed := map[string]int{}, 0
+	requests, busy := map[string][]float64{}, map[string][]float64{}
+	for u, c := range after {
+		b := before[u]
+		if b == nil {
+			b = new(stubCounts)
+		}
+		s.Misrouted += c.Misrouted - b.Misrouted
+		overflowed += c.RunsOverflowed - b.RunsOverflowed
+		requests[c.Service] = append(requests[c.Service], float64(c.Requests-b.Requests))
+		busy[c.Service] = append(busy[c.Service], c.BusyMillis-b.BusyMillis)
+		for id, n := range c.Runs {
+			if strings.HasPrefix(id, r.run) {
+				runs[id] += n
+			}
+		}
+	}
+	for name, v := range s.Services {
+		v.RequestImbalance, v.BusyImbalance = Imbalance(requests[name]), Imbalance(busy[name])
+	}
+	if len(r.config.Stubs) > 0 {
+		r.compareIDs(runs, overflowed)
+	}
+}
+
+func (r *runner) compareIDs(runs map[string]int, overflowed int) {
+	s := &r.result
+	for _, n := range runs {
+		if n > 1 {
+			s.RanTwice++
+		}
+	}
+	for _, id := range r.notRun {
+		if runs[id] > 0 {
+			s.NotRunButRan++
+		}
+	}
+	if overflowed > 0 {
+		// A stub forgot some ids, so a missing one proves nothing.
+		s.Unchecked += len(r.answered)
+		return
+	}
+	for _, id := range r.answered {
+		if runs[id] == 0 {
+			s.Lost++
+		}
+	}
+}
+
+// Imbalance returns max/mean; 1 when all values are zero and 0 without values.
+func Imbalance(vs []float64) float64 {
+	var sum, most float64
+	for _, v := range vs {
+		sum += v
+		most = max(most, v)
+	}
+	switch {
+	case len(vs) == 0:
+		return 0
+	case sum <= 0:
+		return 1
+	}
+	return most * float64(len(vs)) / sum
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -5,11 +5,10 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/tls"
 	"fmt"
-	"math/rand/v2"
 	"net/netip"
-	"strconv"
 	"sync"
 	"time"
 
@@ -28,51 +27,106 @@
 	maxInFlight = 10_000
 	// maxLatency is the highest latency that the histogram can hold.
 	maxLatency = 5 * time.Minute
+	// maxSheet bounds a download in octets.
+	maxSheet = 1 << 30
+	// maxIDs bounds the request ids kept to compare with the stubs, which
+	// remember as many. Further requests are counted as unchecked.
+	maxIDs = 1 << 20
+
+	progressInterval = time.Second
 )
 
-// Target is a service address.
+// Mix is the work on one service.
+type Mix struct {
+	// Feeds, Downloads, Shorts, Tiles and Tickets are numbers of flows. A feed
+	// and a download flow are always busy; the others share their arrivals.
+	Feeds, Downloads, Shorts, Tiles, Tickets int
+	// ShortRate, TileRate and TicketRate are arrivals per second.
+	ShortRate, TileRate, TicketRate float64
+	// SheetBytes is the size of a download in octets.
+	SheetBytes int
+	// SheetRate slows a download to so many octets per second; 0 means no limit.
+	SheetRate float64
+}
+
+func (m *Mix) flows() int { return m.Feeds + m.Downloads + m.Shorts + m.Tiles + m.Tickets }
+
+func (m *Mix) valid() bool {
+	for _, n := range []int{m.Feeds, m.Downloads, m.Shorts, m.Tiles, m.Tickets, m.SheetBytes} {
+		if n < 0 || n > maxSheet {
+			return false
+		}
+	}
+	for _, v := range []float64{m.ShortRate, m.TileRate, m.TicketRate} {
+		if !(v >= 0 && v <= maxRate) {
+			return false
+		}
+	}
+	return m.SheetRate >= 0
+}
+
+// Target is a service address with the work to run against it.
 type Target struct {
 	Service string
 	Addr    netip.AddrPort
+	Mix
 }
 
-// Config says what to run against each target.
+// Config says what to run.
 type Config struct {
+	// Targets have different service names.
 	Targets []Target
-	// Feeds, Downloads, Shorts and Tickets are the numbers of flows per target.
-	Feeds, Downloads, Shorts, Tickets int
-	// ShortRate and TicketRate are arrivals per second and target.
-	ShortRate, TicketRate float64
-	// SheetBytes is the size of a download.
-	SheetBytes int
-	Duration   time.Duration
-	// Timeout is the deadline of one short request or update.
+	// Duration ends the run, unless its context ends before.
+	Duration time.Duration
+	// Timeout is the deadline of one short request, tile or update.
 	Timeout     time.Duration
 	Seed        uint64
 	TLS         *tls.Config
 	AllowRemote bool
 	// Stubs are base URLs of upstream stand-ins whose counts are collected.
 	Stubs []string
+	// Progress is called about every second while the load runs; it may be nil.
+	Progress func(Progress)
+}
+
+// Progress is what has happened so far.
+type Progress struct {
+	Elapsed  time.Duration
+	Requests int
+	InFlight int
+	// Failures counts broken flows and wrong answers.
+	Failures int
 }
 
 // Validate checks the bounds and that all targets are on this machine.
 func (c *Config) Validate() error {
-	flows := len(c.Targets) * (c.Feeds + c.Downloads + c.Shorts + c.Tickets)
+	flows := 0
+	for _, t := range c.Targets {
+		if !t.valid() {
+			return fmt.Errorf("work on %s: numbers must not be negative, rates not above %d/s, sizes not above %d octets", t.Service, maxRate, maxSheet)
+		}
+		flows += t.flows()
+	}
 	switch {
 	case len(c.Targets) == 0:
 		return fmt.Errorf("no service address is given")
-	case c.Feeds < 0 || c.Downloads < 0 || c.Shorts < 0 || c.Tickets < 0 || flows > MaxFlows:
-		return fmt.Errorf("%d flows are not between 0 and %d", flows, MaxFlows)
-	case c.Duration <= 0 || c.Duration > MaxDuration || c.Timeout <= 0:
-		return fmt.Errorf("duration %v is not between 0 and %v, or timeout %v is not above 0", c.Duration, MaxDuration, c.Timeout)
-	case c.ShortRate < 0 || c.TicketRate < 0 || c.ShortRate > maxRate || c.TicketRate > maxRate:
-		return fmt.Errorf("rates are not between 0 and %d", maxRate)
+	case flows > MaxFlows:
+		return fmt.Errorf("%d flows are more than %d", flows, MaxFlows)
+	case c.Duration <= 0 || c.Duration > MaxDuration:
+		return fmt.Errorf("duration %v is not between 0 and %v", c.Duration, MaxDuration)
+	case c.Timeout <= 0 || c.Timeout > maxLatency:
+		return fmt.Errorf("timeout %v is not between 0 and %v", c.Timeout, maxLatency)
 	}
 	return c.validateTargets()
 }
 
 func (c *Config) validateTargets() error {
+	names := map[string]bool{}
 	for _, t := range c.Targets {
+		if t.Service == "" || names[t.Service] {
+			return fmt.Errorf("service name %q is empty or given twice", t.Service)
+		}
+		names[t.Service] = true
 		if !t.Addr.Addr().IsLoopback() && !c.AllowRemote {
 			return fmt.Errorf("address %s of %s is not a loopback address", t.Addr, t.Service)
 		}
@@ -81,17 +135,20 @@
 }
 
 type runner struct {
-	config  Config
-	clients []*caller.Client
+	config Config
+	// run is part of each request id, so that the stubs tell runs apart.
+	run     string
+	start   time.Time
+	clients map[string][]*caller.Client
 	place   chan struct{}
 	wg      sync.WaitGroup
 
-	mu       sync.Mutex
-	result   Result
-	latency  *hdrhistogram.Histogram
-	nextID   int
-	answered []string
-	notRun   []string
+	mu      sync.Mutex
+	result  Result
+	latency map[string]map[Kind]*hdrhistogram.Histogram
+	nextID  int
+	// answered and notRun hold ids, together at most maxIDs.
+	answered, notRun []string
 }
 
 // Run runs the load until its duration has passed or the context ends, and
@@ -102,83 +159,88 @@
 	}
 	r := &runner{
 		config:  c,
+		run:     rand.Text(),
+		clients: map[string][]*caller.Client{},
 		place:   make(chan struct{}, maxInFlight),
-		latency: hdrhistogram.New(1, maxLatency.Microseconds(), 3),
+		latency: map[string]map[Kind]*hdrhistogram.Histogram{},
+		result:  Result{Services: map[string]*ServiceResult{}},
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.Duration)
+	before := r.readStubs()
+	r.start = time.Now()
+	ctx, cancel := endless(ctx)
 	defer cancel()
+	defer time.AfterFunc(c.Duration, cancel).Stop()
 	for i, t := range c.Targets {
-		for range c.Feeds {
-			r.start(func(l *caller.Client) { r.feed(ctx, l, t) })
-		}
-		for range c.Downloads {
-			r.start(func(l *caller.Client) { r.downloads(ctx, l, t) })
-		}
-		r.arrivals(ctx, t, c.Shorts, c.ShortRate, uint64(2*i), r.short)
-		r.arrivals(ctx, t, c.Tickets, c.TicketRate, uint64(2*i+1), r.ticket)
+		r.latency[t.Service] = map[Kind]*hdrhistogram.Histogram{}
+		r.result.Services[t.Service] = &ServiceResult{Latency: map[Kind]Latency{}}
+		r.target(ctx, t, uint64(i))
 	}
+	stop := r.report()
 	r.wg.Wait()
-	r.finish()
+	stop()
+	r.finish(before)
 	return &r.result, nil
 }
 
-func (r *runner) client() *caller.Client {
-	l := caller.New(caller.WithTLS(r.config.TLS), caller.WithFlowsPerService(1))
-	r.clients = append(r.clients, l)
-	return l
+// endless returns a context without a deadline that ends with its parent. A
+// deadline would be sent to the agent, which may cut feeds and downloads at the
+// end of the run a moment before their callers leave.
+func endless(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
+	context.AfterFunc(parent, cancel)
+	return ctx, cancel
 }
 
-func (r *runner) start(run func(*caller.Client)) {
-	l := r.client()
-	r.wg.Go(func() { run(l) })
+// target starts the work on one service.
+func (r *runner) target(ctx context.Context, t Target, stream uint64) {
+	for range t.Feeds {
+		l := r.client(t)
+		r.wg.Go(func() { r.feed(ctx, l, t) })
+	}
+	for range t.Downloads {
+		l := r.client(t)
+		r.wg.Go(func() { r.downloads(ctx, l, t) })
+	}
+	r.arrivals(ctx, t, t.Shorts, t.ShortRate, 3*stream, r.short)
+	r.arrivals(ctx, t, t.Tiles, t.TileRate, 3*stream+1, r.tile)
+	r.arrivals(ctx, t, t.Tickets, t.TicketRate, 3*stream+2, r.ticket)
 }
 
-// arrivals starts requests at times drawn in advance, each on one of the flows.
-func (r *runner) arrivals(ctx context.Context, t Target, flows int, rate float64, stream uint64, run func(*caller.Client, Target, string, time.Time)) {
-	if flows == 0 || rate == 0 {
-		return
-	}
-	ls := make([]*caller.Client, flows)
-	for i := range ls {
-		ls[i] = r.client()
+// report calls Progress until the returned function is called.
+func (r *runner) report() (stop func()) {
+	if r.config.Progress == nil {
+		return func() {}
 	}
-	rng := rand.New(rand.NewPCG(r.config.Seed, stream))
-	r.wg.Go(func() {
-		timer := time.NewTimer(0)
-		defer timer.Stop()
-		<-timer.C
-		for due := time.Now(); ; {
-			due = due.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
-			timer.Reset(time.Until(due))
+	end, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		t := time.NewTicker(progressInterval)
+		defer t.Stop()
+		for {
 			select {
-			case <-ctx.Done():
+			case <-t.C:
+				r.config.Progress(r.progress())
+			case <-end:
 				return
-			case <-timer.C:
 			}
-			r.launch(ls[rng.IntN(flows)], t, due, run)
 		}
-	})
+	}()
+	return func() { close(end); <-ended }
 }
 
-func (r *runner) launch(l *caller.Client, t Target, due time.Time, run func(*caller.Client, Target, string, time.Time)) {
-	select {
-	case r.place <- struct{}{}:
-	default:
-		r.count(func(s *Result) { s.Overruns++ })
-		return
-	}
+func (r *runner) progress() Progress {
 	r.mu.Lock()
-	r.nextID++
-	id := strconv.FormatUint(r.config.Seed, 36) + "-" + strconv.Itoa(r.nextID)
-	r.mu.Unlock()
-	r.wg.Go(func() {
-		defer func() { <-r.place }()
-		run(l, t, id, due)
-	})
+	defer r.mu.Unlock()
+	return Progress{
+		Elapsed:  time.Since(r.start),
+		Requests: r.result.Requests,
+		InFlight: len(r.place),
+		Failures: r.result.BrokenFlows + r.result.WrongAnswers,
+	}
 }
 
-func (r *runner) count(f func(*Result)) {
-	r.mu.Lock()
-	f(&r.result)
-	r.mu.Unlock()
+func (r *runner) client(t Target) *caller.Client {
+	l := caller.New(caller.WithTLS(r.config.TLS), caller.WithFlowsPerService(1))
+	r.clients[t.Service] = append(r.clients[t.Service], l)
+	return l
 }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -40,6 +41,9 @@
 	}
 	var tickets atomic.Int64
 	h := func(w http.ResponseWriter, r *http.Request) {
+		if (r.URL.Path == "/sheet" || strings.HasPrefix(r.URL.Path, "/feeds/")) && r.Header.Get(hdrs.Timeout) != "" {
+			t.Errorf("%s carries a deadline, at which an agent cuts it", r.URL.Path)
+		}
 		switch {
 		case r.URL.Path == hdrs.TicketPath:
 			w.WriteHeader(http.StatusCreated)
@@ -59,39 +63,61 @@
 	counts := httptest.NewServer(u)
 	t.Cleanup(func() { s.Close(); conn.Close(); counts.Close() })
 	return Config{
-		Targets: []Target{{"listas", conn.LocalAddr().(*net.UDPAddr).AddrPort()}},
-		Feeds:   2, Downloads: 1, Shorts: 4, Tickets: 2,
-		ShortRate: 100, TicketRate: 20, SheetBytes: 100_000,
+		Targets: []Target{{"listas", conn.LocalAddr().(*net.UDPAddr).AddrPort(), Mix{
+			Feeds: 2, Downloads: 1, Shorts: 4, Tiles: 1, Tickets: 2,
+			ShortRate: 100, TileRate: 30, TicketRate: 20, SheetBytes: 100_000, SheetRate: 1e6,
+		}}},
 		Duration: time.Second, Timeout: time.Second, Seed: 1,
 		TLS:   &tls.Config{RootCAs: a.Pool(), ServerName: "localhost"},
 		Stubs: []string{counts.URL},
 	}
 }
 
-// TestRun guards that an honest service passes and that a lying one is found out.
+// TestRun guards that an honest service passes, also in a second run against
+// the same stub, and that a lying one is found out.
 func TestRun(t *testing.T) {
-	s, err := Run(t.Context(), serve(t, stub.New("listas", time.Millisecond), false))
-	if err != nil || s.Failed() || s.NotRun+s.Unknown+s.Overruns != 0 {
-		t.Fatalf("honest service: %v, %+v", err, s)
-	}
-	if s.Requests < 60 || s.Events < 10 || s.Downloads == 0 || s.Flows != 9 || s.P99Millis < 1 {
-		t.Errorf("honest service: want 9 flows with work on each, have %+v", s)
+	c := serve(t, stub.New("listas", time.Millisecond), false)
+	for range 2 {
+		s, err := Run(t.Context(), c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		checkHonest(t, s)
 	}
-	s, err = Run(t.Context(), serve(t, stub.New("listas", 0), true))
+	s, err := Run(t.Context(), serve(t, stub.New("listas", 0), true))
 	if err != nil || !s.Failed() || s.WrongAnswers == 0 || s.Lost == 0 || s.NotRunButRan == 0 || s.RanTwice == 0 {
 		t.Errorf("lying service: %v, %+v", err, s)
 	}
 }
 
+func checkHonest(t *testing.T, s *Result) {
+	t.Helper()
+	if s.Failed() || s.NotRun+s.Unknown+s.Late+s.Overruns+s.Unchecked != 0 {
+		t.Fatalf("honest service: %+v", s)
+	}
+	v := s.Services["listas"]
+	if s.Requests < 60 || s.Events < 10 || s.Downloads == 0 || s.Flows != 10 || v.RequestImbalance != 1 {
+		t.Errorf("honest service: want 10 flows with work on each, have %+v", s)
+	}
+	for _, k := range []Kind{Short, Tile, Update} {
+		if l := v.Latency[k]; l.Count == 0 || l.P50Millis < 1 || l.P50Millis > l.P99Millis || l.P99Millis > l.MaxMillis {
+			t.Errorf("%s: want latencies of at least the work time, have %+v", k, l)
+		}
+	}
+}
+
 // TestValidate guards that load stays on this machine and bounded.
 func TestValidate(t *testing.T) {
-	ok := Config{Targets: []Target{{"a", netip.MustParseAddrPort("127.0.0.1:1")}}, Duration: time.Second, Timeout: time.Second}
+	target := func(addr string, m Mix) []Target { return []Target{{"a", netip.MustParseAddrPort(addr), m}} }
+	ok := Config{Targets: target("127.0.0.1:1", Mix{}), Duration: time.Second, Timeout: time.Second}
 	if err := ok.Validate(); err != nil {
 		t.Error(err)
 	}
 	for name, change := range map[string]func(*Config){
-		"remote":   func(c *Config) { c.Targets = []Target{{"a", netip.MustParseAddrPort("192.0.2.1:1")}} },
-		"flows":    func(c *Config) { c.Feeds = MaxFlows + 1 },
+		"remote":   func(c *Config) { c.Targets = target("192.0.2.1:1", Mix{}) },
+		"flows":    func(c *Config) { c.Targets = target("127.0.0.1:1", Mix{Feeds: MaxFlows + 1}) },
+		"rate":     func(c *Config) { c.Targets = target("127.0.0.1:1", Mix{ShortRate: math.NaN()}) },
+		"twice":    func(c *Config) { c.Targets = append(c.Targets, c.Targets...) },
 		"duration": func(c *Config) { c.Duration = 2 * MaxDuration },
 		"empty":    func(c *Config) { c.Targets = nil },
 	} {
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -1,125 +1,165 @@
 package load
 
 import (
-	"encoding/json"
 	"fmt"
-	"net/http"
-	"time"
-
-	"github.com/bramleycourse/bramleycourse/internal/stub"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
 )
 
+// Latency describes the answered work of one kind, in milliseconds from the
+// intended start to the last octet of the answer.
+type Latency struct {
+	Count     int64   `json:"count"`
+	P50Millis float64 `json:"p50Millis"`
+	P99Millis float64 `json:"p99Millis"`
+	// P999Millis is the latency that 0.1% exceed.
+	P999Millis float64 `json:"p999Millis"`
+	MaxMillis  float64 `json:"maxMillis"`
+}
+
+// ServiceResult is what one run measured at one service.
+type ServiceResult struct {
+	// Flows counts QUIC connections opened.
+	Flows     uint64           `json:"flows"`
+	Requests  int              `json:"requests"`
+	Downloads int              `json:"downloads"`
+	Events    int              `json:"events"`
+	Latency   map[Kind]Latency `json:"latency"`
+	// RequestImbalance and BusyImbalance are max/mean over the stubs of the
+	// service, of requests and of the time that slots were held; 0 without stubs.
+	RequestImbalance float64 `json:"requestImbalance"`
+	BusyImbalance    float64 `json:"busyImbalance"`
+}
+
+// Second holds the counts of the open loop in one second of the run: the
+// requests offered, and the outcomes by the time at which they were known.
+type Second struct {
+	Offered  int `json:"offered"`
+	Answered int `json:"answered"`
+	NotRun   int `json:"notRun"`
+	Unknown  int `json:"unknown"`
+	Late     int `json:"late"`
+}
+
 // Result is what one run measured.
 type Result struct {
-	// Flows counts QUIC connections opened.
-	Flows     uint64 `json:"flows"`
-	Requests  int    `json:"requests"`
-	Downloads int    `json:"downloads"`
-	Events    int    `json:"events"`
-	// BrokenFlows counts feeds and downloads that broke.
+	// Flows counts QUIC connections opened, LostConnections those that neither
+	// side closed on purpose.
+	Flows           uint64 `json:"flows"`
+	LostConnections uint64 `json:"lostConnections"`
+	Requests        int    `json:"requests"`
+	Downloads       int    `json:"downloads"`
+	Events          int    `json:"events"`
+	// BrokenFlows counts feeds, downloads and answers that broke.
 	BrokenFlows  int `json:"brokenFlows"`
 	WrongAnswers int `json:"wrongAnswers"`
 	NotRun       int `json:"notRun"`
 	Unknown      int `json:"unknown"`
+	// Late counts requests whose deadline passed after they were sent. They may
+	// have run.
+	Late int `json:"late"`
 	// Overruns counts arrivals that found too many requests in progress.
-	Overruns             int     `json:"overruns"`
-	LongestSilenceMillis int64   `json:"longestSilenceMillis"`
-	Migrations           uint64  `json:"migrations"`
-	P50Millis            float64 `json:"p50Millis"`
-	P99Millis            float64 `json:"p99Millis"`
-	P999Millis           float64 `json:"p999Millis"`
-	MaxMillis            float64 `json:"maxMillis"`
+	Overruns int `json:"overruns"`
+	// Unchecked counts requests that were not compared with the stubs because
+	// too many ids had to be remembered.
+	Unchecked            int    `json:"unchecked"`
+	LongestSilenceMillis int64  `json:"longestSilenceMillis"`
+	FeedMoves            uint64 `json:"feedMoves"`
+	Migrations           uint64 `json:"migrations"`
+	Retries              uint64 `json:"retries"`
 
-	// The rest comes from the stubs.
+	// The next four come from comparing with the stubs.
 	Misrouted int `json:"misrouted"`
 	RanTwice  int `json:"ranTwice"`
 	// NotRunButRan counts requests reported as not run that a stub has run,
 	// Lost those answered that no stub has seen.
 	NotRunButRan int `json:"notRunButRan"`
 	Lost         int `json:"lost"`
-	// RequestImbalance and BusyImbalance are max/mean over the stubs of a service.
-	RequestImbalance map[string]float64 `json:"requestImbalance"`
-	BusyImbalance    map[string]float64 `json:"busyImbalance"`
+
+	Services map[string]*ServiceResult `json:"services"`
+	Seconds  []Second                  `json:"seconds"`
+	// Faults describes the first broken flows and wrong answers.
+	Faults []string `json:"faults"`
 	// StubErrors names the stubs whose counts could not be read.
 	StubErrors []string `json:"stubErrors"`
 }
 
 // Failed says whether a flow broke, an answer was wrong or a guarantee did not hold.
 func (s *Result) Failed() bool {
-	return s.BrokenFlows+s.WrongAnswers+s.Misrouted+s.RanTwice+s.NotRunButRan+s.Lost+len(s.StubErrors) > 0
+	return s.BrokenFlows+s.WrongAnswers+s.Misrouted+s.RanTwice+s.NotRunButRan+s.Lost+len(s.StubErrors) > 0 || s.LostConnections > 0
 }
 
-func (r *runner) finish() {
-	s := &r.result
-	for _, l := range r.clients {
-		n := l.Stats()
-		s.Flows += n.Flows
-		s.Migrations += n.Migrations
-		l.Close()
-	}
-	at := func(p float64) float64 { return float64(r.latency.ValueAtPercentile(p)) / 1000 }
-	s.P50Millis, s.P99Millis, s.P999Millis, s.MaxMillis = at(50), at(99), at(99.9), at(100)
-	if len(r.config.Stubs) > 0 {
-		r.collect()
-	}
+// maxFaults bounds the faults that are described.
+const maxFaults = 10
+
+// broke counts a broken flow.
+func (s *Result) broke(service, what string, err error) {
+	s.BrokenFlows++
+	s.fault(service + " " + what + ": " + err.Error())
 }
 
-const collectTimeout = 10 * time.Second
+// wrong counts a wrong answer.
+func (s *Result) wrong(service, what string) {
+	s.WrongAnswers++
+	s.fault(service + " " + what + ": wrong answer")
+}
 
-func (r *runner) collect() {
-	s := &r.result
-	runs := map[string]int{}
-	requests, busy := map[string][]float64{}, map[string][]float64{}
-	client := http.Client{Timeout: collectTimeout}
-	for _, u := range r.config.Stubs {
-		var c stub.Counts
-		resp, err := client.Get(u + "/counts")
-		if err == nil {
-			err = json.NewDecoder(resp.Body).Decode(&c)
-			resp.Body.Close()
-		}
-		if err != nil {
-			s.StubErrors = append(s.StubErrors, fmt.Sprintf("%s: %v", u, err))
-			continue
-		}
-		s.Misrouted += c.Misrouted
-		requests[c.Service] = append(requests[c.Service], float64(c.Requests))
-		busy[c.Service] = append(busy[c.Service], c.BusyMillis)
-		for id, n := range c.Runs {
-			runs[id] += n
-		}
+func (s *Result) fault(text string) {
+	if len(s.Faults) < maxFaults {
+		s.Faults = append(s.Faults, text)
 	}
-	s.RequestImbalance, s.BusyImbalance = imbalances(requests), imbalances(busy)
-	for _, n := range runs {
-		if n > 1 {
-			s.RanTwice++
-		}
-	}
-	for _, id := range r.notRun {
-		if runs[id] > 0 {
-			s.NotRunButRan++
+}
+
+func (r *runner) finish(before map[string]*stubCounts) {
+	s := &r.result
+	for name, ls := range r.clients {
+		for _, l := range ls {
+			n := l.Stats()
+			s.Flows += n.Flows
+			s.Services[name].Flows += n.Flows
+			s.LostConnections += n.BrokenFlows
+			s.Migrations += n.Migrations
+			s.Retries += n.Retries
+			l.Close()
 		}
 	}
-	for _, id := range r.answered {
-		if runs[id] == 0 {
-			s.Lost++
+	for name, kinds := range r.latency {
+		for k, h := range kinds {
+			at := func(p float64) float64 { return float64(h.ValueAtPercentile(p)) / 1000 }
+			s.Services[name].Latency[k] = Latency{h.TotalCount(), at(50), at(99), at(99.9), at(100)}
 		}
 	}
+	r.compare(before, r.readStubs())
 }
 
-// imbalances returns max/mean by service; 1 when nothing was counted.
-func imbalances(by map[string][]float64) map[string]float64 {
-	out := map[string]float64{}
-	for name, vs := range by {
-		var sum, most float64
-		for _, v := range vs {
-			sum += v
-			most = max(most, v)
+// Print writes the result as a table.
+func (s *Result) Print(out io.Writer) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "service\tflows\twork\tanswered\tp50 ms\tp99 ms\tp99.9 ms\tmax ms\timbalance: requests\tbusy time\t")
+	for _, name := range slices.Sorted(maps.Keys(s.Services)) {
+		v := s.Services[name]
+		fmt.Fprintf(w, "%s\t%d\t\t\t\t\t\t\t%.2f\t%.2f\t\n", name, v.Flows, v.RequestImbalance, v.BusyImbalance)
+		for _, k := range slices.Sorted(maps.Keys(v.Latency)) {
+			l := v.Latency[k]
+			fmt.Fprintf(w, "\t\t%s\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t\t\t\n", k, l.Count, l.P50Millis, l.P99Millis, l.P999Millis, l.MaxMillis)
 		}
-		out[name] = 1
-		if sum > 0 {
-			out[name] = most * float64(len(vs)) / sum
+		if v.Events > 0 {
+			fmt.Fprintf(w, "\t\tfeed events\t%d\t\t\t\t\t\t\t\n", v.Events)
 		}
 	}
-	return out
+	w.Flush()
+	fmt.Fprintf(out, "\n%d flows, %d requests, %d downloads, %d feed events; longest silence of a feed %d ms, %d feed moves\n",
+		s.Flows, s.Requests, s.Downloads, s.Events, s.LongestSilenceMillis, s.FeedMoves)
+	fmt.Fprintf(out, "not run %d, outcome unknown %d, late %d, retries %d, overruns %d, unchecked %d\n",
+		s.NotRun, s.Unknown, s.Late, s.Retries, s.Overruns, s.Unchecked)
+	fmt.Fprintf(out, "broken flows %d, lost connections %d, wrong answers %d, misrouted %d, ran twice %d, not run but ran %d, lost %d\n",
+		s.BrokenFlows, s.LostConnections, s.WrongAnswers, s.Misrouted, s.RanTwice, s.NotRunButRan, s.Lost)
+	for _, f := range s.Faults {
+		fmt.Fprintln(out, "fault:", f)
+	}
+	for _, e := range s.StubErrors {
+		fmt.Fprintln(out, "counts of a stub could not be read:", e)
+	}
 }
