--- a/internal/load/kinds.go
+++ b/internal/load/kinds.go
@@ -135,7 +135,7 @@
 
 // downloads fetches one sheet after the other and checks its hash.
 func (r *runner) downloads(ctx context.Context, l *caller.Client, t Target) {
-	url := fmt.Sprintf("https://%s/sheet?size=%d&bytesPerSecond=%g", t.Addr, t.SheetBytes, t.SheetRate)
+	url := fmt.Sprintf("https://%s/sheet?size=%d&bytesPerSecond=%.0f", t.Addr, t.SheetBytes, t.SheetRate)
 	for ctx.Err() == nil {
 		start := time.Now()
 		wrong, err := download(ctx, l, t.Service, url)
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -99,6 +99,9 @@
 	if s.Requests < 60 || s.Events < 10 || s.Downloads == 0 || s.Flows != 10 || v.RequestImbalance != 1 {
 		t.Errorf("honest service: want 10 flows with work on each, have %+v", s)
 	}
+	if d := v.Latency[Download]; d.P50Millis < 90 {
+		t.Errorf("want downloads of 100 kB at 1 MB/s to take 100 ms, have %+v", d)
+	}
 	for _, k := range []Kind{Short, Tile, Update} {
 		if l := v.Latency[k]; l.Count == 0 || l.P50Millis < 1 || l.P50Millis > l.P99Millis || l.P99Millis > l.MaxMillis {
 			t.Errorf("%s: want latencies of at least the work time, have %+v", k, l)
--- a/internal/stub/serve.go
+++ b/internal/stub/serve.go
@@ -108,7 +108,14 @@
 		http.Error(w, fmt.Sprintf("size %q is not between 0 and %d", q.Get("size"), int64(maxSheet)), http.StatusBadRequest)
 		return
 	}
-	rate, _ := strconv.ParseFloat(q.Get("bytesPerSecond"), 64)
+	rate := 0.0
+	if q.Has("bytesPerSecond") {
+		rate, err = strconv.ParseFloat(q.Get("bytesPerSecond"), 64)
+	}
+	if err != nil || rate < 0 {
+		http.Error(w, fmt.Sprintf("bytesPerSecond %q is not a number of at least 0", q.Get("bytesPerSecond")), http.StatusBadRequest)
+		return
+	}
 	u.serveBody(w, r, r.URL.Path, size, rate)
 }
 
