--- /dev/null
+++ b/internal/demo/demo_test.go
@@ -0,0 +1,80 @@
+package demo
+
+import (
+	"encoding/json"
+	"os"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+)
+
+// TestRun guards that the demo reports its counts as promised, that two demos
+// at once do not meet, and that nothing is left behind.
+func TestRun(t *testing.T) {
+	dir := t.TempDir()
+	t.Setenv("TMPDIR", dir)
+	goroutines := runtime.NumGoroutine()
+	var all sync.WaitGroup
+	for range 2 {
+		all.Go(func() {
+			r, err := Run(t.Context(), Options{Steady: time.Second, Settle: 500 * time.Millisecond})
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			check(t, r)
+		})
+	}
+	all.Wait()
+	if left, err := os.ReadDir(dir); err != nil || len(left) > 0 {
+		t.Errorf("files left behind: %v %v", left, err)
+	}
+	for end := time.Now().Add(10 * time.Second); runtime.NumGoroutine() > goroutines+5; time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			b := make([]byte, 1<<20)
+			t.Fatalf("%d goroutines before, %d after:\n%s", goroutines, runtime.NumGoroutine(), b[:runtime.Stack(b, true)])
+		}
+	}
+}
+
+// counts are the promised fields of the JSON form.
+type counts struct {
+	Flows, Requests                                      *int
+	BrokenFlows, Misrouted, RanTwice, NotRunButRan, Lost *int
+	Imbalance                                            map[string]float64
+}
+
+func check(t *testing.T, r *Result) {
+	b, err := json.Marshal(r)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	var c counts
+	if err := json.Unmarshal(b, &c); err != nil {
+		t.Error(err)
+		return
+	}
+	for name, n := range map[string]*int{
+		"brokenFlows": c.BrokenFlows, "misrouted": c.Misrouted, "ranTwice": c.RanTwice,
+		"notRunButRan": c.NotRunButRan, "lost": c.Lost,
+	} {
+		if n == nil || *n != 0 {
+			t.Errorf("want %s of 0 in %s", name, b)
+		}
+	}
+	if !atLeast(c.Flows, 300) || !atLeast(c.Requests, 500) || r.Failed() {
+		t.Errorf("want 300 flows, 500 requests and no failure, have %s", b)
+	}
+	for _, name := range []string{"listas", "fichas", "trek", "map"} {
+		if v := c.Imbalance[name]; v < 1 || v > 7 {
+			t.Errorf("imbalance of %s is %v", name, v)
+		}
+	}
+	if r.Drained != 5 || r.Events == 0 || r.Downloads == 0 {
+		t.Errorf("want 5 members drained, feeds and downloads, have %+v", r)
+	}
+}
+
+func atLeast(n *int, least int) bool { return n != nil && *n >= least }
