--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -10,7 +9,6 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"github.com/bramleycourse/bramleycourse/internal/health"
 	"github.com/bramleycourse/bramleycourse/internal/view"
 )
 
@@ -53,11 +51,6 @@
 	retry map[string]retry
 }
 
-type retry struct {
-	at      time.Time
-	backoff time.Duration
-}
-
 // NewClient returns a client without sessions.
 func NewClient(o ClientOptions) *Client {
 	if o.Self.Seq == 0 {
@@ -92,94 +85,6 @@
 	}
 }
 
-// manage dials the best balancers while there are too few sessions. Sessions to
-// draining balancers do not count, so the next one is open before they end.
-func (c *Client) manage(ctx context.Context) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	have := len(c.dialing)
-	for _, s := range c.sessions {
-		if e, ok := c.view.Get(s.remote.Key); !ok || e.State == view.Serving {
-			have++
-		}
-	}
-	if have >= sessionsPerAgent {
-		return
-	}
-	for _, addr := range c.candidates() {
-		if have >= sessionsPerAgent {
-			return
-		}
-		if c.sessions[addr] != nil || c.dialing[addr] || time.Now().Before(c.retry[addr].at) {
-			continue
-		}
-		have++
-		c.dialing[addr] = true
-		go c.connect(ctx, addr)
-	}
-}
-
-// candidates returns the addresses of balancers, the best first: serving ones
-// by rendezvous rank, then seeds, which may not be in the list yet.
-func (c *Client) candidates() []string {
-	es := slices.DeleteFunc(c.view.Balancers(), func(e view.Entry) bool { return e.State != view.Serving })
-	own := c.self.Key.Hash()
-	slices.SortFunc(es, func(a, b view.Entry) int {
-		return cmp.Compare(health.Rank(b.Key.Hash(), own), health.Rank(a.Key.Hash(), own))
-	})
-	var addrs []string
-	for _, e := range es {
-		addrs = append(addrs, e.Peer.String())
-	}
-	// Seeds may be draining or replaced by now, so known balancers come first.
-	for _, s := range c.o.Seeds {
-		if !slices.Contains(addrs, s) && !c.draining(s) {
-			addrs = append(addrs, s)
-		}
-	}
-	return addrs
-}
-
-func (c *Client) draining(addr string) bool {
-	return slices.ContainsFunc(c.view.Balancers(), func(e view.Entry) bool {
-		return e.Peer.String() == addr && e.State != view.Serving
-	})
-}
-
-func (c *Client) connect(ctx context.Context, addr string) {
-	hello := c.item()
-	s, err := dial(ctx, addr, c.o.TLS, c.traffic, hello)
-	c.mu.Lock()
-	delete(c.dialing, addr)
-	// Closing happens under the mutex, so a session is either seen there or here.
-	if err == nil && (ctx.Err() != nil || !s.remote.Key.IsBalancer()) {
-		s.close()
-		err = &FrameError{"hello", "is not that of a balancer"}
-	}
-	if err != nil {
-		c.failed(addr)
-		c.mu.Unlock()
-		return
-	}
-	delete(c.retry, addr)
-	c.sessions[addr] = s
-	if c.self != hello {
-		s.send(entryFrames([]view.Item{c.self}, nil)...)
-	}
-	c.mu.Unlock()
-	c.run(s)
-	c.mu.Lock()
-	delete(c.sessions, addr)
-	c.failed(addr)
-	c.mu.Unlock()
-}
-
-// failed delays the next attempt to dial an address; the caller holds the mutex.
-func (c *Client) failed(addr string) {
-	b := max(minBackoff, min(2*c.retry[addr].backoff, maxBackoff))
-	c.retry[addr] = retry{at: time.Now().Add(b/2 + rand.N(b)), backoff: b}
-}
-
 func (c *Client) item() view.Item {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/peer/marks_test.go
+++ b/internal/peer/marks_test.go
@@ -39,3 +39,58 @@
 		t.Errorf("want no mark of the stopped balancer, have it at %d", n)
 	}
 }
+
+// TestMarkTraffic guards the control budget of 21 KB/s when a place fails: 750
+// endpoints with two marks each must not cost more, at a balancer with 3
+// sessions that it opened and 3 that it accepted.
+func TestMarkTraffic(t *testing.T) {
+	const count = 750
+	ns := startNodes(t, 4)
+	eventually(t, 10*time.Second, "6 sessions", func() bool {
+		ns[1].mu.Lock()
+		defer ns[1].mu.Unlock()
+		return len(ns[1].sessions) == 6
+	})
+	var is []view.Item
+	for i := range count {
+		is = append(is, endpointItem(i))
+	}
+	ns[0].Merge(is...)
+	eventually(t, 5*time.Second, "all entries everywhere", func() bool { return equal(ns, count+4) })
+	start := ns[1].State().Traffic
+	for _, i := range is {
+		ns[0].Mark(i.Key, view.Down)
+		ns[1].Mark(i.Key, view.Down)
+	}
+	held := func() bool {
+		for _, n := range ns[2:] {
+			_, marks := n.Snapshot()
+			if len(marks) != count {
+				return false
+			}
+		}
+		return true
+	}
+	eventually(t, 2*time.Second, "marks everywhere", held)
+	last, since := start, time.Now()
+	eventually(t, 5*time.Second, "end of the pushes", func() bool {
+		if now := ns[1].State().Traffic; now.Sent["marks"] != last.Sent["marks"] {
+			last, since = now, time.Now()
+		}
+		return time.Since(since) > vouchInterval/2
+	})
+	t.Logf("2 x %d marks: %d octets sent to push them", count, last.WireSent-start.WireSent)
+	before, begin := ns[1].State().Traffic, time.Now()
+	for time.Since(begin) < 4*time.Second {
+		if !held() {
+			t.Fatalf("a mark of a living balancer expired after %v", time.Since(begin))
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	after, seconds := ns[1].State().Traffic, time.Since(begin).Seconds()
+	rate := float64(after.WireSent-before.WireSent) / seconds
+	t.Logf("2 x %d marks: %.0f octets/s sent over 6 sessions", count, rate)
+	if rate > 21000 {
+		t.Errorf("want at most 21000 octets/s, have %.0f", rate)
+	}
+}
