--- a/internal/peer/handle.go
+++ b/internal/peer/handle.go
@@ -132,9 +132,9 @@
 	case *Frame_Vouch:
 		n.handleVouch(s, b.Vouch)
 	case *Frame_MarksWanted:
-		n.handleMarksWanted(s, b.MarksWanted)
+		return n.handleMarksWanted(s, b.MarksWanted)
 	case *Frame_MarkVersions:
-		n.handleMarkVersions(s, b.MarkVersions)
+		return n.handleMarkVersions(s, b.MarkVersions)
 	case *Frame_Config:
 		if n.o.OnConfig != nil {
 			n.o.OnConfig(b.Config.GetValue())
--- a/internal/peer/marks.go
+++ b/internal/peer/marks.go
@@ -113,23 +113,33 @@
 	}
 }
 
-func (n *Node) handleMarksWanted(s *session, w *MarksWanted) {
+func (n *Node) handleMarksWanted(s *session, w *MarksWanted) error {
+	if len(w.GetOrigins()) > maxOrigins {
+		return &FrameError{"marksWanted", "has too many origins"}
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if len(w.GetOrigins()) > 0 {
 		for _, u := range n.marks.Full(n.now(), w.GetOrigins()) {
 			s.send(marksFrame(u, true))
 		}
-		return
+		return nil
 	}
 	m := &MarkVersions{}
 	for _, v := range n.marks.Versions(n.now()) {
+		if len(m.Versions) == maxOrigins {
+			break
+		}
 		m.Versions = append(m.Versions, &MarkVersion{Origin: v.Origin, Version: v.Version, AgeMillis: putAge(v.Age)})
 	}
 	s.send(encode(&Frame{Body: &Frame_MarkVersions{m}}))
+	return nil
 }
 
-func (n *Node) handleMarkVersions(s *session, m *MarkVersions) {
+func (n *Node) handleMarkVersions(s *session, m *MarkVersions) error {
+	if len(m.GetVersions()) > maxOrigins {
+		return &FrameError{"markVersions", "has too many origins"}
+	}
 	var vs []view.MarkVersion
 	for _, v := range m.GetVersions() {
 		vs = append(vs, view.MarkVersion{Origin: v.GetOrigin(), Version: v.GetVersion(), Age: getAge(v.GetAgeMillis())})
@@ -137,11 +147,12 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.paused() {
-		return
+		return nil
 	}
 	if wanted := n.marks.Compare(n.now(), n.self.Key, vs); len(wanted) > 0 {
-		s.send(wantedFrame(wanted[:min(len(wanted), maxOrigins)]))
+		s.send(wantedFrame(wanted))
 	}
+	return nil
 }
 
 func (n *Node) handleMarks(s *session, m *Marks) error {
