--- a/internal/admit/request.go
+++ b/internal/admit/request.go
@@ -3,6 +3,8 @@
 import (
 	"container/list"
 	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/hdrs"
 )
 
 // Verdict is the decision on a request.
@@ -13,7 +15,7 @@
 const (
 	Run       Verdict = "run"
 	Wait      Verdict = "wait"
-	QueueFull Verdict = "queueFull"
+	QueueFull Verdict = hdrs.QueueFull
 	Draining  Verdict = "draining"
 	Deadline  Verdict = "deadline"
 )
--- a/internal/hdrs/hdrs.go
+++ b/internal/hdrs/hdrs.go
@@ -28,5 +28,8 @@
 	Unknown = "unknown"
 )
 
+// QueueFull is the Reason of a request that found no place in the agent's queue.
+const QueueFull = "queueFull"
+
 // TicketPath issues a ticket: POST, answered with 201 and {"ticket": "..."}.
 const TicketPath = "/.well-known/bramleycourse/tickets"
--- a/pkg/caller/do.go
+++ b/pkg/caller/do.go
@@ -7,6 +7,8 @@
 	"net/http"
 
 	"github.com/juju/errors"
+
+	"github.com/bramleycourse/bramleycourse/internal/hdrs"
 )
 
 // idempotencyKey is the header by which net/http knows idempotent requests. A
@@ -107,6 +109,30 @@
 	req    *http.Request
 	host   string
 	body   *body
+	// busy is the flow whose agent refused the last attempt for its full queue.
+	busy *flow
+}
+
+// refused retires the flow of an attempt that was not run. One with a full
+// queue is retired only when the request is tried again: otherwise each refusal
+// of an overloaded service would cost it a handshake, outside the retry budget.
+func (l *call) refused(f *flow, err error) {
+	var e *NotRunError
+	switch {
+	case !errors.As(err, &e):
+	case e.Reason == hdrs.QueueFull:
+		l.busy = f
+	default:
+		f.retire()
+	}
+}
+
+// leaveBusy makes the next attempt use another flow than a busy one.
+func (l *call) leaveBusy() {
+	if l.busy != nil {
+		l.busy.retire()
+		l.busy = nil
+	}
 }
 
 // acquire returns a flow; without one the request was not run.
@@ -128,18 +154,12 @@
 
 // tryOnce sends a request without a ticket.
 func (l *call) tryOnce(ctx context.Context) (*http.Response, error) {
+	l.leaveBusy()
 	f, err := l.acquire(ctx)
 	if err != nil {
 		return nil, err
 	}
 	resp, err := l.send(ctx, f, l.req.Clone(ctx))
-	if isNotRun(err) {
-		f.retire()
-	}
+	l.refused(f, err)
 	return resp, err
 }
-
-func isNotRun(err error) bool {
-	var e *NotRunError
-	return errors.As(err, &e)
-}
--- a/pkg/caller/do_test.go
+++ b/pkg/caller/do_test.go
@@ -203,6 +203,30 @@
 	}
 }
 
+// TestBusy guards that refusals of an overloaded service open new flows only
+// within the retry budget, and that other refusals always leave the flow.
+func TestBusy(t *testing.T) {
+	for reason, want := range map[string]int{hdrs.QueueFull: 2, "draining": 6} {
+		s := newServer(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(hdrs.Outcome, hdrs.NotRun)
+			w.Header().Set(hdrs.Reason, reason)
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
+		c := newClient(t, WithRetryBudget(0, 0, 1))
+		for range 5 {
+			req, err := http.NewRequestWithContext(withTimeout(t, limit), http.MethodGet, "https://"+s.addr.String()+"/x", nil)
+			must(t, err)
+			var refused *NotRunError
+			if _, err := c.Do(req); !errors.As(err, &refused) || refused.Reason != reason {
+				t.Errorf("want %s, have %v", reason, err)
+			}
+		}
+		if n := s.accepted(); n != want {
+			t.Errorf("%s: want %d flows for 5 requests and a retry, have %d", reason, want, n)
+		}
+	}
+}
+
 // TestFlows guards that requests share flows up to the limit, that further
 // flows are opened, and that idle ones are closed.
 func TestFlows(t *testing.T) {
--- a/pkg/caller/ticket.go
+++ b/pkg/caller/ticket.go
@@ -19,6 +19,7 @@
 // tryTicket sends a request with a new ticket. When the answer is lost, the
 // same ticket is repeated until the outcome is known or the tries are used up.
 func (l *call) tryTicket(ctx context.Context) (*http.Response, error) {
+	l.leaveBusy()
 	f, err := l.acquire(ctx)
 	if err != nil {
 		return nil, err
@@ -42,9 +43,7 @@
 			unknown.Repetitions = n
 		}
 	}
-	if isNotRun(err) {
-		f.retire()
-	}
+	l.refused(f, err)
 	return resp, err
 }
 
