--- a/internal/itest/cluster.go
+++ b/internal/itest/cluster.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -43,6 +44,9 @@
 	certFile, keyFile string
 	declaration       *decl.Declaration
 	balancers         map[string]*Process
+	// callerNet holds the first three octets of the balancers' caller IPs. It is
+	// drawn, so that tests that run at the same time do not share service addresses.
+	callerNet string
 }
 
 // Process is one process of the product.
@@ -73,6 +77,7 @@
 		Store:     store.New(),
 		Fabrics:   map[string]*fabric.Fabric{},
 		balancers: map[string]*Process{},
+		callerNet: fmt.Sprintf("127.%d.%d", 1+rand.IntN(63), rand.IntN(256)),
 	}
 	s := httptest.NewServer(c.Store)
 	t.Cleanup(s.Close)
@@ -137,7 +142,7 @@
 	n := len(c.balancers) + 1
 	p := &Process{
 		Name: name, Admin: freeAddr(c.T), Peer: freeAddr(c.T), Hop: freeUDP(c.T),
-		CallerIP: fmt.Sprintf("127.0.1.%d", n),
+		CallerIP: fmt.Sprintf("%s.%d", c.callerNet, n),
 	}
 	s := &config.Balancer{
 		Name: name, Place: place, CallerIP: p.CallerIP,
