--- a/cmd/bramleycourse/agent.go
+++ b/cmd/bramleycourse/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/bramleycourse/bramleycourse/internal/agent"
@@ -15,8 +16,16 @@
 	Settings string `arg:"" help:"Settings file, JSON."`
 }
 
+// gcPercent is the garbage collector target unless the environment sets GOGC.
+// An agent with 2,000 feeds took 288 MB with the default of 100, 263 to 275 MB
+// with 50, and 253 MB with 20.
+const gcPercent = 50
+
 // Run runs an agent until it is told to stop.
 func (c *agentCmd) Run(ctx context.Context) error {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	s, err := config.LoadAgent(c.Settings)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/itest/memory_test.go
@@ -0,0 +1,78 @@
+package itest
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	// memoryFeeds is the number of open feeds of one upstream at the users' sizes.
+	memoryFeeds = 2000
+	// maxResident is above the 263 to 275 MB that were measured, in octets. It
+	// guards against growth; the aim of 256 MB is not met.
+	maxResident = 320_000_000
+	// clockTick is the unit of the processor times in /proc on Linux.
+	clockTick = 10 * time.Millisecond
+)
+
+// TestFeedMemory guards the resident memory of an agent process with the
+// feeds of a whole upstream, and reports its processor time for each event.
+func TestFeedMemory(t *testing.T) {
+	c := NewCluster(t, binary)
+	d := Declaration(4, "listas")
+	d.Services[0].Limits.Connections = 2 * memoryFeeds
+	s := NewScene(c, d, 1, map[string]int{"listas": 1})
+	feeds := s.OpenFeeds(s.Client(), "listas", memoryFeeds, 500*time.Millisecond)
+	p := s.Agents["listas"][0].cmd.Process.Pid
+	before, used := feeds.Report().Events, cpuTime(t, p)
+	var resident uint64
+	for range 10 {
+		time.Sleep(time.Second)
+		resident = max(resident, residentBytes(t, p))
+	}
+	r := feeds.Report()
+	events, cpu := r.Events-before, cpuTime(t, p)-used
+	t.Logf("GOGC %q: %d octets resident, %d events, %v of processor time, %v for each event",
+		os.Getenv("GOGC"), resident, events, cpu, cpu/time.Duration(max(events, 1)))
+	if resident > maxResident {
+		t.Errorf("want at most %d octets resident, have %d", maxResident, resident)
+	}
+	if len(r.Faults) > 0 || r.Breaks > 0 || events < memoryFeeds {
+		t.Errorf("want events of every feed and no break, have %d, %d breaks and %v", events, r.Breaks, r.Faults)
+	}
+	feeds.Close()
+}
+
+// residentBytes returns the resident memory of a process.
+func residentBytes(t *testing.T, pid int) uint64 {
+	t.Helper()
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(b), "VmRSS:")
+	n, err := strconv.ParseUint(strings.Fields(rest)[0], 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n << 10
+}
+
+// cpuTime returns the processor time that a process has used.
+func cpuTime(t *testing.T, pid int) time.Duration {
+	t.Helper()
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The fields after the name in parentheses start with the third.
+	_, rest, _ := strings.Cut(string(b), ") ")
+	f := strings.Fields(rest)
+	user, _ := strconv.Atoi(f[11])
+	system, _ := strconv.Atoi(f[12])
+	return time.Duration(user+system) * clockTick
+}
