--- a/internal/relay/data.go
+++ b/internal/relay/data.go
@@ -54,7 +54,7 @@
 	for i := range m.Len() {
 		f.head.Caller = m.From(i)
 		to, o := f.route(keys, m.Packet(i))
-		if len(m.Packet(i)) > maxPacket {
+		if !o.refused() && f.head.Size()+len(m.Packet(i)) > maxHop {
 			o = tooLong
 		}
 		f.count.add(o, f.head.Caller)
--- a/internal/relay/data_test.go
+++ b/internal/relay/data_test.go
@@ -51,8 +51,10 @@
 		want   outcome
 	}{
 		{"established", nil, short(underKey1, packetSize), established},
-		{"largest packet", nil, short(underKey1, maxPacket), established},
-		{"too long", nil, short(underKey1, maxPacket+1), tooLong},
+		{"largest packet", nil, short(underKey1, 1437), established},
+		{"too long", nil, short(underKey1, 1438), tooLong},
+		{"longer than the buffer", nil, short(underKey1, maxPacket+100), tooLong},
+		{"too long, Initial", nil, initial(randomID(1), 1437), tooLong},
 		{"other service", nil, short(encode(fichas, r.id.Addr), packetSize), wrongService},
 		{"other service, Initial", nil, initial(ptr(encode(fichas, r.id.Addr)), packetSize), wrongService},
 		{"other network", nil, short(foreign, packetSize), foreignNetwork},
--- a/internal/relay/port.go
+++ b/internal/relay/port.go
@@ -13,9 +13,14 @@
 
 const (
 	socketBuffer = 4 << 20
-	// maxPacket is the longest QUIC packet that is forwarded; it covers a
-	// 1500-octet MTU.
+	// maxPacket is the longest QUIC packet that is read. A longer one is cut,
+	// which still shows that it is above all limits.
 	maxPacket = 2048
+	// maxHop is the longest packet on the hop, header and QUIC packet, that
+	// fits in a 1500-octet MTU behind 28 octets of IP and UDP headers. Longer
+	// ones would be cut into fragments, so path MTU discovery of callers must
+	// settle below.
+	maxHop = 1500 - 28
 	// batchesPerCore lets a reader fill a batch while others wait for a core.
 	batchesPerCore = 2
 )
