--- a/pkg/caller/path.go
+++ b/pkg/caller/path.go
@@ -121,9 +121,37 @@
 		return
 	}
 	f.client.stats.migrations.Add(1)
-	// The server sends on the new path after it has seen a packet that is not
-	// a probe. A flow that only listens would send none for a while.
-	f.ping()
+	f.pingUntilAnswer()
+}
+
+const (
+	// switchPings is how often a flow pings on a new path, and switchPingWait
+	// the wait after the first; it doubles.
+	switchPings    = 4
+	switchPingWait = 20 * time.Millisecond
+)
+
+// pingUntilAnswer makes the server send on the new path, which it does after
+// it has seen a packet that is not a probe. A flow that only listens would
+// send none for a while. The first ping may still leave on the old path,
+// because the connection takes the new one into use concurrently; it would be
+// sent again only after a retransmission timeout.
+func (f *flow) pingUntilAnswer() {
+	before := f.conn.ConnectionStats().PacketsReceived
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for n := range switchPings {
+		select {
+		case <-t.C:
+		case <-f.conn.Context().Done():
+			return
+		}
+		if f.conn.ConnectionStats().PacketsReceived != before {
+			return
+		}
+		f.ping()
+		t.Reset(switchPingWait << n)
+	}
 }
 
 func (f *flow) moveTo(p *path, limit time.Duration) error {
