--- a/cmd/bramleycourse/main.go
+++ b/cmd/bramleycourse/main.go
@@ -17,6 +17,7 @@
 	Status   statusCmd   `cmd:"" help:"Show the processes and the generation that each has in force."`
 	Dump     dumpCmd     `cmd:"" help:"Print the state dump of a process."`
 	Trial    trialCmd    `cmd:"" help:"Compare placement policies in a queue model."`
+	Slope    slopeCmd    `cmd:"" help:"Measure what control costs against the numbers of balancers and endpoints."`
 	Load     loadCmd     `cmd:"" help:"Generate load and report broken flows, wrong answers and imbalance."`
 	Keys     keysCmd     `cmd:"" help:"Make or rotate a keys file."`
 	Certs    certsCmd    `cmd:"" help:"Make a test authority and certificates."`
--- a/internal/itest/cluster.go
+++ b/internal/itest/cluster.go
@@ -112,7 +112,7 @@
 func (c *Cluster) StartFabric(seed uint64) {
 	c.T.Helper()
 	for _, s := range c.declaration.Services {
-		f, err := fabric.New(netip.MustParseAddrPort("127.0.0.1:0"), seed)
+		f, err := fabric.New(netip.MustParseAddrPort(loopback(1)+":0"), seed)
 		c.must(err)
 		go f.Run(c.T.Context())
 		c.Fabrics[s.Name] = f
@@ -137,7 +137,7 @@
 	n := len(c.balancers) + 1
 	p := &Process{
 		Name: name, Admin: freeAddr(c.T), Peer: freeAddr(c.T), Hop: freeUDP(c.T),
-		CallerIP: fmt.Sprintf("127.0.1.%d", n),
+		CallerIP: loopback(n + 1),
 	}
 	s := &config.Balancer{
 		Name: name, Place: place, CallerIP: p.CallerIP,
@@ -273,9 +273,16 @@
 	c.T.Fatalf("not within %v: %s", limit, what)
 }
 
+// loopback returns an address of a /24 that only this test process uses. Test
+// runs that share one machine would otherwise take packets from each other.
+func loopback(host int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid/254%254, 1+pid%254, host)
+}
+
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := net.Listen("tcp4", loopback(1)+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -285,7 +292,7 @@
 
 func freeUDP(t *testing.T) string {
 	t.Helper()
-	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	c, err := net.ListenPacket("udp4", loopback(1)+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/slope/processes.go
@@ -0,0 +1,341 @@
+package slope
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/certs"
+	"github.com/bramleycourse/bramleycourse/internal/config"
+	"github.com/bramleycourse/bramleycourse/internal/connid"
+	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/peer"
+	"github.com/bramleycourse/bramleycourse/internal/plat"
+	"github.com/bramleycourse/bramleycourse/internal/proc"
+	"github.com/bramleycourse/bramleycourse/internal/relay"
+	"github.com/bramleycourse/bramleycourse/internal/store"
+)
+
+// Processes is a measurement of balancer processes. The platform and the
+// agents are stand-ins in this process.
+type Processes struct {
+	Balancers int
+	// Agents have sessions, Listed endpoints only a platform object; both
+	// answer probes.
+	Agents, Listed int
+	Services       int
+	// Joining agents announce themselves at once at the end.
+	Joining int
+	Window  time.Duration
+}
+
+// site is a running set of processes and stand-ins.
+type site struct {
+	Processes
+	run       string
+	report    Report
+	addrs     addresses
+	dir       string
+	url       string
+	store     *store.Store
+	client    *plat.Client
+	keys      *connid.Set
+	keysFile  string
+	balancers []*balancer
+	agents    []*agent
+	// probes counts probes answered by all agents.
+	probes atomic.Uint64
+}
+
+// Run starts everything, measures, and ends what it started.
+func (p Processes) Run(ctx context.Context, report Report) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	dir, err := os.MkdirTemp("", "slope")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	s := &site{
+		Processes: p, report: report, addrs: newAddresses(), dir: dir, store: store.New(),
+		run: fmt.Sprintf("processes balancers=%d agents=%d listed=%d services=%d", p.Balancers, p.Agents, p.Listed, p.Services),
+	}
+	srv := httptest.NewServer(s.store)
+	defer srv.Close()
+	defer srv.CloseClientConnections()
+	s.url = srv.URL
+	s.client = plat.New(srv.URL, patience)
+	if err := s.loadKeys(); err != nil {
+		return err
+	}
+	defer s.end()
+	for _, f := range []func(context.Context) error{s.start, s.idle, s.members, s.configure, s.join} {
+		if err := f(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *site) loadKeys() error {
+	s.keysFile = s.dir + "/keys.json"
+	if err := os.WriteFile(s.keysFile, certs.KeysFile(1), 0o600); err != nil {
+		return err
+	}
+	k, err := config.NewKeySource(s.keysFile, proc.New("slope", "slope", os.Stderr).Log)
+	if err != nil {
+		return err
+	}
+	s.keys = k.Load()
+	return nil
+}
+
+func (s *site) end() {
+	for _, b := range s.balancers {
+		b.kill()
+	}
+}
+
+func (s *site) start(ctx context.Context) error {
+	if err := s.apply(ctx, 1); err != nil {
+		return err
+	}
+	for i := range s.Listed {
+		if err := s.list(ctx, s.Agents+i); err != nil {
+			return err
+		}
+	}
+	for range s.Balancers {
+		if err := s.startBalancer(); err != nil {
+			return err
+		}
+	}
+	for i := range s.Agents {
+		if err := s.startAgent(ctx, i); err != nil {
+			return err
+		}
+	}
+	return s.settled(s.Agents+s.Listed, pollSlow*5)
+}
+
+// settled waits until every balancer uses the given number of endpoints.
+func (s *site) settled(endpoints int, poll time.Duration) error {
+	done := 0
+	err := await(poll, "all balancers and endpoints in all views", func() bool {
+		for ; done < len(s.balancers); done++ {
+			st, err := s.balancers[done].state()
+			if err != nil || len(st.Balancers) != len(s.balancers) || usable(st) < endpoints {
+				return false
+			}
+		}
+		return true
+	})
+	return err
+}
+
+func usable(st relay.State) int {
+	n := 0
+	for _, e := range st.Endpoints {
+		if e.Usable {
+			n++
+		}
+	}
+	return n
+}
+
+// apply writes a configuration as the operator's command does.
+func (s *site) apply(ctx context.Context, g ident.Generation) error {
+	_, err := s.client.PutOnce(ctx, plat.KindConfig, configName, func(_ plat.Object, writer string) (any, error) {
+		return configValue(g, s.Services, writer)
+	})
+	return err
+}
+
+// list writes the platform object of an endpoint that answers probes.
+func (s *site) list(ctx context.Context, i int) error {
+	e := s.addrs.entry(i, s.Services)
+	if err := s.answer(ctx, e); err != nil {
+		return err
+	}
+	_, err := s.client.Put(ctx, plat.KindEndpoint, fmt.Sprintf("e%d", i), e, 0)
+	return err
+}
+
+// sample is what one balancer has used so far.
+type sample struct{ state relay.State }
+
+func (s *site) samples() ([]sample, error) {
+	var ss []sample
+	for _, b := range s.balancers {
+		st, err := b.state()
+		if err != nil {
+			return nil, err
+		}
+		ss = append(ss, sample{state: st})
+	}
+	return ss, nil
+}
+
+// idle measures a window without changes. The state dumps, which cost far more
+// than what is measured, are outside of the window for processor time.
+func (s *site) idle(context.Context) error {
+	time.Sleep(2 * time.Second)
+	before, err := s.samples()
+	if err != nil {
+		return err
+	}
+	time.Sleep(time.Second)
+	calls, probes, begin := s.store.Counts(), s.probes.Load(), time.Now()
+	cpu := s.cpu()
+	time.Sleep(s.Window)
+	cpu = s.cpu() - cpu
+	window := time.Since(begin)
+	probes = s.probes.Load() - probes
+	count := float64(len(s.balancers))
+	for k, n := range s.store.Counts() {
+		s.report.add(s.run, "platform "+k+" calls/s in all", float64(n-calls[k])/window.Seconds())
+	}
+	after, err := s.samples()
+	if err != nil {
+		return err
+	}
+	s.traffic(before, after, window+time.Second)
+	s.report.add(s.run, "probes/s per balancer", float64(probes)/window.Seconds()/count)
+	s.report.add(s.run, "CPU ms/s per balancer", 1e3*cpu.Seconds()/window.Seconds()/count)
+	s.report.add(s.run, "resident MiB per balancer", s.resident()/count/(1<<20))
+	return nil
+}
+
+// traffic reports octets of sessions; the dumps are taken in the same order.
+func (s *site) traffic(before, after []sample, took time.Duration) {
+	a := peer.Traffic{Sent: map[string]uint64{}, Received: map[string]uint64{}}
+	b := peer.Traffic{Sent: map[string]uint64{}, Received: map[string]uint64{}}
+	for i := range after {
+		add(&a, after[i].state.Peers.Traffic)
+		add(&b, before[i].state.Peers.Traffic)
+	}
+	a.Sent["wire"], b.Sent["wire"] = a.WireSent, b.WireSent
+	a.Received["wire"], b.Received["wire"] = a.WireReceived, b.WireReceived
+	s.report.octets(s.run, "idle sent", b.Sent, a.Sent, len(after), took)
+	s.report.octets(s.run, "idle received", b.Received, a.Received, len(after), took)
+}
+
+// calls runs f and reports the platform calls that it caused.
+func (s *site) calls(what string, f func() error) error {
+	before := s.store.Counts()
+	if err := f(); err != nil {
+		return err
+	}
+	for k, n := range s.store.Counts() {
+		s.report.add(s.run, "platform "+k+" calls per "+what, float64(n-before[k]))
+	}
+	return nil
+}
+
+// members measures single agents that start.
+func (s *site) members(ctx context.Context) error {
+	// State dumps of large views would take longer than the change.
+	if s.Listed > 0 {
+		return nil
+	}
+	for range changes {
+		err := s.calls("membership change", func() error {
+			begin := time.Now()
+			if err := s.startAgent(ctx, len(s.agents)); err != nil {
+				return err
+			}
+			err := s.settled(len(s.agents), pollSlow)
+			s.report.add(s.run, "new agent usable on all balancers ms", ms(time.Since(begin)))
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// configure measures changes of the configuration. Balancers tell by their
+// logs that one is in force.
+func (s *site) configure(ctx context.Context) error {
+	for i := range changes {
+		g := ident.Generation(i + 2)
+		err := s.calls("configuration change", func() error {
+			begin := time.Now()
+			cpu := s.cpu()
+			if err := s.apply(ctx, g); err != nil {
+				return err
+			}
+			var balancers time.Duration
+			err := await(pollFast, "the configuration in force", func() bool {
+				if balancers == 0 && s.balancersAt(g) {
+					balancers = time.Since(begin)
+				}
+				return balancers > 0 && s.agentsAt(g)
+			})
+			s.report.add(s.run, "configuration on all balancers ms", ms(balancers))
+			s.report.add(s.run, "configuration on all balancers and agents ms", ms(time.Since(begin)))
+			time.Sleep(time.Second)
+			s.report.add(s.run, "CPU ms per configuration and balancer, with 1 s idle", 1e3*(s.cpu()-cpu).Seconds()/float64(len(s.balancers)))
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *site) balancersAt(g ident.Generation) bool {
+	for _, b := range s.balancers {
+		if b.generation.Load() < uint64(g) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *site) agentsAt(g ident.Generation) bool {
+	for _, a := range s.agents {
+		if a.generation.Load() < uint64(g) {
+			return false
+		}
+	}
+	return true
+}
+
+// join measures many agents that announce themselves at once.
+func (s *site) join(ctx context.Context) error {
+	if s.Joining == 0 {
+		return nil
+	}
+	return s.calls(fmt.Sprintf("%d agents at once", s.Joining), func() error {
+		want := len(s.agents) + s.Listed + s.Joining
+		cpu, begin := s.cpu(), time.Now()
+		for range s.Joining {
+			if err := s.startAgent(ctx, len(s.agents)+s.Listed); err != nil {
+				return err
+			}
+		}
+		err := s.settled(want, 10*pollSlow)
+		s.report.add(s.run, fmt.Sprintf("%d agents usable on all balancers ms", s.Joining), ms(time.Since(begin)))
+		s.report.add(s.run, fmt.Sprintf("CPU ms per balancer for %d agents, with state dumps", s.Joining), 1e3*(s.cpu()-cpu).Seconds()/float64(len(s.balancers)))
+		return err
+	})
+}
+
+// state reads the state dump of a balancer.
+func (b *balancer) state() (relay.State, error) {
+	var st relay.State
+	resp, err := http.Get("http://" + b.admin + "/state")
+	if err != nil {
+		return st, err
+	}
+	defer resp.Body.Close()
+	return st, json.NewDecoder(resp.Body).Decode(&st)
+}
--- /dev/null
+++ b/internal/slope/slope_test.go
@@ -0,0 +1,48 @@
+package slope
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/config"
+)
+
+// TestConfigValue guards against a measurement with a configuration that
+// balancers refuse, which would never come into force.
+func TestConfigValue(t *testing.T) {
+	v, err := configValue(1, maxServices, "w")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := config.ParseAccepted(configName, v)
+	if err != nil || len(a.Declaration.Services) != maxServices {
+		t.Fatalf("want %d accepted services, have %+v, %v", maxServices, a, err)
+	}
+	if _, passed := serviceNames(maxServices); passed == 0 {
+		t.Error("want names that share a tag with another one passed over")
+	}
+	t.Logf("a configuration of %d services has %d octets", maxServices, len(v))
+}
+
+// TestPeers guards against a measurement that silently lacks figures.
+func TestPeers(t *testing.T) {
+	var tab Table
+	p := Peers{Nodes: 4, Endpoints: 20, Services: 3, Marks: 5, Window: 1500 * time.Millisecond}
+	if err := p.Run(t.Context(), tab.Add); err != nil {
+		t.Fatal(err)
+	}
+	var b bytes.Buffer
+	if err := tab.Write(&b); err != nil {
+		t.Fatal(err)
+	}
+	for _, w := range []string{
+		"sent digest B/s", "CPU ms/s per node", "membership change in all views ms",
+		"configuration at all nodes ms", "marks at all nodes ms", "sent marks B/s",
+	} {
+		if !strings.Contains(b.String(), w) {
+			t.Errorf("want a figure %q, have\n%s", w, b.String())
+		}
+	}
+}
