--- a/internal/slope/peers.go
+++ b/internal/slope/peers.go
@@ -55,7 +55,10 @@
 	if err := c.start(ctx); err != nil {
 		return err
 	}
-	report.add(c.run, "heap and stacks per node B", float64(heap()-before)/float64(p.Nodes))
+	// What an earlier run left behind may be collected meanwhile.
+	if after := heap(); after > before {
+		report.add(c.run, "heap and stacks per node B", float64(after-before)/float64(p.Nodes))
+	}
 	for _, f := range []func() error{c.idle, c.members, c.configure, c.marks} {
 		if err := f(); err != nil {
 			return err
--- a/internal/slope/table.go
+++ b/internal/slope/table.go
@@ -35,7 +35,7 @@
 			}
 		}
 		v := slices.Sorted(slices.Values(t.values[k]))
-		if _, err := fmt.Fprintf(w, "  %-60s %10.4g (%.4g to %.4g, %d values)\n", k.Name, v[len(v)/2], v[0], v[len(v)-1], len(v)); err != nil {
+		if _, err := fmt.Fprintf(w, "  %-60s %10.4g (%.4g to %.4g, %d values)\n", k.Name, (v[(len(v)-1)/2]+v[len(v)/2])/2, v[0], v[len(v)-1], len(v)); err != nil {
 			return err
 		}
 	}
