--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/bramleycourse/bramleycourse/internal/config"
 	"github.com/bramleycourse/bramleycourse/internal/connid"
 	"github.com/bramleycourse/bramleycourse/internal/drain"
+	"github.com/bramleycourse/bramleycourse/internal/hdrs"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/peer"
 	"github.com/bramleycourse/bramleycourse/internal/plat"
@@ -33,8 +34,10 @@
 	frame    *proc.Frame
 	client   *plat.Client
 	// keys returns the accepted keys; it is safe for concurrent use.
-	keys       func() *connid.Set
-	self       ident.EndpointID
+	keys func() *connid.Set
+	self ident.EndpointID
+	// adminAddr is where others reach the admin server.
+	adminAddr  netip.AddrPort
 	tag        ident.ServiceTag
 	hop        *hopConn
 	server     *http3.Server
@@ -59,7 +62,7 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "keys file %s", s.KeysFile)
 	}
-	cert, err := newCertSource(s.CertFile, s.KeyFile, f.Log)
+	cert, err := proc.FollowCertificate(f.Log, s.CertFile, s.KeyFile)
 	if err != nil {
 		return nil, errors.Annotatef(err, "certFile and keyFile")
 	}
@@ -87,12 +90,13 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "adminAddress")
 	}
+	a.adminAddr = proc.AdminAddr(admin, a.self.Addr.Addr())
 	f.Admin(admin, func() any { return a.State() })
 	a.server = &http3.Server{
 		Handler:        a.handler,
 		MaxHeaderBytes: maxHeaderBytes,
 		IdleTimeout:    emptyTimeout,
-		TLSConfig:      http3.ConfigureTLSConfig(&tls.Config{GetCertificate: cert.get}),
+		TLSConfig:      http3.ConfigureTLSConfig(&tls.Config{GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return cert.Get(), nil }}),
 	}
 	a.late = &http3.Server{Handler: http.HandlerFunc(a.refuseLate), MaxHeaderBytes: maxHeaderBytes}
 	f.Add("upstream check", a.checkUpstream)
@@ -179,7 +183,11 @@
 	}
 }
 
-func (a *Agent) refuseLate(w http.ResponseWriter, _ *http.Request) {
+func (a *Agent) refuseLate(w http.ResponseWriter, r *http.Request) {
+	if text := r.Header.Get(hdrs.Ticket); text != "" {
+		a.handler.rejectTicket(w, text, http.StatusServiceUnavailable, string(admit.Draining))
+		return
+	}
 	a.handler.refuse(w, http.StatusServiceUnavailable, string(admit.Draining))
 }
 
--- a/internal/config/agent_test.go
+++ b/internal/config/agent_test.go
@@ -25,6 +25,9 @@
 		{"place", "", "place"},
 		{"hopAddress", "127.0.0.1", "hopAddress"},
 		{"hopAddress", "[::1]:1", "hopAddress"},
+		{"hopAddress", "0.0.0.0:1", "hopAddress"},
+		{"balancers", []string{"127.0.0.1:7001", "b2:7001"}, "balancers[1]"},
+		{"peerTLS", map[string]any{"certFile": "c", "keyFile": "k"}, "peerTLS.caFile"},
 		{"adminAddress", "", "adminAddress"},
 		{"upstream", "https://127.0.0.1:1", "upstream"},
 		{"upstream", "http://127.0.0.1:1/x", "upstream"},
@@ -37,6 +40,9 @@
 		{"keyFile", "", "keyFile"},
 		{"keysFile", "", "keysFile"},
 		{"platform", map[string]any{}, "platform.url"},
+		{"logLevel", "debug", ""},
+		{"logLevel", "loud", "logLevel"},
+		{"peerTLS", map[string]any{"certFile": "c"}, "peerTLS.keyFile"},
 	} {
 		s := map[string]any{
 			"service": "listas", "place": "recife", "hopAddress": "127.0.0.1:1", "adminAddress": "127.0.0.1:2",
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"crypto/tls"
 	"encoding/json"
 	"math/rand/v2"
 	"sync"
@@ -36,7 +35,7 @@
 	// Seeds are peer addresses of balancers to begin with.
 	Seeds []string
 	// TLS is nil for plain TCP.
-	TLS *tls.Config
+	TLS *Secure
 	// Scope receives the metrics; may be nil.
 	Scope tally.Scope
 	// OnView is called after the view or the marks have changed; urgent means
@@ -50,6 +49,10 @@
 	OnConfig func(value []byte)
 	// OnConflict reports that a peer has other content under the generation in force.
 	OnConflict func(ident.Generation)
+	// OnRefused receives the reason for a session that was refused, either
+	// because of the other side's certificate or because it broke off before
+	// it said hello; at most one for each refusalInterval.
+	OnRefused func(addr string, err error)
 	// OnAgentBroken reports that the last session of an agent broke before the
 	// agent said that it is gone.
 	OnAgentBroken func(view.Key)
@@ -68,12 +71,12 @@
 	traffic *traffic
 	start   time.Time
 
-	mu       sync.Mutex
-	self     view.Item
-	view     *view.View
-	marks    *view.Marks
-	own      map[view.Key]view.Mark
-	markSeq  uint64
+	mu    sync.Mutex
+	self  view.Item
+	view  *view.View
+	marks *view.Marks
+	// alive is when Run last had its turn; see paused.
+	alive    time.Duration
 	conf     Config
 	sessions map[*session]struct{}
 	dialers  map[string]*dialer
@@ -86,6 +89,8 @@
 	pending                          atomic.Int64
 	refusedSessions, refusedFrames   atomic.Uint64
 	slowSessions, configConflicts    atomic.Uint64
+	pauses                           atomic.Uint64
+	lastRefusal                      atomic.Int64
 	lastConflict                     uint64
 	entriesForwarded, marksForwarded atomic.Uint64
 }
@@ -104,7 +109,6 @@
 		self:      view.Item{Entry: o.Self},
 		view:      view.New(),
 		marks:     view.NewMarks(),
-		own:       map[view.Key]view.Mark{},
 		sessions:  map[*session]struct{}{},
 		dialers:   map[string]*dialer{},
 		selfAddrs: map[string]bool{},
@@ -164,16 +168,6 @@
 	return unchanged
 }
 
-func marksChange(ms []view.Mark) change {
-	c := changedIf(len(ms) > 0)
-	for _, m := range ms {
-		if m.Condition != view.Clear {
-			c = worse
-		}
-	}
-	return c
-}
-
 // outranks replaces a version of the own entry that this process did not make
 // by a higher one.
 func (n *Node) outranks(i *view.Item) bool {
@@ -284,46 +278,6 @@
 	n.Merge(view.Item{Entry: e})
 }
 
-// Mark sets what this balancer itself found out about a process.
-func (n *Node) Mark(k view.Key, c view.Condition) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.own[k].Condition == c {
-		return
-	}
-	n.markSeq++
-	n.changes++
-	m := view.Mark{Target: k, By: n.self.Key, Seq: n.markSeq, Condition: c}
-	if c == view.Clear {
-		delete(n.own, k)
-	} else {
-		n.own[k] = m
-	}
-	n.sendMarks([]view.Mark{m}, nil)
-}
-
-// MarkOf returns the worst condition that other balancers report of a process.
-func (n *Node) MarkOf(k view.Key) view.Condition {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.marks.Of(n.now(), k, n.self.Key)
-}
-
-// sendMarks sends marks of one balancer to all balancers but from; the caller
-// holds the mutex.
-func (n *Node) sendMarks(ms []view.Mark, from *session) {
-	for len(ms) > 0 {
-		count := min(len(ms), maxItems)
-		p := marksFrame(ms[0].By, ms[:count])
-		ms = ms[count:]
-		for s := range n.sessions {
-			if s != from && s.remote.Key.IsBalancer() {
-				s.send(p)
-			}
-		}
-	}
-}
-
 // SetConfig stores a configuration that is in force and passes it on if its
 // generation is higher than that of the one held.
 func (n *Node) SetConfig(g ident.Generation, value []byte) {
--- a/internal/slope/peers.go
+++ b/internal/slope/peers.go
@@ -230,7 +230,7 @@
 	if c.Marks == 0 {
 		return nil
 	}
-	begin := time.Now()
+	before, begin := c.traffic(), time.Now()
 	for i := range c.Marks {
 		for j := range 2 {
 			c.nodes[(2*i+j)%c.Nodes].Mark(c.addrs.entry(i, c.Services).Key, view.Down)
@@ -251,6 +251,8 @@
 	}
 	run := fmt.Sprintf("%s marks=%d", c.run, c.Marks)
 	c.report.add(run, "marks at all nodes ms", ms(time.Since(begin)))
+	sent := c.traffic().Sent["marks"] - before.Sent["marks"]
+	c.report.add(run, "sent marks B per node until then", float64(sent)/float64(c.Nodes))
 	c.rates(run)
 	slow := uint64(0)
 	for _, n := range c.nodes {
