--- a/internal/slope/changes.go
+++ b/internal/slope/changes.go
@@ -32,7 +32,7 @@
 			if err := s.startAgent(ctx, len(s.agents)); err != nil {
 				return err
 			}
-			err := s.settled(len(s.agents), pollSlow)
+			err := s.settled(ctx, len(s.agents), pollSlow)
 			s.report.add(s.run, "new agent usable on all balancers ms", ms(time.Since(begin)))
 			return err
 		})
@@ -59,7 +59,7 @@
 				return err
 			}
 			var balancers time.Duration
-			err := await(pollFast, "the configuration in force", func() bool {
+			err := await(ctx, pollFast, "the configuration in force", func() bool {
 				if balancers == 0 && s.balancersAt(g) {
 					balancers = time.Since(begin)
 				}
@@ -67,7 +67,7 @@
 			})
 			s.report.add(s.run, "configuration on all balancers ms", ms(balancers))
 			s.report.add(s.run, "configuration on all balancers and agents ms", ms(time.Since(begin)))
-			time.Sleep(time.Second)
+			pause(ctx, time.Second)
 			s.report.add(s.run, "CPU ms per configuration and balancer, with 1 s idle", 1e3*(s.cpu()-cpu).Seconds()/float64(len(s.balancers)))
 			return err
 		})
@@ -118,7 +118,7 @@
 				return err
 			}
 		}
-		err := s.settled(want, 10*pollSlow)
+		err := s.settled(ctx, want, 10*pollSlow)
 		s.report.add(s.run, fmt.Sprintf("%d agents usable on all balancers ms", s.Joining), ms(time.Since(begin)))
 		s.report.add(s.run, fmt.Sprintf("CPU ms per balancer for %d agents, with state dumps", s.Joining), 1e3*(s.cpu()-cpu).Seconds()/float64(len(s.balancers)))
 		return err
--- a/internal/slope/peers.go
+++ b/internal/slope/peers.go
@@ -59,8 +59,8 @@
 	if after := heap(); after > before {
 		report.add(c.run, "heap and stacks per node B", float64(after-before)/float64(p.Nodes))
 	}
-	for _, f := range []func() error{c.idle, c.members, c.configure, c.marks} {
-		if err := f(); err != nil {
+	for _, f := range []func(context.Context) error{c.idle, c.members, c.configure, c.marks} {
+		if err := f(ctx); err != nil {
 			return err
 		}
 	}
@@ -88,7 +88,7 @@
 	for _, n := range c.nodes {
 		go n.Run(ctx)
 	}
-	err := await(pollSlow, "three sessions of each node and equal views", func() bool {
+	err := await(ctx, pollSlow, "three sessions of each node and equal views", func() bool {
 		for _, n := range c.nodes {
 			if len(n.State().Sessions) < min(3, c.Nodes-1) {
 				return false
@@ -149,9 +149,9 @@
 }
 
 // rates measures octets and processor time over the window.
-func (c *crowd) rates(run string) {
+func (c *crowd) rates(ctx context.Context, run string) {
 	before, cpu, begin := c.traffic(), processorTime(), time.Now()
-	time.Sleep(c.Window)
+	pause(ctx, c.Window)
 	cpu = processorTime() - cpu
 	after, took := c.traffic(), time.Since(begin)
 	sent, was := maps.Clone(after.Sent), maps.Clone(before.Sent)
@@ -160,21 +160,21 @@
 	c.report.add(run, "CPU ms/s per node", 1e3*cpu.Seconds()/took.Seconds()/float64(c.Nodes))
 }
 
-func (c *crowd) idle() error {
-	c.rates(c.run + " idle")
+func (c *crowd) idle(ctx context.Context) error {
+	c.rates(ctx, c.run+" idle")
 	return nil
 }
 
 // members measures single new endpoints: the time until all views hold each,
 // and the octets of entries sent.
-func (c *crowd) members() error {
+func (c *crowd) members(ctx context.Context) error {
 	before := c.traffic()
 	for i := range changes {
 		e := c.addrs.entry(c.Endpoints+i, c.Services)
 		origin := c.nodes[i%c.Nodes]
 		begin := time.Now()
 		origin.Merge(view.Item{Entry: e})
-		if err := await(pollFast, "an endpoint in all views", func() bool { return c.holds(e) }); err != nil {
+		if err := await(ctx, pollFast, "an endpoint in all views", func() bool { return c.holds(e) }); err != nil {
 			return err
 		}
 		c.report.add(c.run, "membership change in all views ms", ms(time.Since(begin)))
@@ -194,7 +194,7 @@
 }
 
 // configure measures a configuration that one node receives first.
-func (c *crowd) configure() error {
+func (c *crowd) configure(ctx context.Context) error {
 	before := c.traffic()
 	for i := range changes {
 		g := ident.Generation(i + 1)
@@ -204,7 +204,7 @@
 		}
 		begin := time.Now()
 		c.nodes[i%c.Nodes].SetConfig(g, value)
-		if err := await(pollFast, "a configuration at all nodes", func() bool { return c.at(g) }); err != nil {
+		if err := await(ctx, pollFast, "a configuration at all nodes", func() bool { return c.at(g) }); err != nil {
 			return err
 		}
 		c.report.add(c.run, "configuration at all nodes ms", ms(time.Since(begin)))
@@ -226,7 +226,7 @@
 
 // marks measures endpoints that two nodes each hold to be down, as after the
 // loss of a place.
-func (c *crowd) marks() error {
+func (c *crowd) marks(ctx context.Context) error {
 	if c.Marks == 0 {
 		return nil
 	}
@@ -237,7 +237,7 @@
 		}
 	}
 	last := c.addrs.entry(c.Marks-1, c.Services).Key
-	err := await(pollFast, "the last mark at all nodes", func() bool {
+	err := await(ctx, pollFast, "the last mark at all nodes", func() bool {
 		for i, n := range c.nodes {
 			own := i == 2*(c.Marks-1)%c.Nodes || i == (2*(c.Marks-1)+1)%c.Nodes
 			if !own && n.MarkOf(last) != view.Down {
@@ -253,7 +253,7 @@
 	c.report.add(run, "marks at all nodes ms", ms(time.Since(begin)))
 	sent := c.traffic().Sent["marks"] - before.Sent["marks"]
 	c.report.add(run, "sent marks B per node until then", float64(sent)/float64(c.Nodes))
-	c.rates(run)
+	c.rates(ctx, run)
 	slow := uint64(0)
 	for _, n := range c.nodes {
 		slow += n.State().Counts["slowSessions"]
--- a/internal/slope/processes.go
+++ b/internal/slope/processes.go
@@ -120,13 +120,13 @@
 			return err
 		}
 	}
-	return s.settled(s.Agents+s.Listed, pollSlow*5)
+	return s.settled(ctx, s.Agents+s.Listed, pollSlow*5)
 }
 
 // settled waits until every balancer uses the given number of endpoints.
-func (s *site) settled(endpoints int, poll time.Duration) error {
+func (s *site) settled(ctx context.Context, endpoints int, poll time.Duration) error {
 	done := 0
-	err := await(poll, "all balancers and endpoints in all views", func() bool {
+	err := await(ctx, poll, "all balancers and endpoints in all views", func() bool {
 		for ; done < len(s.balancers); done++ {
 			st, err := s.balancers[done].state()
 			if err != nil || len(st.Balancers) != len(s.balancers) || usable(st) < endpoints {
@@ -183,16 +183,16 @@
 
 // idle measures a window without changes. The state dumps, which cost far more
 // than what is measured, are outside of the window for processor time.
-func (s *site) idle(context.Context) error {
-	time.Sleep(2 * time.Second)
+func (s *site) idle(ctx context.Context) error {
+	pause(ctx, 2*time.Second)
 	before, err := s.samples()
 	if err != nil {
 		return err
 	}
-	time.Sleep(time.Second)
+	pause(ctx, time.Second)
 	calls, probes, begin := s.store.Counts(), s.probes.Load(), time.Now()
 	cpu := s.cpu()
-	time.Sleep(s.Window)
+	pause(ctx, s.Window)
 	cpu = s.cpu() - cpu
 	window := time.Since(begin)
 	probes = s.probes.Load() - probes
--- a/internal/slope/slope.go
+++ b/internal/slope/slope.go
@@ -5,6 +5,7 @@
 package slope
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/netip"
@@ -140,17 +141,29 @@
 }
 
 // await polls until the condition holds.
-func await(poll time.Duration, what string, ok func() bool) error {
+func await(ctx context.Context, poll time.Duration, what string, ok func() bool) error {
 	begin := time.Now()
 	for !ok() {
 		if time.Since(begin) > patience {
 			return &TimeoutError{what, patience}
 		}
-		time.Sleep(poll)
+		if err := pause(ctx, poll); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
+// pause waits unless the context ends before.
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // TimeoutError reports that a condition did not hold within a limit.
 type TimeoutError struct {
 	What  string
