--- a/internal/itest/overload_test.go
+++ b/internal/itest/overload_test.go
@@ -29,7 +29,7 @@
 	directTime  = 2 * time.Second
 	// settleSeconds is the time after the surge in which requests may still fail.
 	settleSeconds = 3
-	maxResident   = 256 << 20
+	maxAgentMemory   = 256 << 20
 )
 
 // TestOverload guards goodput under overload and recovery after it: callers
@@ -64,8 +64,8 @@
 	for _, a := range s.Agents["listas"] {
 		n := resident(t, a)
 		t.Logf("%s: %d MB resident", a.Name, n>>20)
-		if n > maxResident {
-			t.Errorf("%s: want at most %d octets resident, have %d", a.Name, maxResident, n)
+		if n > maxAgentMemory {
+			t.Errorf("%s: want at most %d octets resident, have %d", a.Name, maxAgentMemory, n)
 		}
 	}
 }
