--- a/pkg/caller/path_test.go
+++ b/pkg/caller/path_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
@@ -163,6 +164,7 @@
 			pinged, last time.Time
 			moves        []time.Time
 			closed       bool
+			pings        int
 		)
 		for at := start; at.Before(start.Add(40*time.Second)) && !closed; {
 			if !pinged.IsZero() && at.Sub(pinged) >= answer && answer < limit-busyStep {
@@ -172,6 +174,7 @@
 			a, next := s.step(at, received, rtt, u)
 			switch a {
 			case actPing:
+				pings++
 				pinged = at
 				if wait := at.Sub(start); last.IsZero() && wait > s.pingAfter(limit, u)+idleStep {
 					t.Fatalf("first ping after %v", wait)
@@ -188,6 +191,9 @@
 		if answer < limit-busyStep && len(moves) > 0 {
 			t.Fatalf("left a path that answers after %v within the limit %v", answer, limit)
 		}
+		// A quiet feed settles at one ping in 800 ms, an unused flow at one in 11 s.
+		most := map[use]int{useNone: 4, useRequest: 270, useFeed: 60}[u]
+		checkBetween(t, "pings in 40 s", pings, 1, most)
 		if answer < limit {
 			return
 		}
@@ -198,7 +204,7 @@
 	})
 }
 
-func checkBetween(t *rapid.T, what string, have, low, high time.Duration) {
+func checkBetween[T cmp.Ordered](t *rapid.T, what string, have, low, high T) {
 	if have < low || have > high {
 		t.Fatalf("%s: want %v to %v, have %v", what, low, high, have)
 	}
--- a/pkg/caller/silence.go
+++ b/pkg/caller/silence.go
@@ -33,13 +33,18 @@
 	// maxMigrateWait bounds the wait between two migrations.
 	maxMigrateWait = 5 * time.Second
 	// Intervals between the steps of a flow. A step notices packets late by up
-	// to its interval, so feedPing and feedStep together stay within a second.
+	// to its interval, so maxFeedPing and feedStep together stay within a second.
 	idleStep = 500 * time.Millisecond
-	feedStep = 200 * time.Millisecond
+	feedStep = 100 * time.Millisecond
 	busyStep = 50 * time.Millisecond
-	// feedPing is the time that an open feed waits for a packet before it asks
-	// for one.
-	feedPing = 800 * time.Millisecond
+	// An open feed waits for a packet for feedGaps times the usual gap between
+	// packets before it asks for one. Answers to pings count as packets, so the
+	// gap of a feed without events grows until it pings each maxFeedPing.
+	feedGaps    = 4
+	minFeedPing = 300 * time.Millisecond
+	maxFeedPing = 800 * time.Millisecond
+	// gapWeight is the inverse weight of the latest gap in the smoothed one.
+	gapWeight = 8
 )
 
 // silence decides when a path is silent. A path is silent when a ping is not
@@ -49,6 +54,8 @@
 
 	received     uint64
 	lastReceived time.Time
+	// gap is the smoothed time between packets, averaged over each step.
+	gap time.Duration
 	// pinged is the time of the first ping since the last packet, or zero.
 	pinged time.Time
 	// migrations counts those since the last packet, nextMigration is the
@@ -58,7 +65,7 @@
 }
 
 func (s *silence) init(now time.Time, keepAlive, floor, giveUp time.Duration) {
-	*s = silence{keepAlive: keepAlive, floor: floor, giveUp: giveUp, lastReceived: now}
+	*s = silence{keepAlive: keepAlive, floor: floor, giveUp: giveUp, lastReceived: now, gap: maxFeedPing}
 }
 
 // limit is the longest time without an answer to a ping.
@@ -68,6 +75,8 @@
 // when to step again.
 func (s *silence) step(now time.Time, received uint64, rtt time.Duration, u use) (action, time.Duration) {
 	if received != s.received {
+		gap := now.Sub(s.lastReceived) / time.Duration(received-s.received)
+		s.gap += (gap - s.gap) / gapWeight
 		s.received = received
 		s.lastReceived = now
 		s.pinged = time.Time{}
@@ -114,7 +123,7 @@
 	case useRequest:
 		return limit / 2
 	case useFeed:
-		return feedPing
+		return min(max(feedGaps*s.gap, minFeedPing), maxFeedPing)
 	default:
 		return s.keepAlive + keepAliveGrace
 	}
