--- a/internal/agent/desk.go
+++ b/internal/agent/desk.go
@@ -37,9 +37,9 @@
 	outcome, reason string
 	status          int
 	answer          *ticket.Answer
-	// rest is the part of a long answer that is not in answer.Body. Only the
+	// rest has the part of a long answer that is not in answer.Body. Only the
 	// caller that started the run may read it, until copied is closed.
-	rest   io.Reader
+	rest   *http.Response
 	copied chan struct{}
 }
 
@@ -55,10 +55,10 @@
 }
 
 // begin decides about a ticket and returns the run to start or to wait for.
-func (d *desk) begin(text string) (ticket.Decision, *run) {
+func (d *desk) begin(text string, request ticket.Hash) (ticket.Decision, *run) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c := d.book.Begin(time.Now(), text)
+	c := d.book.Begin(time.Now(), text, request)
 	switch c.Action {
 	case ticket.Run:
 		r := &run{serial: c.Serial, done: make(chan struct{}), copied: make(chan struct{})}
@@ -76,7 +76,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	c := d.book.Begin(now, text)
+	c := d.book.Begin(now, text, ticket.Hash{})
 	if c.Action == ticket.Run {
 		return reason, d.book.Refuse(now, c.Serial, ticket.Reason(reason))
 	}
@@ -113,7 +113,7 @@
 
 // finish ends a run with an answer. If rest is not nil, the answer is too long
 // to be stored.
-func (d *desk) finish(r *run, a *ticket.Answer, rest io.Reader) {
+func (d *desk) finish(r *run, a *ticket.Answer, rest *http.Response) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r.answer, r.rest = a, rest
@@ -177,7 +177,7 @@
 		h.rejectTicket(w, text, http.StatusRequestEntityTooLarge, reasonBody)
 		return
 	}
-	d, run := h.desk.begin(text)
+	d, run := h.desk.begin(text, o.hash())
 	switch d.Action {
 	case ticket.Run:
 		h.active.Add(1)
@@ -235,10 +235,11 @@
 	}
 	a := &ticket.Answer{Status: resp.StatusCode, Header: answerHeader(resp.Header), Body: body}
 	if len(body) <= limit {
+		a.Trailer = trailer(resp)
 		h.desk.finish(r, a, nil)
 		return
 	}
-	h.desk.finish(r, a, resp.Body)
+	h.desk.finish(r, a, resp)
 	<-r.copied
 	io.Copy(io.Discard, resp.Body) // an upstream may stop its work when its answer is not read
 }
@@ -289,12 +290,14 @@
 func writeAnswer(w http.ResponseWriter, a *ticket.Answer) {
 	writeHeader(w, a.Status, a.Header)
 	w.Write(a.Body)
+	writeTrailer(w, a.Trailer)
 }
 
 func (h *handler) writeLong(w http.ResponseWriter, run *run) {
 	writeAnswer(w, run.answer)
-	if err := copyFlush(w, run.rest); err != nil {
+	if err := copyFlush(w, run.rest.Body); err != nil {
 		h.refusals.add("reset", reasonBrokenOff)
 		panic(http.ErrAbortHandler)
 	}
+	writeTrailer(w, trailer(run.rest))
 }
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -212,6 +212,7 @@
 		h.refusals.add("reset", reasonBrokenOff)
 		panic(http.ErrAbortHandler)
 	}
+	writeTrailer(w, trailer(resp))
 }
 
 func writeHeader(w http.ResponseWriter, status int, h http.Header) {
@@ -220,3 +221,13 @@
 	}
 	w.WriteHeader(status)
 }
+
+// trailer returns the fields after the body of an answer, which has been read.
+func trailer(resp *http.Response) http.Header { return answerHeader(resp.Trailer) }
+
+// writeTrailer sends the fields that follow a body.
+func writeTrailer(w http.ResponseWriter, h http.Header) {
+	for k, v := range h {
+		w.Header()[http.TrailerPrefix+k] = v
+	}
+}
--- a/internal/agent/ticket_test.go
+++ b/internal/agent/ticket_test.go
@@ -84,6 +84,81 @@
 	}
 }
 
+// TestTicketBound guards against a ticket that answers or runs another request
+// than that of its first use.
+func TestTicketBound(t *testing.T) {
+	u, url := newTestUpstream(t)
+	f := newFront(t, url, decl.Service{})
+	text := f.ticket()
+	send := func(method, path, body string) result {
+		return f.do(t.Context(), method, path, strings.NewReader(body), hdrs.Ticket, text)
+	}
+	answered := result{status: 200, body: "x"}
+	other := result{status: 409, outcome: hdrs.Unknown, reason: "ticket of another request"}
+	for _, c := range []struct {
+		method, path, body string
+		want               result
+	}{
+		{"POST", "/a", "x", answered},
+		{"PUT", "/a", "x", other},
+		{"POST", "/a?b", "x", other},
+		{"POST", "/a", "y", other},
+		{"POST", "/a", "", other},
+		{"POST", "/a", "x", answered},
+	} {
+		if have := send(c.method, c.path, c.body); have != c.want {
+			t.Errorf("%s %s %q: want %+v, have %+v", c.method, c.path, c.body, c.want, have)
+		}
+	}
+	if n := u.calls.Load(); n != 1 {
+		t.Errorf("calls of the upstream: want 1, have %d", n)
+	}
+}
+
+// TestTrailer guards trailers, announced or not, of short, stored and long
+// answers. Only the system itself may state an outcome, also after the body.
+func TestTrailer(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Trailer", "X-Sum")
+		n := 100
+		if r.URL.Path == "/long" {
+			n = 200 << 10
+		}
+		w.Write(make([]byte, n))
+		http.NewResponseController(w).Flush()
+		w.Header().Set("X-Sum", "1")
+		w.Header().Set(http.TrailerPrefix+"X-Late", "2")
+		w.Header().Set(http.TrailerPrefix+hdrs.Outcome, hdrs.NotRun)
+	}))
+	defer srv.Close()
+	f := newFront(t, srv.URL, decl.Service{})
+	check := func(path, text string) {
+		t.Helper()
+		req, err := http.NewRequestWithContext(t.Context(), "POST", f.base+path, nil)
+		must(t, err)
+		if text != "" {
+			req.Header.Set(hdrs.Ticket, text)
+		}
+		resp, err := f.client.Do(req)
+		must(t, err)
+		defer resp.Body.Close()
+		_, err = io.Copy(io.Discard, resp.Body)
+		must(t, err)
+		for name, want := range map[string]string{"X-Sum": "1", "X-Late": "2", hdrs.Outcome: ""} {
+			if have := resp.Trailer.Get(name); have != want {
+				t.Errorf("%s, ticket %v: want trailer %s %q, have %v", path, text != "", name, want, resp.Trailer)
+			}
+		}
+	}
+	for _, path := range []string{"/", "/long"} {
+		check(path, "")
+		check(path, f.ticket())
+	}
+	text := f.ticket()
+	check("/", text)
+	check("/", text)
+}
+
 // brokenBody fails after n octets, which makes the client reset the stream. It
 // waits first, because a reset may overtake the head of the request.
 type brokenBody struct {
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -1,7 +1,10 @@
 package agent
 
 import (
+	"bytes"
 	"context"
+	"crypto/sha256"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +13,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/bramleycourse/bramleycourse/internal/ticket"
 )
 
 const (
@@ -77,6 +82,17 @@
 	called func()
 }
 
+// hash identifies a request whose body is in memory by method, target and body.
+func (o *outgoing) hash() ticket.Hash {
+	sum := sha256.New()
+	fmt.Fprintf(sum, "%s %s\n", o.method, o.uri)
+	if b, ok := o.body.(*bytes.Reader); ok {
+		b.WriteTo(sum)
+		b.Seek(0, io.SeekStart)
+	}
+	return ticket.Hash(sum.Sum(nil))
+}
+
 // call sends a request once. Its error is a *callError.
 func (u *upstream) call(ctx context.Context, o *outgoing) (*http.Response, error) {
 	var called atomic.Bool
--- a/internal/ticket/book.go
+++ b/internal/ticket/book.go
@@ -10,14 +10,20 @@
 	Status int
 	Header map[string][]string
 	Body   []byte
+	// Trailer holds the fields that follow the body.
+	Trailer map[string][]string
 }
 
 // entryOverhead approximates the memory that an answer takes besides its text.
 const entryOverhead = 256
 
 func (a *Answer) size() int {
-	n := entryOverhead + len(a.Body)
-	for k, vs := range a.Header {
+	return entryOverhead + len(a.Body) + fieldsSize(a.Header) + fieldsSize(a.Trailer)
+}
+
+func fieldsSize(h map[string][]string) int {
+	n := 0
+	for k, vs := range h {
 		n += len(k)
 		for _, v := range vs {
 			n += len(v)
@@ -26,6 +32,9 @@
 	return n
 }
 
+// Hash identifies the request that a ticket is used for.
+type Hash [32]byte
+
 // Limits bounds what a Book holds.
 type Limits struct {
 	// Tickets is the number of tickets that are unused, running or stored.
@@ -62,6 +71,7 @@
 	ReasonOtherInstance Reason = "ticket of another instance"
 	ReasonMAC           Reason = "ticket MAC wrong"
 	ReasonForgotten     Reason = "ticket no longer stored"
+	ReasonOtherRequest  Reason = "ticket of another request"
 	ReasonTickets       Reason = "too many tickets"
 	ReasonBytes         Reason = "stored answers at their limit"
 )
@@ -112,6 +122,8 @@
 	ends   time.Time
 	answer *Answer
 	reason Reason
+	// request is that of the first use.
+	request Hash
 	// place is the entry's element in Book.idle or Book.ended; nil while it runs.
 	place *list.Element
 }
@@ -149,8 +161,9 @@
 	return b.mint.Text(e.serial), ReasonNone
 }
 
-// Begin decides about a request with the given ticket.
-func (b *Book) Begin(now time.Time, text string) Decision {
+// Begin decides about a request with the given ticket. Its first use binds the
+// ticket to the request: another one neither runs nor gets the answer.
+func (b *Book) Begin(now time.Time, text string, request Hash) Decision {
 	b.expire(now)
 	s, reason := b.mint.read(text)
 	if reason != ReasonNone {
@@ -160,15 +173,17 @@
 	if e == nil {
 		return Decision{Action: Unknown, Reason: ReasonForgotten}
 	}
-	switch e.state {
-	case unused:
+	switch {
+	case e.state == unused:
 		b.idle.Remove(e.place)
-		e.state, e.place, e.ends = begun, nil, time.Time{}
+		e.state, e.place, e.ends, e.request = begun, nil, time.Time{}, request
 		return Decision{Action: Run, Serial: s}
-	case stored:
-		return Decision{Action: Replay, Answer: e.answer}
-	case refused:
+	case e.state == refused:
 		return Decision{Action: NotRun, Reason: e.reason}
+	case e.request != request:
+		return Decision{Action: Unknown, Reason: ReasonOtherRequest}
+	case e.state == stored:
+		return Decision{Action: Replay, Answer: e.answer}
 	default:
 		return Decision{Action: Wait, Serial: s}
 	}
--- a/internal/ticket/book_test.go
+++ b/internal/ticket/book_test.go
@@ -31,10 +31,13 @@
 		now := start
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var serial, size int
-			var from string
+			var from, request string
 			d.MaybeScanArgs(t, "serial", &serial)
 			d.MaybeScanArgs(t, "size", &size)
 			d.MaybeScanArgs(t, "from", &from)
+			d.MaybeScanArgs(t, "request", &request)
+			var hash Hash
+			copy(hash[:], request)
 			s := Serial(serial)
 			switch d.Cmd {
 			case "at":
@@ -50,9 +53,9 @@
 				if from != "" {
 					m = others[from]
 				}
-				return show(b.Begin(now, m.Text(s)))
+				return show(b.Begin(now, m.Text(s), hash))
 			case "text":
-				return show(b.Begin(now, d.Input))
+				return show(b.Begin(now, d.Input, hash))
 			case "call":
 				b.Call(s)
 				return ""
@@ -97,7 +100,7 @@
 
 func (m *model) begin(t *rapid.T) {
 	s := m.pick(t)
-	switch d := m.book.Begin(m.now, m.mint.Text(s)); d.Action {
+	switch d := m.book.Begin(m.now, m.mint.Text(s), Hash{}); d.Action {
 	case Run:
 		if m.begun[s] || m.denied[s] {
 			t.Fatalf("serial %d runs again: begun %v, denied %v", s, m.begun[s], m.denied[s])
