--- a/internal/agent/handler_test.go
+++ b/internal/agent/handler_test.go
@@ -1,199 +1,21 @@
 package agent
 
 import (
-	"bufio"
 	"context"
-	"crypto/tls"
-	"encoding/json"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
-	"time"
 
-	"github.com/quic-go/quic-go"
-	"github.com/quic-go/quic-go/http3"
-	"github.com/sirupsen/logrus"
-	"github.com/uber-go/tally/v4"
-
-	"github.com/bramleycourse/bramleycourse/internal/certs"
 	"github.com/bramleycourse/bramleycourse/internal/hdrs"
-	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/pkg/decl"
 )
 
-func quietLog() *logrus.Entry {
-	l := logrus.New()
-	l.SetOutput(io.Discard)
-	return logrus.NewEntry(l)
-}
-
-// serverTLS returns the TLS settings of a server and of its callers.
-func serverTLS(t testing.TB) (server, caller *tls.Config) {
-	t.Helper()
-	ca, err := certs.NewAuthority(time.Hour)
-	must(t, err)
-	certFile, keyFile, err := ca.IssueFiles(t.TempDir(), "service")
-	must(t, err)
-	cert, err := tls.LoadX509KeyPair(certFile, keyFile)
-	must(t, err)
-	server = http3.ConfigureTLSConfig(&tls.Config{Certificates: []tls.Certificate{cert}})
-	return server, &tls.Config{RootCAs: ca.Pool(), ServerName: "localhost"}
-}
-
-func must(t testing.TB, err error) {
-	t.Helper()
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
-// front is a handler behind a real HTTP/3 server.
-type front struct {
-	t       *testing.T
-	handler *handler
-	client  *http.Client
-	base    string
-}
-
-func newFront(t *testing.T, upstreamURL string, s decl.Service) *front {
-	h := &handler{
-		gate:      newAdmission(gateLimits(s.Limits.WithDefaults()), 0),
-		desk:      newDesk(ident.EndpointID{Addr: netip.MustParseAddrPort("127.0.0.1:1"), Instance: 1}),
-		refusals:  newReasons(quietLog(), tally.NoopScope),
-		upstream:  newUpstream(upstreamURL, func(error) {}),
-		requested: func(context.Context) {},
-	}
-	h.configure(s)
-	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	must(t, err)
-	server, caller := serverTLS(t)
-	srv := &http3.Server{Handler: h, TLSConfig: server, MaxHeaderBytes: maxHeaderBytes}
-	go srv.Serve(conn)
-	tr := &http3.Transport{TLSClientConfig: caller, QUICConfig: &quic.Config{}}
-	t.Cleanup(func() {
-		tr.Close()
-		srv.Close()
-		conn.Close()
-	})
-	return &front{t: t, handler: h, client: &http.Client{Transport: tr}, base: "https://" + conn.LocalAddr().String()}
-}
-
-// result is an answer as a caller sees it.
-type result struct {
-	status          int
-	outcome, reason string
-	body            string
-	err             error
-}
-
-// do sends a request; header holds pairs of names and values.
-func (f *front) do(ctx context.Context, method, path string, body io.Reader, header ...string) result {
-	req, err := http.NewRequestWithContext(ctx, method, f.base+path, body)
-	if err != nil {
-		return result{err: err}
-	}
-	for i := 0; i < len(header); i += 2 {
-		req.Header.Set(header[i], header[i+1])
-	}
-	resp, err := f.client.Do(req)
-	if err != nil {
-		return result{err: err}
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
-	return result{resp.StatusCode, resp.Header.Get(hdrs.Outcome), resp.Header.Get(hdrs.Reason), string(b), err}
-}
-
-func (f *front) ticket() string {
-	f.t.Helper()
-	r := f.do(f.t.Context(), http.MethodPost, hdrs.TicketPath, nil)
-	var a ticketAnswer
-	if r.err != nil || r.status != http.StatusCreated || json.Unmarshal([]byte(r.body), &a) != nil {
-		f.t.Fatalf("want a ticket, have %+v", r)
-	}
-	return a.Ticket
-}
-
-func eventually(t testing.TB, what string, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
-		if ok() {
-			return
-		}
-	}
-	t.Fatalf("not within 10 s: %s", what)
-}
-
-// fickleUpstream answers the first request of each connection and closes the
-// connection after it has read the second, as an upstream does that ends its
-// idle connections. With closeFirst it never answers. It returns the number of
-// requests that it read.
-func fickleUpstream(t *testing.T, closeFirst bool) (string, *atomic.Int64) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	must(t, err)
-	t.Cleanup(func() { l.Close() })
-	var seen atomic.Int64
-	serve := func(c net.Conn) {
-		defer c.Close()
-		r := bufio.NewReader(c)
-		for n := 0; ; n++ {
-			req, err := http.ReadRequest(r)
-			if err != nil {
-				return
-			}
-			io.Copy(io.Discard, req.Body)
-			seen.Add(1)
-			if n > 0 || closeFirst {
-				return
-			}
-			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-		}
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return "http://" + l.Addr().String(), &seen
-}
-
-// TestUpstreamCalledOnce guards against requests that net/http sends again by
-// itself when a connection ends before the answer.
-func TestUpstreamCalledOnce(t *testing.T) {
-	for _, closeFirst := range []bool{false, true} {
-		url, seen := fickleUpstream(t, closeFirst)
-		f := newFront(t, url, decl.Service{})
-		for i, method := range []string{"GET", "GET", "PUT", "PUT", "DELETE", "POST", "POST", "GET"} {
-			var body io.Reader
-			if method == "PUT" || method == "POST" {
-				body = strings.NewReader("x")
-			}
-			r := f.do(t.Context(), method, "/", body, "Idempotency-Key", "1")
-			want := result{status: 200, body: "ok"}
-			if closeFirst {
-				want = result{status: 502, outcome: hdrs.Unknown, reason: reasonFailed}
-			}
-			if r != want {
-				t.Errorf("%s: want %+v, have %+v", method, want, r)
-			}
-			if have := seen.Load(); have != int64(i+1) {
-				t.Fatalf("closeFirst %v: requests at the upstream after %s: want %d, have %d", closeFirst, method, i+1, have)
-			}
-		}
-	}
-}
-
 // testUpstream is an upstream with one path for each behaviour.
 type testUpstream struct {
 	calls   atomic.Int64
--- /dev/null
+++ b/internal/agent/upstream_test.go
@@ -0,0 +1,77 @@
+package agent
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/bramleycourse/bramleycourse/internal/hdrs"
+	"github.com/bramleycourse/bramleycourse/pkg/decl"
+)
+
+// fickleUpstream answers the first request of each connection and closes the
+// connection after it has read the second, as an upstream does that ends its
+// idle connections. With closeFirst it never answers. It returns the number of
+// requests that it read.
+func fickleUpstream(t *testing.T, closeFirst bool) (string, *atomic.Int64) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	must(t, err)
+	t.Cleanup(func() { l.Close() })
+	var seen atomic.Int64
+	serve := func(c net.Conn) {
+		defer c.Close()
+		r := bufio.NewReader(c)
+		for n := 0; ; n++ {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, req.Body)
+			seen.Add(1)
+			if n > 0 || closeFirst {
+				return
+			}
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return "http://" + l.Addr().String(), &seen
+}
+
+// TestUpstreamCalledOnce guards against requests that net/http sends again by
+// itself when a connection ends before the answer.
+func TestUpstreamCalledOnce(t *testing.T) {
+	for _, closeFirst := range []bool{false, true} {
+		url, seen := fickleUpstream(t, closeFirst)
+		f := newFront(t, url, decl.Service{})
+		for i, method := range []string{"GET", "GET", "PUT", "PUT", "DELETE", "POST", "POST", "GET"} {
+			var body io.Reader
+			if method == "PUT" || method == "POST" {
+				body = strings.NewReader("x")
+			}
+			r := f.do(t.Context(), method, "/", body, "Idempotency-Key", "1")
+			want := result{status: 200, body: "ok"}
+			if closeFirst {
+				want = result{status: 502, outcome: hdrs.Unknown, reason: reasonFailed}
+			}
+			if r != want {
+				t.Errorf("%s: want %+v, have %+v", method, want, r)
+			}
+			if have := seen.Load(); have != int64(i+1) {
+				t.Fatalf("closeFirst %v: requests at the upstream after %s: want %d, have %d", closeFirst, method, i+1, have)
+			}
+		}
+	}
+}
