--- a/internal/itest/cluster.go
+++ b/internal/itest/cluster.go
@@ -6,13 +6,13 @@
 	"crypto/tls"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -136,7 +136,7 @@
 	c.T.Helper()
 	n := len(c.balancers) + 1
 	p := &Process{
-		Name: name, Admin: freeAddr(c.T), Peer: freeAddr(c.T), Hop: freeUDP(c.T),
+		Name: name, Admin: nextAddr(), Peer: nextAddr(), Hop: nextAddr(),
 		CallerIP: loopback(n + 1),
 	}
 	s := &config.Balancer{
@@ -164,7 +164,7 @@
 	u := stub.New(service, work)
 	srv := httptest.NewServer(u)
 	c.T.Cleanup(srv.Close)
-	p := &Process{Name: name, Admin: freeAddr(c.T), Hop: freeUDP(c.T), Stub: u, stubSrv: srv}
+	p := &Process{Name: name, Admin: nextAddr(), Hop: nextAddr(), Stub: u, stubSrv: srv}
 	s := &config.Agent{
 		Service: service, Place: place,
 		HopAddress: p.Hop, AdminAddress: p.Admin, Upstream: srv.URL,
@@ -280,22 +280,14 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+pid/254%254, 1+pid%254, host)
 }
 
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", loopback(1)+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
+// firstPort begins the ports of the processes. It is below the ephemeral ports
+// of Linux (from 32768): a port that was only looked up as free could go to
+// another socket before its process binds it.
+const firstPort = 10_000
 
-func freeUDP(t *testing.T) string {
-	t.Helper()
-	c, err := net.ListenPacket("udp4", loopback(1)+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	return c.LocalAddr().String()
+var ports atomic.Uint32
+
+// nextAddr returns an address that no other process of this test run has.
+func nextAddr() string {
+	return fmt.Sprintf("%s:%d", loopback(1), firstPort+ports.Add(1))
 }
