--- a/internal/trial/model.go
+++ b/internal/trial/model.go
@@ -27,10 +27,10 @@
 }
 
 const (
-	balancers = 3
-	load      = 0.85
-	slowSpeed = 0.5
-	tag       = ident.ServiceTag(1)
+	balancers    = 3
+	standardLoad = 0.85
+	slowSpeed    = 0.5
+	tag          = ident.ServiceTag(1)
 )
 
 // flow is one arriving flow.
@@ -40,6 +40,8 @@
 	balancer int
 	// work holds the service time of each request at full speed.
 	work []float64
+	// open is how long a feed stays open; it has no work.
+	open float64
 	// agent is the endpoint that serves the flow.
 	agent int
 	// asked is when the current request arrived at its agent.
@@ -55,10 +57,11 @@
 	speed float64
 	// frozen agents lose the first packets of flows; requests go on.
 	frozen bool
-	// jobs is the number of running and waiting requests.
-	jobs    int
-	waiting map[*admit.Waiter]*flow
-	rate    rate
+	// jobs is the number of running and waiting requests, flows that of open
+	// flows, and requests that of requests so far.
+	jobs, flows, requests int
+	waiting               map[*admit.Waiter]*flow
+	rate                  rate
 }
 
 func (a *agent) depth() float64 { return float64(a.jobs) / float64(a.slots) }
@@ -79,7 +82,15 @@
 	waits  []float64
 	spread float64
 	ticks  int
-	number int
+	// flowSpread is the sum over flowTicks samples of the imbalance of open flows.
+	flowSpread float64
+	flowTicks  int
+	// requestSpread is the sum over windows of the imbalance of requests, and
+	// windowEnd the end of the current window.
+	requestSpread float64
+	windows       int
+	windowEnd     float64
+	number        int
 	// turns counts the flows of each balancer, for round robin.
 	turns [balancers]int
 	// learnAt is when learned weights are next updated.
@@ -92,37 +103,6 @@
 	lies bool
 }
 
-// event is a step of the model at a time. Events at one time run in order of number.
-type event struct {
-	at     float64
-	number int
-	run    func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].number < e[j].number
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push implements heap.Interface.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop implements heap.Interface.
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
-func (m *model) after(d float64, run func()) {
-	m.number++
-	heap.Push(&m.events, event{m.now + d, m.number, run})
-}
-
 func (m *model) clock() time.Time {
 	return time.Unix(0, 0).Add(time.Duration(m.now * float64(unit)))
 }
@@ -147,7 +127,7 @@
 		})
 
 		if i == 0 {
-			m.agents[i].speed = slowSpeed
+			m.agents[i].speed = sc.speed()
 		}
 	}
 	m.flows = arrivals(sc, s, seed, flows)
@@ -172,16 +152,23 @@
 
 func equal(int) float64 { return 1 }
 
+// arrivals draws n flows with requests and, between them, the feeds.
 func arrivals(sc Scene, s Size, seed uint64, n int) []*flow {
 	rng := rand.New(rand.NewPCG(seed, 1))
-	capacity := (float64(s.Endpoints) - 1 + slowSpeed) * float64(s.Slots)
-	rate := load * capacity / float64(sc.requests())
+	capacity := (float64(s.Endpoints) - 1 + sc.speed()) * float64(s.Slots)
+	rate := sc.load() * capacity / float64(sc.requests()) / (1 - sc.Feeds)
 	var fs []*flow
 	at := 0.0
-	for range n {
+	for n > 0 {
 		at += rng.ExpFloat64() / rate
 		f := &flow{at: at, balancer: rng.IntN(balancers)}
 		binary.BigEndian.PutUint64(f.id[:], rng.Uint64())
+		if sc.Feeds > 0 && rng.Float64() < sc.Feeds {
+			f.open = rng.ExpFloat64() * (1 + thinkTime) * float64(sc.requests())
+			fs = append(fs, f)
+			continue
+		}
+		n--
 		for range sc.requests() {
 			f.work = append(f.work, sc.work(rng))
 		}
@@ -231,15 +218,27 @@
 	f.agent = i
 	m.agents[i].gate.FlowOpened(m.clock())
 	m.agents[i].gate.FlowRequested(m.clock())
+	m.agents[i].flows++
+	if f.open > 0 {
+		m.after(f.open, func() { m.close(f) })
+		return
+	}
 	m.request(f, m.now-f.at)
 }
 
+func (m *model) close(f *flow) {
+	a := m.agents[f.agent]
+	a.flows--
+	a.gate.FlowClosed(m.clock())
+}
+
 // request lets the next request of a flow arrive. The delay is what the flow
 // has already waited before it.
 func (m *model) request(f *flow, delay float64) {
 	a := m.agents[f.agent]
 	f.asked = m.now - delay
 	a.jobs++
+	a.requests++
 	v, w := a.gate.Arrive(m.clock(), time.Time{})
 	switch v {
 	case admit.Run:
@@ -272,7 +271,7 @@
 		m.start(g)
 	}
 	if len(f.work) == 0 {
-		a.gate.FlowClosed(m.clock())
+		m.close(f)
 		return
 	}
 	m.after(m.rng.ExpFloat64()*thinkTime, func() { m.request(f, 0) })
--- a/internal/trial/report.go
+++ b/internal/trial/report.go
@@ -37,9 +37,9 @@
 	for _, t := range ts {
 		fmt.Fprintf(w, "%s, %d endpoints x %d slots, %d flows, seed %d\n", t.Scene, t.Size.Endpoints, t.Size.Slots, t.Flows, t.Seed)
 		tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-		fmt.Fprintln(tw, "policy\tp99 wait\tratio\tmean wait\tmax/mean load\thand-overs/flow\tlost packets")
+		fmt.Fprintln(tw, "policy\tp99 wait\tratio\tmean wait\tmax/mean load\tflows\trequests\thand-overs/flow\tlost packets")
 		for _, r := range t.Results {
-			fmt.Fprintf(tw, "%s\t%.2f\t%.2f\t%.3f\t%.2f\t%.3f\t%d\n", r.Policy, r.P99Wait, r.Ratio, r.MeanWait, r.Imbalance, r.HandOvers, r.Vanished)
+			fmt.Fprintf(tw, "%s\t%.2f\t%.2f\t%.3f\t%.2f\t%.2f\t%.2f\t%.3f\t%d\n", r.Policy, r.P99Wait, r.Ratio, r.MeanWait, r.Imbalance, r.FlowImbalance, r.RequestImbalance, r.HandOvers, r.Vanished)
 		}
 		if err := tw.Flush(); err != nil {
 			return err
--- a/internal/trial/result.go
+++ b/internal/trial/result.go
@@ -14,12 +14,27 @@
 	MeanWait float64 `json:"meanWait"`
 	// Imbalance is the mean over time of the highest relative to the mean load.
 	Imbalance float64 `json:"imbalance"`
+	// FlowImbalance is the mean over time of the highest relative to the mean
+	// number of open flows, once the long scenes are in their steady state.
+	FlowImbalance float64 `json:"flowImbalance"`
+	// RequestImbalance is the mean, over windows of window, of the
+	// highest relative to the mean number of requests that arrived at an agent.
+	RequestImbalance float64 `json:"requestImbalance"`
 	// HandOvers is the number of hand-overs per flow.
 	HandOvers float64 `json:"handOvers"`
 	// Vanished is the number of packets sent to frozen agents.
 	Vanished int `json:"vanished,omitempty"`
 }
 
+const (
+	// warmTime is how long flows and requests are not sampled. Flows of the long
+	// scenes stay open for about 420 units.
+	warmTime = 1000
+	// window is the time over which requests are counted. It is shorter than
+	// most flows are open, so that a lasting excess of flows shows.
+	window = 200
+)
+
 // historySteps is the number of steps in one unit of time.
 const historySteps = 10
 
@@ -55,11 +70,51 @@
 		m.spread += slices.Max(loads) / (sum / float64(len(loads)))
 		m.ticks++
 	}
+	m.sampleFlows()
 	if m.now < m.flows[len(m.flows)-1].at {
 		m.after(1.0/historySteps, m.tick)
 	}
 }
 
+// maxOverMean returns the highest relative to the mean, or 0 if all are zero.
+func maxOverMean(vs []float64) float64 {
+	sum := 0.0
+	for _, v := range vs {
+		sum += v
+	}
+	if sum == 0 {
+		return 0
+	}
+	return slices.Max(vs) * float64(len(vs)) / sum
+}
+
+// sampleFlows samples the open flows, and at the end of a window the requests.
+func (m *model) sampleFlows() {
+	if m.now < warmTime {
+		return
+	}
+	var flows, requests []float64
+	for _, a := range m.agents {
+		flows = append(flows, float64(a.flows))
+		requests = append(requests, float64(a.requests))
+	}
+	if v := maxOverMean(flows); v > 0 {
+		m.flowSpread += v
+		m.flowTicks++
+	}
+	if m.now < m.windowEnd {
+		return
+	}
+	m.windowEnd = m.now + window
+	for _, a := range m.agents {
+		a.requests = 0
+	}
+	if m.windowEnd > warmTime+window {
+		m.requestSpread += maxOverMean(requests)
+		m.windows++
+	}
+}
+
 func (m *model) finish() Result {
 	r := m.result
 	r.Policy = m.policy.Name
@@ -71,6 +126,8 @@
 	slices.Sort(m.waits)
 	r.P99Wait = m.waits[len(m.waits)*99/100]
 	r.Imbalance = m.spread / float64(m.ticks)
+	r.FlowImbalance = m.flowSpread / float64(max(m.flowTicks, 1))
+	r.RequestImbalance = m.requestSpread / float64(max(m.windows, 1))
 	r.HandOvers /= float64(len(m.flows))
 	return r
 }
@@ -87,7 +144,9 @@
 		rs = append(rs, r)
 	}
 	for i := range rs {
-		rs[i].Ratio = rs[i].P99Wait / limit
+		if limit > 0 {
+			rs[i].Ratio = rs[i].P99Wait / limit
+		}
 	}
 	return rs
 }
--- a/internal/trial/scene.go
+++ b/internal/trial/scene.go
@@ -1,12 +1,22 @@
 package trial
 
-import "math/rand/v2"
+import (
+	"fmt"
+	"math/rand/v2"
+)
 
 // Scene is the surroundings of a run.
 type Scene struct {
 	Name string
 	// Requests is the number of requests of each flow; 0 means 1.
 	Requests int
+	// Load is the offered work relative to the capacity; 0 means the standard load.
+	Load float64
+	// Equal lets all agents run at full speed; else the first is slow.
+	Equal bool
+	// Feeds is the share of flows that stay open as long as the others, but
+	// never use a slot. They come on top of the number of flows of a run.
+	Feeds float64
 	// Work draws a service time with mean 1; nil means the standard distribution.
 	Work func(r *rand.Rand) float64
 	// Start changes the model before the first arrival.
@@ -15,6 +25,22 @@
 
 func (s Scene) requests() int { return max(s.Requests, 1) }
 
+// load returns the offered work relative to the capacity.
+func (s Scene) load() float64 {
+	if s.Load == 0 {
+		return standardLoad
+	}
+	return s.Load
+}
+
+// speed returns the speed of the first agent.
+func (s Scene) speed() float64 {
+	if s.Equal {
+		return 1
+	}
+	return slowSpeed
+}
+
 // work draws 0.5 units with probability 0.9 and else 5.5: the mean is 1.
 func (s Scene) work(r *rand.Rand) float64 {
 	if s.Work != nil {
@@ -28,7 +54,7 @@
 
 // Scenes returns the cases of the experiment; the first is the standard one.
 func Scenes() []Scene {
-	return []Scene{
+	return append([]Scene{
 		{Name: "standard"},
 		{Name: "false load reports of the slow agent", Start: func(m *model) { m.lies = true }},
 		{Name: "one agent frozen", Start: freeze},
@@ -36,7 +62,23 @@
 		{Name: "cold start", Start: cold},
 		{Name: "1% of 50 units", Work: skewed},
 		{Name: "20 requests per flow", Requests: 20},
+	}, longFlows()...)
+}
+
+// longFlows returns the scenes for the imbalance of open flows.
+func longFlows() []Scene {
+	const requests, feeds = 20, 0.35
+	var scs []Scene
+	for _, load := range []float64{0.3, 0.5, standardLoad} {
+		for _, same := range []bool{true, false} {
+			name := fmt.Sprintf("long flows and feeds, load %v", load)
+			if same {
+				name += ", equal agents"
+			}
+			scs = append(scs, Scene{Name: name, Requests: requests, Load: load, Equal: same, Feeds: feeds})
+		}
 	}
+	return scs
 }
 
 const (
