--- a/internal/admit/flow.go
+++ b/internal/admit/flow.go
@@ -62,11 +62,16 @@
 		}
 		return Take
 	}
-	if depth != encap.MaxDepth && g.load() < g.limits.Slots {
+	free := depth != encap.MaxDepth && g.load() < g.limits.Slots
+	compared := anyFree(h)
+	if free && (g.flows() < g.limits.Slots || h.Position > 0 && !compared) {
 		return Take
 	}
+	if free {
+		depth = g.rank()
+	}
 	h.Candidates[h.Position].Depth = depth
-	if h.Position+1 < h.Count && (h.Position+1 < nearCandidates || deep(h)) {
+	if !compared && h.Position+1 < h.Count && (h.Position+1 < nearCandidates || deep(h)) {
 		pass(h, encap.NewFlow, h.Position+1)
 		return Forward
 	}
@@ -91,6 +96,16 @@
 	deepDepth = encap.DepthUnit * 5 / 4
 )
 
+// anyFree says whether a candidate before the receiver has a free slot.
+func anyFree(h *encap.Header) bool {
+	for i := range h.Position {
+		if h.Candidates[i].Depth < encap.DepthUnit {
+			return true
+		}
+	}
+	return false
+}
+
 // deep says whether every candidate so far is deep.
 func deep(h *encap.Header) bool {
 	for i := range h.Position + 1 {
--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -120,9 +120,12 @@
 
 // full says whether the agent is at its connection limit.
 func (g *Gate) full() bool {
-	return g.connections+len(g.opening) >= g.limits.Connections
+	return g.flows() >= g.limits.Connections
 }
 
+// flows is the number of flows that were taken and have not ended.
+func (g *Gate) flows() int { return g.connections + len(g.opening) }
+
 // Depth returns the load per slot that the agent reports to other agents.
 func (g *Gate) Depth(now time.Time) encap.Depth {
 	g.expire(now)
--- a/internal/encap/encap.go
+++ b/internal/encap/encap.go
@@ -53,7 +53,9 @@
 	MaxSize = baseSize + listFixedSize + MaxCandidates*candidateSize + checkSize
 )
 
-// Depth is the load of an agent per slot, in units of 1/64.
+// Depth is the load of an agent per slot, in units of 1/64. In a header, an
+// agent with a free slot reports its rank among such agents instead, which is
+// less than DepthUnit.
 type Depth uint16
 
 // DepthUnit is the depth of an agent whose slots are all busy and whose queue is empty.
