--- a/internal/admit/flow.go
+++ b/internal/admit/flow.go
@@ -68,7 +68,7 @@
 		return Take
 	}
 	if free {
-		depth = g.rank()
+		depth = g.rank(now)
 	}
 	h.Candidates[h.Position].Depth = depth
 	if !compared && h.Position+1 < h.Count && (h.Position+1 < nearCandidates || deep(h)) {
--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -41,6 +41,8 @@
 	// Both are in ascending order.
 	opening, expected []time.Time
 
+	recent recent
+
 	memory memory
 }
 
@@ -64,6 +66,7 @@
 // SetLimits changes the limits. It returns the waiters that it started.
 // Requests that already run or wait keep their place when a limit shrinks.
 func (g *Gate) SetLimits(now time.Time, l Limits) []*Waiter {
+	g.fade(now)
 	g.limits = l
 	var started []*Waiter
 	for w := g.startNext(now); w != nil; w = g.startNext(now) {
--- a/internal/admit/request.go
+++ b/internal/admit/request.go
@@ -59,6 +59,8 @@
 	if passed(now, deadline) {
 		return Deadline, nil
 	}
+	g.fade(now)
+	g.recent.requests++
 	if g.running < g.limits.Slots {
 		g.running++
 		return Run, nil
@@ -76,6 +78,7 @@
 
 // Finish frees a slot and returns the waiter that it started in its place, or nil.
 func (g *Gate) Finish(now time.Time) *Waiter {
+	g.fade(now)
 	g.running--
 	return g.startNext(now)
 }
