--- a/internal/admit/flow.go
+++ b/internal/admit/flow.go
@@ -64,7 +64,7 @@
 	}
 	free := depth != encap.MaxDepth && g.load() < g.limits.Slots
 	compared := anyFree(h)
-	if free && (g.flows() < g.limits.Slots || h.Position > 0 && !compared) {
+	if free && (g.few() || h.Position > 0 && !compared) {
 		return Take
 	}
 	if free {
@@ -86,6 +86,12 @@
 	return Forward
 }
 
+// few says whether the open flows are fewer than the share of the slots that
+// the weight allows. Such an agent takes a flow without a comparison.
+func (g *Gate) few() bool {
+	return float64(g.flows()) < float64(g.limits.Slots)*g.limits.weight()
+}
+
 const (
 	// nearCandidates is the number of candidates that a flow is offered to
 	// before the least loaded of them gets it.
--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -18,6 +18,16 @@
 	Queue int
 	// Connections is the number of open flows.
 	Connections int
+	// Weight is the declared share of the upstream relative to the highest of
+	// its service; 0 means 1.
+	Weight float64
+}
+
+func (l Limits) weight() float64 {
+	if l.Weight > 0 {
+		return l.Weight
+	}
+	return 1
 }
 
 // expectTime is how long an accepted flow counts as load before its first request.
--- a/internal/admit/rank.go
+++ b/internal/admit/rank.go
@@ -43,10 +43,13 @@
 
 // work estimates the work that the open flows bring. Flows count themselves,
 // as idle ones may become active, and by their recent requests, as feeds have
-// none. Busy slots tell a slow upstream from a fast one.
+// none. Busy slots tell a slow upstream from a fast one. Both are
+// relative to the weight. The flow that is offered is included, as it may be
+// all the work of an upstream of low weight.
 func (g *Gate) work(now time.Time) float64 {
 	g.fade(now)
-	return (float64(g.flows()) + g.recent.requests) * (1 + busyWeight*g.recent.busy)
+	w := g.limits.weight()
+	return (float64(g.flows()+1) + g.recent.requests) / w * (1 + busyWeight*g.recent.busy/w)
 }
 
 // rank orders agents with a free slot by their work. It takes the place of
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -123,6 +123,8 @@
 		desk:      newDesk(a.self),
 		refusals:  a.refusals,
 		requested: a.flowRequested,
+		place:     a.settings.Place,
+		group:     a.settings.Group,
 	}
 	h.upstream = newUpstream(a.settings.Upstream, a.upstreamDialed)
 	return h
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -36,6 +36,8 @@
 	gate     *admission
 	desk     *desk
 	refusals *reasons
+	// place and group are those of the upstream, for its declared weight.
+	place, group string
 	// service is the declared service; replaced when a configuration comes into force.
 	service atomic.Pointer[decl.Service]
 	// requested is called with the context of each request.
@@ -50,7 +52,9 @@
 func (h *handler) configure(s decl.Service) {
 	s.Limits = s.Limits.WithDefaults()
 	h.service.Store(&s)
-	h.gate.setLimits(gateLimits(s.Limits))
+	l := gateLimits(s.Limits)
+	l.Weight = shareWeight(s.Shares, h.place, h.group)
+	h.gate.setLimits(l)
 }
 
 func gateLimits(l decl.Limits) admit.Limits {
--- a/internal/trial/model.go
+++ b/internal/trial/model.go
@@ -60,8 +60,10 @@
 	// jobs is the number of running and waiting requests, flows that of open
 	// flows, and requests that of requests so far.
 	jobs, flows, requests int
-	waiting               map[*admit.Waiter]*flow
-	rate                  rate
+	// placed is the number of flows so far.
+	placed  int
+	waiting map[*admit.Waiter]*flow
+	rate    rate
 }
 
 func (a *agent) depth() float64 { return float64(a.jobs) / float64(a.slots) }
@@ -75,6 +77,7 @@
 	tables  [balancers]*route.Table
 	policy  Policy
 	scene   Scene
+	limits  admit.Limits
 	events  events
 	history history
 	result  Result
@@ -118,14 +121,14 @@
 // same arrivals, whatever their policy.
 func newModel(p Policy, sc Scene, s Size, seed uint64, flows int) *model {
 	m := &model{policy: p, scene: sc, rng: rand.New(rand.NewPCG(seed, 2))}
+	m.limits = admit.Limits{Slots: s.Slots, Queue: flows * 20, Connections: flows * 2}
 	for i := range s.Endpoints {
 		m.agents = append(m.agents, &agent{
-			gate:    admit.New(admit.Limits{Slots: s.Slots, Queue: flows * 20, Connections: flows * 2}),
+			gate:    admit.New(m.limits),
 			slots:   s.Slots,
 			speed:   1,
 			waiting: map[*admit.Waiter]*flow{},
 		})
-
 		if i == 0 {
 			m.agents[i].speed = sc.speed()
 		}
@@ -219,6 +222,7 @@
 	m.agents[i].gate.FlowOpened(m.clock())
 	m.agents[i].gate.FlowRequested(m.clock())
 	m.agents[i].flows++
+	m.agents[i].placed++
 	if f.open > 0 {
 		m.after(f.open, func() { m.close(f) })
 		return
--- a/internal/trial/scene.go
+++ b/internal/trial/scene.go
@@ -62,7 +62,7 @@
 		{Name: "cold start", Start: cold},
 		{Name: "1% of 50 units", Work: skewed},
 		{Name: "20 requests per flow", Requests: 20},
-	}, longFlows()...)
+	}, append(longFlows(), sharedFlows())...)
 }
 
 // longFlows returns the scenes for the imbalance of open flows.
@@ -128,3 +128,23 @@
 	}
 	return (1 - long*share) / (1 - share)
 }
+
+// sharedFlows returns the scene for declared shares.
+func sharedFlows() Scene {
+	return Scene{Name: "long flows and one light agent", Requests: 20, Load: 0.3, Equal: true, Feeds: 0.35, Start: lighten}
+}
+
+const lightWeight = 0.25
+
+// lighten declares a lower weight for agent 0 and tells its gate.
+func lighten(m *model) {
+	l := m.limits
+	l.Weight = lightWeight
+	m.agents[0].gate.SetLimits(m.clock(), l)
+	m.rebuild(func(i int) float64 {
+		if i == 0 {
+			return lightWeight
+		}
+		return 1
+	})
+}
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -80,3 +80,18 @@
 		t.Error(fmt.Sprint("want equal tables, have\n", a.String(), b.String()))
 	}
 }
+
+// TestShare guards declared shares against the comparison by work: a light
+// upstream has less of it and must not get more flows for that.
+func TestShare(t *testing.T) {
+	const flows, slack = 3000, 0.25
+	for _, s := range Sizes() {
+		m := newModel(choose(Design)[0], sharedFlows(), s, 1, flows)
+		m.run()
+		want := float64(len(m.flows)) * lightWeight / (float64(s.Endpoints-1) + lightWeight)
+		have := float64(m.agents[0].placed)
+		if have < want*(1-slack) || have > want*(1+slack) {
+			t.Errorf("%+v: want about %.0f flows for the light agent, have %.0f", s, want, have)
+		}
+	}
+}
