--- a/internal/admit/flow.go
+++ b/internal/admit/flow.go
@@ -39,11 +39,16 @@
 func (g *Gate) Decide(now time.Time, id []byte, h *encap.Header) Action {
 	g.expire(now)
 	k := newFlowID(id)
-	if d, ok := g.memory.get(now, k); ok && repeat(d, h) {
-		return d.action
+	old, known := g.memory.get(now, k)
+	takeBack := known && g.unanswered(now, old)
+	if known && !takeBack && repeat(old, h) {
+		return old.action
 	}
 	own := h.Position
-	d := decision{action: g.decide(now, h)}
+	d := decision{action: Take}
+	if !takeBack {
+		d.action = g.decide(now, h)
+	}
 	if d.action == Forward {
 		d.kind, d.target, d.depth = h.Kind, h.Candidates[h.Position].Endpoint, h.Candidates[own].Depth
 	}
@@ -54,6 +59,21 @@
 	return d.action
 }
 
+// answerTime is after what time a caller's repeated packet shows that the agent
+// that a flow was handed to has not answered. The packets of one ClientHello
+// come within milliseconds; RFC 9002 recommends a second before it is repeated.
+const answerTime = 150 * time.Millisecond
+
+// unanswered says whether the agent should take a flow that it handed on while
+// it had a free slot, as the other agent may be frozen. If the answer was only
+// lost, a handshake is wasted.
+func (g *Gate) unanswered(now time.Time, d decision) bool {
+	if d.action != Forward || d.depth >= encap.DepthUnit || now.Before(d.until.Add(answerTime-memoryTime)) {
+		return false
+	}
+	return g.Depth(now) != encap.MaxDepth && g.load() < g.limits.Slots
+}
+
 func (g *Gate) decide(now time.Time, h *encap.Header) Action {
 	depth := g.Depth(now)
 	if h.Kind == encap.Placed {
