--- a/internal/admit/flow.go
+++ b/internal/admit/flow.go
@@ -39,11 +39,16 @@
 func (g *Gate) Decide(now time.Time, id []byte, h *encap.Header) Action {
 	g.expire(now)
 	k := newFlowID(id)
-	if d, ok := g.memory.get(now, k); ok && repeat(d, h) {
-		return d.action
+	old, known := g.memory.get(now, k)
+	takeBack := known && g.unanswered(now, old)
+	if known && !takeBack && repeat(old, h) {
+		return old.action
 	}
 	own := h.Position
-	d := decision{action: g.decide(now, h)}
+	d := decision{action: Take}
+	if !takeBack {
+		d.action = g.decide(now, h)
+	}
 	if d.action == Forward {
 		d.kind, d.target, d.depth = h.Kind, h.Candidates[h.Position].Endpoint, h.Candidates[own].Depth
 	}
@@ -54,6 +59,21 @@
 	return d.action
 }
 
+// answerTime is after what time a caller's repeated packet shows that the agent
+// that a flow was handed to has not answered. The packets of one ClientHello
+// come within milliseconds; RFC 9002 recommends a second before it is repeated.
+const answerTime = 150 * time.Millisecond
+
+// unanswered says whether the agent should take a flow that it handed on while
+// it had a free slot, as the other agent may be frozen. If the answer was only
+// lost, a handshake is wasted.
+func (g *Gate) unanswered(now time.Time, d decision) bool {
+	if d.action != Forward || d.depth >= encap.DepthUnit || now.Before(d.until.Add(answerTime-memoryTime)) {
+		return false
+	}
+	return g.Depth(now) != encap.MaxDepth && g.load() < g.limits.Slots
+}
+
 func (g *Gate) decide(now time.Time, h *encap.Header) Action {
 	depth := g.Depth(now)
 	if h.Kind == encap.Placed {
@@ -62,11 +82,16 @@
 		}
 		return Take
 	}
-	if depth != encap.MaxDepth && g.load() < g.limits.Slots {
+	free := depth != encap.MaxDepth && g.load() < g.limits.Slots
+	compared := anyFree(h)
+	if free && (g.few() || h.Position > 0 && !compared) {
 		return Take
 	}
+	if free {
+		depth = g.rank(now)
+	}
 	h.Candidates[h.Position].Depth = depth
-	if h.Position+1 < h.Count && (h.Position+1 < nearCandidates || deep(h)) {
+	if !compared && h.Position+1 < h.Count && (h.Position+1 < nearCandidates || deep(h)) {
 		pass(h, encap.NewFlow, h.Position+1)
 		return Forward
 	}
@@ -81,6 +106,12 @@
 	return Forward
 }
 
+// few says whether the open flows are fewer than the share of the slots that
+// the weight allows. Such an agent takes a flow without a comparison.
+func (g *Gate) few() bool {
+	return float64(g.flows()) < float64(g.limits.Slots)*g.limits.weight()
+}
+
 const (
 	// nearCandidates is the number of candidates that a flow is offered to
 	// before the least loaded of them gets it.
@@ -91,6 +122,16 @@
 	deepDepth = encap.DepthUnit * 5 / 4
 )
 
+// anyFree says whether a candidate before the receiver has a free slot.
+func anyFree(h *encap.Header) bool {
+	for i := range h.Position {
+		if h.Candidates[i].Depth < encap.DepthUnit {
+			return true
+		}
+	}
+	return false
+}
+
 // deep says whether every candidate so far is deep.
 func deep(h *encap.Header) bool {
 	for i := range h.Position + 1 {
--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -18,6 +18,16 @@
 	Queue int
 	// Connections is the number of open flows.
 	Connections int
+	// Weight is the declared share of the upstream relative to the highest of
+	// its service; 0 means 1.
+	Weight float64
+}
+
+func (l Limits) weight() float64 {
+	if l.Weight > 0 {
+		return l.Weight
+	}
+	return 1
 }
 
 // expectTime is how long an accepted flow counts as load before its first request.
@@ -41,6 +51,8 @@
 	// Both are in ascending order.
 	opening, expected []time.Time
 
+	recent recent
+
 	memory memory
 }
 
@@ -64,6 +76,7 @@
 // SetLimits changes the limits. It returns the waiters that it started.
 // Requests that already run or wait keep their place when a limit shrinks.
 func (g *Gate) SetLimits(now time.Time, l Limits) []*Waiter {
+	g.fade(now)
 	g.limits = l
 	var started []*Waiter
 	for w := g.startNext(now); w != nil; w = g.startNext(now) {
@@ -120,9 +133,12 @@
 
 // full says whether the agent is at its connection limit.
 func (g *Gate) full() bool {
-	return g.connections+len(g.opening) >= g.limits.Connections
+	return g.flows() >= g.limits.Connections
 }
 
+// flows is the number of flows that were taken and have not ended.
+func (g *Gate) flows() int { return g.connections + len(g.opening) }
+
 // Depth returns the load per slot that the agent reports to other agents.
 func (g *Gate) Depth(now time.Time) encap.Depth {
 	g.expire(now)
