--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -40,7 +40,8 @@
 	adminAddr  netip.AddrPort
 	tag        ident.ServiceTag
 	hop        *hopConn
-	server     *http3.Server
+	servers    *servers
+	tls        *tls.Config
 	gate       *admission
 	handler    *handler
 	refusals   *reasons
@@ -92,18 +93,15 @@
 	}
 	a.adminAddr = proc.AdminAddr(admin, a.self.Addr.Addr())
 	f.Admin(admin, func() any { return a.State() })
-	a.server = &http3.Server{
-		Handler:        a.handler,
-		MaxHeaderBytes: maxHeaderBytes,
-		IdleTimeout:    emptyTimeout,
-		TLSConfig:      http3.ConfigureTLSConfig(&tls.Config{GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return cert.Get(), nil }}),
-	}
-	a.late = &http3.Server{Handler: http.HandlerFunc(a.refuseLate), MaxHeaderBytes: maxHeaderBytes}
+	a.tls = http3.ConfigureTLSConfig(&tls.Config{GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return cert.Get(), nil }})
+	a.servers = newServers(a.keys().Current.Number, a.newServer)
+	a.late = a.newLateServer()
 	f.Add("upstream check", a.checkUpstream)
 	f.Add("QUIC server", a.serve)
 	f.Add("slow start", a.gate.warm)
 	f.Add("balancer pings", a.hop.ping)
 	f.Add("keys file", keys.Run)
+	f.Add("key change", a.followKey)
 	if err := a.join(); err != nil {
 		return nil, err
 	}
@@ -154,12 +152,12 @@
 func (a *Agent) serve(ctx context.Context) error {
 	t := a.transport()
 	defer t.Close()
-	l, err := t.ListenEarly(a.server.TLSConfig, quicConfig())
+	l, err := t.ListenEarly(a.tls, quicConfig())
 	if err != nil {
 		return errors.Trace(err)
 	}
 	stop := context.AfterFunc(ctx, func() {
-		a.server.Close()
+		a.servers.closeAll()
 		a.late.Close()
 	})
 	defer stop()
@@ -175,10 +173,12 @@
 	}
 }
 
-// serveConn serves a connection. After the drain has begun the HTTP/3 server
-// accepts none; one whose handshake was under way then gets not-run answers.
+// serveConn serves a connection. After the drain or the move to another key has
+// begun, the HTTP/3 server of the flow accepts none; one whose handshake was
+// under way then gets not-run answers.
 func (a *Agent) serveConn(c *quic.Conn) {
-	if errors.Is(a.server.ServeQUICConn(c), http.ErrServerClosed) {
+	f := c.Context().Value(flowKey{}).(*flow)
+	if errors.Is(f.server.ServeQUICConn(c), http.ErrServerClosed) {
 		a.late.ServeQUICConn(c)
 	}
 }
@@ -195,16 +195,19 @@
 type State struct {
 	Endpoint string `json:"endpoint"`
 	// Generation is that of the configuration in force; 0 means none.
-	Generation ident.Generation  `json:"generation"`
-	State      string            `json:"state"`
-	Serving    bool              `json:"serving"`
-	Service    string            `json:"service"`
-	Requests   uint64            `json:"requests"`
-	Admission  admit.Stats       `json:"admission"`
-	Tickets    ticket.Size       `json:"tickets"`
-	Refused    map[string]uint64 `json:"refused"`
-	Sessions   peer.State        `json:"sessions"`
-	Counts     map[string]uint64 `json:"counts"`
+	Generation ident.Generation `json:"generation"`
+	State      string           `json:"state"`
+	Serving    bool             `json:"serving"`
+	Service    string           `json:"service"`
+	Requests   uint64           `json:"requests"`
+	Admission  admit.Stats      `json:"admission"`
+	// ConnectionsByKey counts the open connections by the number of the key that
+	// was current when they began. A key may be dropped when its count is 0.
+	ConnectionsByKey map[uint8]int     `json:"connectionsByKey"`
+	Tickets          ticket.Size       `json:"tickets"`
+	Refused          map[string]uint64 `json:"refused"`
+	Sessions         peer.State        `json:"sessions"`
+	Counts           map[string]uint64 `json:"counts"`
 	// Balancers are those that replies go through.
 	Balancers []netip.AddrPort `json:"balancers"`
 	Retries   uint64           `json:"retries"`
@@ -213,18 +216,19 @@
 // State returns the current state dump.
 func (a *Agent) State() State {
 	return State{
-		Endpoint:   a.self.String(),
-		Generation: a.announcer.Generation(),
-		Sessions:   a.announcer.State(),
-		State:      drain.State(a.state.Load()).String(),
-		Serving:    a.serving(),
-		Service:    a.settings.Service,
-		Requests:   a.handler.requests.Load(),
-		Admission:  a.gate.stats(),
-		Tickets:    a.handler.desk.size(),
-		Refused:    a.refusals.values(),
-		Counts:     a.hop.values(),
-		Balancers:  a.hop.balancers(),
-		Retries:    a.handshakes.retries.Load(),
+		Endpoint:         a.self.String(),
+		Generation:       a.announcer.Generation(),
+		Sessions:         a.announcer.State(),
+		State:            drain.State(a.state.Load()).String(),
+		Serving:          a.serving(),
+		Service:          a.settings.Service,
+		Requests:         a.handler.requests.Load(),
+		Admission:        a.gate.stats(),
+		ConnectionsByKey: a.servers.byKey(),
+		Tickets:          a.handler.desk.size(),
+		Refused:          a.refusals.values(),
+		Counts:           a.hop.values(),
+		Balancers:        a.hop.balancers(),
+		Retries:          a.handshakes.retries.Load(),
 	}
 }
--- a/internal/agent/quic.go
+++ b/internal/agent/quic.go
@@ -91,6 +91,7 @@
 
 // flow is the state of one QUIC connection.
 type flow struct {
+	server    *server
 	requested atomic.Bool
 }
 
@@ -105,8 +106,12 @@
 		a.refusals.add("flow", "refused")
 		return nil, errFlowRefused
 	}
-	context.AfterFunc(ctx, func() { a.gate.flow((*admit.Gate).FlowClosed) })
-	return context.WithValue(ctx, flowKey{}, &flow{}), nil
+	f := &flow{server: a.servers.flowOpened()}
+	context.AfterFunc(ctx, func() {
+		a.gate.flow((*admit.Gate).FlowClosed)
+		a.servers.flowClosed(f.server.key)
+	})
+	return context.WithValue(ctx, flowKey{}, f), nil
 }
 
 // flowRequested tells the gate about the first request of a connection.
--- a/internal/agent/quic_test.go
+++ b/internal/agent/quic_test.go
@@ -16,7 +16,7 @@
 	u, url := newTestUpstream(t)
 	a := b.prepare("127.0.0.1:0", url, decl.Service{StreamPaths: []string{"/feeds/"}})
 	const idle = 200 * time.Millisecond
-	a.server.IdleTimeout = idle
+	a.servers.current.IdleTimeout = idle
 	b.run(a)
 	ended := make(chan error, 1)
 	feed := b.client()
--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -78,5 +78,5 @@
 	a.state.Store(int32(drain.Draining))
 	a.updateGate()
 	a.setState(drain.Draining)
-	go a.server.Shutdown(context.Background())
+	a.servers.leaveAll()
 }
