--- a/cmd/bramleycourse/keys.go
+++ b/cmd/bramleycourse/keys.go
@@ -13,12 +13,12 @@
 	New  keysNewCmd  `cmd:"" help:"Make a keys file with one random key."`
 	Add  keysAddCmd  `cmd:"" help:"Rotation, step 1: add a key that is accepted and not yet used."`
 	Use  keysUseCmd  `cmd:"" help:"Rotation, step 2: make an accepted key the current one."`
-	Drop keysDropCmd `cmd:"" help:"Rotation, step 3: remove a key. Flows whose connection IDs use it break."`
+	Drop keysDropCmd `cmd:"" help:"Rotation, step 3: remove a key. Flows that began under it break."`
 }
 
 // Help describes the rotation.
 func (c *keysCmd) Help() string {
-	return "Distribute the file to every process after each step, and let the processes reread it before the next. Before dropping a key, wait until the flows that began under it have ended."
+	return "Distribute the file to every process after each step, and let the processes reread it before the next. After step 2 the agents move their callers to flows of the new key. Before dropping a key, wait until connectionsByKey in the state dump of every agent shows no connection for it."
 }
 
 type keysNewCmd struct {
