--- a/internal/agent/count.go
+++ b/internal/agent/count.go
@@ -33,11 +33,20 @@
 	return &reasons{log: log, scope: scope, seen: map[reason]*refusal{}}
 }
 
-// add counts a refusal. Reasons are constants, so the map stays small.
+// add counts a refusal and logs it if it is the first of its reason in the interval.
 func (r *reasons) add(what, why string) {
+	if n, first := r.count(what, why); first {
+		r.log.WithFields(logrus.Fields{"what": what, "reason": why, "count": n}).Warn("refused")
+	}
+}
+
+// count counts a refusal and says whether it is the first of its reason in the
+// interval. Reasons are constants, so the map stays small.
+func (r *reasons) count(what, why string) (n uint64, first bool) {
 	k := reason{what, why}
 	now := time.Now()
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	f := r.seen[k]
 	if f == nil {
 		f = &refusal{counter: r.scope.Tagged(map[string]string{"what": what, "reason": why}).Counter("refused")}
@@ -45,14 +54,11 @@
 	}
 	f.count++
 	f.counter.Inc(1)
-	n, first := f.count, now.Sub(f.logged) >= logInterval
+	n, first = f.count, now.Sub(f.logged) >= logInterval
 	if first {
 		f.logged = now
 	}
-	r.mu.Unlock()
-	if first {
-		r.log.WithFields(logrus.Fields{"what": what, "reason": why, "count": n}).Warn("refused")
-	}
+	return n, first
 }
 
 // values returns the counts under the keys "what.reason".
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/quic-go/quic-go"
 
 	"github.com/bramleycourse/bramleycourse/internal/admit"
 	"github.com/bramleycourse/bramleycourse/internal/hdrs"
@@ -25,6 +26,7 @@
 	reasonFailed      = "upstream call failed"
 	reasonLate        = "deadline passed"
 	reasonBrokenOff   = "answer broken off"
+	reasonCancelled   = "cancelled by caller"
 )
 
 // queueLimit bounds the wait for a slot of a request without a deadline.
@@ -118,7 +120,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	h.answer(w, resp)
+	h.answer(w, r, resp)
 }
 
 // outgoing prepares the request to the upstream, or returns nil if the body is
@@ -206,15 +208,43 @@
 
 // answer copies an answer of the upstream. One that breaks off is broken off
 // towards the caller too, so that it never looks complete.
-func (h *handler) answer(w http.ResponseWriter, resp *http.Response) {
+func (h *handler) answer(w http.ResponseWriter, r *http.Request, resp *http.Response) {
 	writeHeader(w, resp.StatusCode, answerHeader(resp.Header))
 	if err := copyFlush(w, resp.Body); err != nil {
-		h.refusals.add("reset", reasonBrokenOff)
-		panic(http.ErrAbortHandler)
+		h.breakOff(r.Context())
 	}
 	writeTrailer(w, trailer(resp))
 }
 
+// breakOff resets the stream of an answer that cannot be completed. A caller
+// that closed a feed or download itself is no fault and is not logged.
+func (h *handler) breakOff(ctx context.Context) {
+	if cancelled(ctx) {
+		h.refusals.count("reset", reasonCancelled)
+	} else {
+		h.refusals.add("reset", reasonBrokenOff)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// cancelled says whether the context of a request ended because the caller
+// cancelled the request or closed the connection. A connection that timed out
+// or that the agent closed is a break.
+func cancelled(ctx context.Context) bool {
+	if ctx.Err() == nil {
+		return false
+	}
+	var (
+		idle *quic.IdleTimeoutError
+		app  *quic.ApplicationError
+	)
+	cause := context.Cause(ctx)
+	if errors.As(cause, &app) {
+		return app.Remote
+	}
+	return !errors.As(cause, &idle)
+}
+
 func writeHeader(w http.ResponseWriter, status int, h http.Header) {
 	for k, v := range h {
 		w.Header()[k] = v
--- a/internal/agent/handler_test.go
+++ b/internal/agent/handler_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -35,6 +36,10 @@
 		case <-u.release:
 		case <-r.Context().Done():
 		}
+	case "/feeds/open":
+		io.WriteString(w, "part")
+		http.NewResponseController(w).Flush()
+		<-r.Context().Done()
 	case "/cut":
 		w.Header().Set("Content-Length", "100")
 		io.WriteString(w, "part")
@@ -236,3 +241,46 @@
 		t.Errorf("calls of the upstream: want 2, have %d", n)
 	}
 }
+
+// TestCancelled guards against warnings about feeds that their callers closed,
+// and against broken answers that pass for closed ones.
+func TestCancelled(t *testing.T) {
+	for name, c := range map[string]struct {
+		want, path string
+		end        func(*front, context.CancelFunc)
+	}{
+		"request cancelled": {"reset.cancelled by caller", "/feeds/open", func(_ *front, cancel context.CancelFunc) { cancel() }},
+		"connection closed": {"reset.cancelled by caller", "/feeds/open", func(f *front, _ context.CancelFunc) { f.client.Transport.(io.Closer).Close() }},
+		"upstream broke":    {"reset.answer broken off", "/cut", func(*front, context.CancelFunc) {}},
+		"deadline passed":   {"reset.answer broken off", "/feeds/open", nil},
+	} {
+		_, url := newTestUpstream(t)
+		f := newFront(t, url, decl.Service{StreamPaths: []string{"/feeds/"}})
+		var log bytes.Buffer
+		f.handler.refusals.log.Logger.SetOutput(&log)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.base+c.path, nil)
+		must(t, err)
+		if c.end == nil {
+			req.Header.Set(hdrs.Timeout, "100")
+		}
+		resp, err := f.client.Do(req)
+		if err == nil {
+			defer resp.Body.Close()
+		} else if c.path != "/cut" { // its reset may overtake the header
+			t.Fatalf("%s: %v", name, err)
+		}
+		if c.end != nil {
+			c.end(f, cancel)
+		}
+		eventually(t, name+" counted", func() bool { return len(f.handler.refusals.values()) > 0 })
+		eventually(t, name+" ended", func() bool { return f.handler.active.Load() == 0 })
+		if have := f.handler.refusals.values(); len(have) != 1 || have[c.want] != 1 {
+			t.Errorf("%s: want one %q, have %v", name, c.want, have)
+		}
+		if have, want := log.Len() > 0, c.want == "reset.answer broken off"; have != want {
+			t.Errorf("%s: want a warning %v, have %q", name, want, log.String())
+		}
+	}
+}
--- a/internal/agent/tickets.go
+++ b/internal/agent/tickets.go
@@ -159,7 +159,7 @@
 	case run.rest == nil:
 		writeAnswer(w, run.answer)
 	case first:
-		h.writeLong(w, run)
+		h.writeLong(w, r, run)
 	default:
 		h.unknown(w, http.StatusConflict, string(ticket.ReasonForgotten))
 	}
@@ -171,11 +171,10 @@
 	writeTrailer(w, a.Trailer)
 }
 
-func (h *handler) writeLong(w http.ResponseWriter, run *run) {
+func (h *handler) writeLong(w http.ResponseWriter, r *http.Request, run *run) {
 	writeAnswer(w, run.answer)
 	if err := copyFlush(w, run.rest.Body); err != nil {
-		h.refusals.add("reset", reasonBrokenOff)
-		panic(http.ErrAbortHandler)
+		h.breakOff(r.Context())
 	}
 	writeTrailer(w, trailer(run.rest))
 }
