--- a/internal/config/accept.go
+++ b/internal/config/accept.go
@@ -54,6 +54,25 @@
 	return &Accepted{Generation: o.Generation, Declaration: d, Value: b.Bytes()}, nil
 }
 
+// ForService returns the JSON of a configuration object whose declaration is
+// reduced to one service and the places. A service that is not declared leaves
+// an empty list of services.
+func ForService(a *Accepted, service ident.ServiceName) ([]byte, error) {
+	d := *a.Declaration
+	d.Services = []decl.Service{}
+	for _, s := range a.Declaration.Services {
+		if s.Name == string(service) {
+			d.Services = append(d.Services, s)
+		}
+	}
+	raw, err := json.Marshal(d)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	value, err := json.Marshal(Object{Generation: a.Generation, Declaration: raw})
+	return value, errors.Trace(err)
+}
+
 // decodeStrict decodes one JSON value. Unknown fields and data behind the
 // value are errors.
 func decodeStrict(b []byte, v any) error {
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	protocolVersion = 2
+	protocolVersion = 3
 	lengthSize      = 4
 	// maxFrame covers a configuration of 1 MiB, the largest platform value.
 	maxFrame = 1<<20 + 1<<16
@@ -56,6 +56,10 @@
 		return "marksWanted"
 	case *Frame_MarkVersions:
 		return "markVersions"
+	case *Frame_ConfigOffer:
+		return "configOffer"
+	case *Frame_ConfigWanted:
+		return "configWanted"
 	}
 	return "unknown"
 }
--- /dev/null
+++ b/internal/peer/config.go
@@ -0,0 +1,177 @@
+package peer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/config"
+	"github.com/bramleycourse/bramleycourse/internal/ident"
+)
+
+const (
+	// minConfigWait and maxConfigWait bound the wait before a configuration is
+	// asked for: the platform delivers it in milliseconds when it is up.
+	minConfigWait = 200 * time.Millisecond
+	maxConfigWait = 500 * time.Millisecond
+	// maxRelayedWait replaces them when the offering peer has waited already,
+	// so that the waits do not add up along a chain of peers.
+	maxRelayedWait = 50 * time.Millisecond
+	// configRetry is the time between two requests; a value of 1 MiB arrives sooner.
+	configRetry = time.Second
+)
+
+// fetch holds which configurations peers offer. The node's mutex guards it.
+type fetch struct {
+	// offers maps sessions to the generations that their peers hold; only
+	// those above the own generation matter.
+	offers map[*session]ident.Generation
+	// waiting is true while a timer is set for the next request; due is when
+	// it fires, and asked says that a request precedes it.
+	waiting, asked bool
+	due            time.Time
+	timer          *time.Timer
+	// received is the hash of the last configuration that a peer sent.
+	received uint64
+	// parts caches the values sent to agents of the generation partsOf.
+	parts   map[ident.ServiceName]packet
+	partsOf ident.Generation
+}
+
+// announceConfig offers the configuration to balancers that are not known to
+// hold it and sends agents their part; the caller holds the mutex.
+func (n *Node) announceConfig() {
+	offer := n.offerFrame()
+	for s := range n.sessions {
+		switch {
+		case !s.remote.Key.IsBalancer():
+			s.send(n.agentConfig(s))
+		case n.fetch.offers[s] < n.conf.Generation:
+			s.send(offer)
+		}
+	}
+}
+
+func (n *Node) configFrame(value []byte) packet {
+	return encode(&Frame{Body: &Frame_Config{&ConfigMessage{Value: value}}})
+}
+
+func (n *Node) offerFrame() packet {
+	return encode(&Frame{Body: &Frame_ConfigOffer{&ConfigOffer{
+		Generation: uint64(n.conf.Generation), ConfigHash: n.conf.hash,
+		Relayed: n.fetch.received == n.conf.hash,
+	}}})
+}
+
+// agentConfig returns the configuration reduced to the service of an agent;
+// the caller holds the mutex. A value that is not a configuration object is
+// sent as it is, and the agent refuses and reports it.
+func (n *Node) agentConfig(s *session) packet {
+	f := &n.fetch
+	if f.partsOf != n.conf.Generation {
+		f.parts, f.partsOf = map[ident.ServiceName]packet{}, n.conf.Generation
+	}
+	service := s.remote.Service
+	if p, ok := f.parts[service]; ok {
+		return p
+	}
+	value := n.conf.Value
+	if n.conf.accepted != nil {
+		if part, err := config.ForService(n.conf.accepted, service); err == nil {
+			value = part
+		}
+	}
+	p := n.configFrame(value)
+	f.parts[service] = p
+	return p
+}
+
+func (n *Node) handleConfig(value []byte) {
+	n.mu.Lock()
+	n.fetch.received = configHash(value)
+	n.mu.Unlock()
+	if n.o.OnConfig != nil {
+		n.o.OnConfig(value)
+	}
+}
+
+func (n *Node) handleOffer(s *session, o *ConfigOffer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	g := ident.Generation(o.GetGeneration())
+	if g <= n.conf.Generation {
+		// A lower one is not answered: the peer has our offer or digest.
+		if g == n.conf.Generation {
+			n.compareConfig(s, &Digest{Generation: o.GetGeneration(), ConfigHash: o.GetConfigHash()})
+		}
+		return
+	}
+	n.offered(s, g, o.GetRelayed())
+}
+
+func (n *Node) handleWanted(s *session) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.conf.Generation > 0 {
+		s.send(n.configFrame(n.conf.Value))
+	}
+}
+
+// offered notes a generation above the own one and sets the time of the
+// request; the caller holds the mutex.
+func (n *Node) offered(s *session, g ident.Generation, relayed bool) {
+	f := &n.fetch
+	if _, ok := n.sessions[s]; !ok {
+		return
+	}
+	f.offers[s] = g
+	wait := minConfigWait + rand.N(maxConfigWait-minConfigWait)
+	switch {
+	case n.conf.Generation == 0:
+		wait = 0
+	case relayed:
+		wait = rand.N(maxRelayedWait)
+	}
+	due := time.Now().Add(wait)
+	if f.waiting && (f.asked || !due.Before(f.due)) {
+		return
+	}
+	if f.waiting && !f.timer.Stop() {
+		return
+	}
+	f.waiting, f.asked, f.due = true, false, due
+	f.timer = time.AfterFunc(wait, n.request)
+}
+
+// refetch ends the wait for an answer after a configuration has come, so that
+// the next change is not delayed by configRetry; the caller holds the mutex.
+func (n *Node) refetch() {
+	f := &n.fetch
+	if f.waiting && f.asked && f.timer.Stop() {
+		f.due = time.Now().Add(minConfigWait)
+		f.asked = false
+		f.timer = time.AfterFunc(minConfigWait, n.request)
+	}
+}
+
+// request asks the peer with the highest offer, unless the configuration has
+// come meanwhile, and repeats that with another peer until one answers.
+func (n *Node) request() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f := &n.fetch
+	f.waiting, f.asked = false, false
+	var best *session
+	for s, g := range f.offers {
+		if g > n.conf.Generation && (best == nil || g > f.offers[best]) {
+			best = s
+		}
+	}
+	if best == nil {
+		return
+	}
+	// The peer offers again with its next digest, so another one is asked first.
+	delete(f.offers, best)
+	best.send(encode(&Frame{Body: &Frame_ConfigWanted{&ConfigWanted{}}}))
+	f.waiting, f.asked, f.due = true, true, time.Now().Add(configRetry)
+	f.timer = time.AfterFunc(configRetry, n.request)
+}
--- a/internal/peer/handle.go
+++ b/internal/peer/handle.go
@@ -40,7 +40,7 @@
 	news := n.merge([]view.Item{s.remote}, s)
 	n.changes++
 	if n.conf.Generation > 0 && !s.remote.Key.IsBalancer() {
-		s.send(n.configFrame())
+		s.send(n.agentConfig(s))
 	}
 	if !s.remote.Key.IsBalancer() {
 		s.send(entryFrames(n.balancers(), nil)...)
@@ -98,6 +98,7 @@
 func (n *Node) leave(s *session) {
 	n.mu.Lock()
 	delete(n.sessions, s)
+	delete(n.fetch.offers, s)
 	n.changes++
 	if s.queue.Overflow() > 0 {
 		n.slowSessions.Add(1)
@@ -136,9 +137,11 @@
 	case *Frame_MarkVersions:
 		return n.handleMarkVersions(s, b.MarkVersions)
 	case *Frame_Config:
-		if n.o.OnConfig != nil {
-			n.o.OnConfig(b.Config.GetValue())
-		}
+		n.handleConfig(b.Config.GetValue())
+	case *Frame_ConfigOffer:
+		n.handleOffer(s, b.ConfigOffer)
+	case *Frame_ConfigWanted:
+		n.handleWanted(s)
 	default:
 		return &FrameError{kindOf(f), "is not expected here"}
 	}
@@ -180,24 +183,23 @@
 	defer n.mu.Unlock()
 	n.compareConfig(s, d)
 	own := n.digest()
-	if own.Root == d.GetRoot() && own.Generation >= d.GetGeneration() {
+	if own.Root == d.GetRoot() {
 		return
 	}
-	b := &Buckets{Digest: own}
-	if own.Root != d.GetRoot() {
-		h := n.view.Digest()
-		b.Hashes = h[:]
-	}
-	s.send(encode(&Frame{Body: &Frame_Buckets{b}}))
+	h := n.view.Digest()
+	s.send(encode(&Frame{Body: &Frame_Buckets{&Buckets{Digest: own, Hashes: h[:]}}}))
 }
 
-// compareConfig sends the configuration to a process with a lower generation
-// and reports other content under the same one; the caller holds the mutex.
+// compareConfig offers the configuration to a process with a lower generation,
+// asks for a higher one, and reports other content under the same one; the
+// caller holds the mutex.
 func (n *Node) compareConfig(s *session, d *Digest) {
 	g := ident.Generation(d.GetGeneration())
 	switch {
 	case g < n.conf.Generation:
-		s.send(n.configFrame())
+		s.send(n.offerFrame())
+	case g > n.conf.Generation:
+		n.offered(s, g, false)
 	case g > 0 && g == n.conf.Generation && d.GetConfigHash() != n.conf.hash:
 		if n.lastConflict == d.GetConfigHash() {
 			return
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/bramleycourse/bramleycourse/internal/config"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/view"
 )
@@ -63,6 +64,8 @@
 	Generation ident.Generation
 	Value      []byte
 	hash       uint64
+	// accepted is nil when the value is not a configuration object.
+	accepted *config.Accepted
 }
 
 // Node is the balancer's side of all sessions.
@@ -78,6 +81,7 @@
 	// alive is when Run last had its turn; see paused.
 	alive    time.Duration
 	conf     Config
+	fetch    fetch
 	sessions map[*session]struct{}
 	dialers  map[string]*dialer
 	// changes counts what the choice of peers depends on; managed is its value
@@ -112,6 +116,7 @@
 		sessions:  map[*session]struct{}{},
 		dialers:   map[string]*dialer{},
 		selfAddrs: map[string]bool{},
+		fetch:     fetch{offers: map[*session]ident.Generation{}},
 		changes:   1,
 	}
 	n.view.Merge(0, n.self)
@@ -179,17 +184,22 @@
 // SetConfig stores a configuration that is in force and passes it on if its
 // generation is higher than that of the one held.
 func (n *Node) SetConfig(g ident.Generation, value []byte) {
-	c := Config{g, value, configHash(value)}
+	if g <= n.Generation() {
+		return
+	}
+	a, err := config.ParseAccepted("", value)
+	if err != nil {
+		a = nil
+	}
+	c := Config{g, value, configHash(value), a}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if g <= n.conf.Generation {
 		return
 	}
 	n.conf = c
-	p := n.configFrame()
-	for s := range n.sessions {
-		s.send(p)
-	}
+	n.announceConfig()
+	n.refetch()
 }
 
 // Generation returns the generation of the configuration held.
@@ -207,7 +217,3 @@
 	}
 	return xxhash.Sum64(b.Bytes())
 }
-
-func (n *Node) configFrame() packet {
-	return encode(&Frame{Body: &Frame_Config{&ConfigMessage{Value: n.conf.Value}}})
-}
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bramleycourse/bramleycourse/internal/certs"
+	"github.com/bramleycourse/bramleycourse/internal/config"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/view"
 )
@@ -56,7 +57,13 @@
 		change(&o)
 	}
 	s := &started{addr: l.Addr().String()}
-	o.OnConfig = func(value []byte) { s.SetConfig(ident.Generation(len(value)), value) }
+	o.OnConfig = func(value []byte) {
+		g := ident.Generation(len(value))
+		if a, err := config.ParseAccepted("", value); err == nil {
+			g = a.Generation
+		}
+		s.SetConfig(g, value)
+	}
 	s.Node = NewNode(o)
 	ctx, cancel := context.WithCancel(t.Context())
 	s.stop = cancel
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -7,7 +7,7 @@
 	"github.com/uber-go/tally/v4"
 )
 
-var kinds = []string{"hello", "digest", "buckets", "entries", "marks", "config", "vouch", "marksWanted", "markVersions", "unknown"}
+var kinds = []string{"hello", "digest", "buckets", "entries", "marks", "config", "vouch", "marksWanted", "markVersions", "configOffer", "configWanted", "unknown"}
 
 // traffic counts octets per kind of message, and what sessions write to and
 // read from TCP with yamux and TLS around the messages.
