--- a/internal/store/faults.go
+++ b/internal/store/faults.go
@@ -10,7 +10,7 @@
 
 // Faults says how the stand-in misbehaves.
 type Faults struct {
-	// Outage makes every call fail without an answer.
+	// Outage makes every call fail without an answer, waiting watches included.
 	Outage bool `json:"outage"`
 	// DelayMillis delays every call, in milliseconds.
 	DelayMillis int `json:"delayMillis"`
@@ -23,8 +23,14 @@
 // SetFaults replaces the faults.
 func (s *Store) SetFaults(f Faults) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case f.Outage && !s.faults.Outage:
+		close(s.outage)
+	case !f.Outage && s.faults.Outage:
+		s.outage = make(chan struct{})
+	}
 	s.faults = f
-	s.mu.Unlock()
 }
 
 // Counts returns the number of calls by kind of call.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -36,7 +36,9 @@
 	dropped plat.Version
 	changed chan struct{}
 	faults  Faults
-	counts  map[string]int
+	// outage is closed while an outage lasts and replaced when it ends.
+	outage chan struct{}
+	counts map[string]int
 
 	// AfterLost, when set, is called after a write took effect and before its
 	// answer is lost, without locks. It must be set before the first call.
@@ -48,6 +50,7 @@
 	return &Store{
 		objects: map[plat.Kind]map[string]plat.Object{},
 		changed: make(chan struct{}),
+		outage:  make(chan struct{}),
 		counts:  map[string]int{},
 	}
 }
@@ -178,6 +181,9 @@
 		http.Error(w, "since and waitMillis must be numbers", http.StatusBadRequest)
 		return
 	}
+	s.mu.Lock()
+	outage := s.outage
+	s.mu.Unlock()
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		l, gone, changed := s.since(k, plat.Version(since))
@@ -191,6 +197,8 @@
 		}
 		select {
 		case <-changed:
+		case <-outage:
+			panic(http.ErrAbortHandler)
 		case <-timeout:
 			writeJSON(w, l)
 			return
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -159,3 +159,28 @@
 		t.Errorf("want an error soon during an outage, have %v after %v", err, time.Since(begin))
 	}
 }
+
+// TestOutageEndsWatches guards against a watch that outlives the begin of an
+// outage: followers would notice it only when their wait is over.
+func TestOutageEndsWatches(t *testing.T) {
+	s, c, _ := start(t)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.Watch(t.Context(), plat.KindConfig, 0, 30*time.Second)
+		ended <- err
+	}()
+	for begin := time.Now(); s.Counts()["watch"] == 0; time.Sleep(time.Millisecond) {
+		if time.Since(begin) > 5*time.Second {
+			t.Fatal("the watch did not arrive")
+		}
+	}
+	s.SetFaults(Faults{Outage: true})
+	select {
+	case err := <-ended:
+		if err == nil {
+			t.Error("want an error of the watch")
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("the watch still waits 2 s after the outage began")
+	}
+}
