--- a/internal/relay/clean.go
+++ b/internal/relay/clean.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/plat"
 	"github.com/bramleycourse/bramleycourse/internal/view"
 )
@@ -93,11 +94,14 @@
 }
 
 // ended returns the keys that this balancer found down, and those of platform
-// objects whose entries are gone.
+// objects whose entries are gone. It leaves out processes that are not known to
+// be in this balancer's region: while regions are apart, the other region's
+// living processes look down.
 func (m *membership) ended() map[view.Key]bool {
+	w := newWeights(m.b.declaration(), ident.PlaceName(m.b.settings.Place))
 	holds := map[view.Key]bool{}
 	for k, c := range m.node.Conditions() {
-		if c == view.Down {
+		if e, ok := m.node.Get(k); ok && c == view.Down && w.own(e.Place) {
 			holds[k] = true
 		}
 	}
@@ -105,7 +109,7 @@
 	defer m.mu.Unlock()
 	for _, objects := range m.objects {
 		for _, o := range objects {
-			if e, ok := m.node.Get(o.key); !ok || e.State == view.Gone {
+			if e, ok := m.node.Get(o.key); (!ok || e.State == view.Gone) && w.own(o.place) {
 				holds[o.key] = true
 			}
 		}
--- a/internal/relay/control_test.go
+++ b/internal/relay/control_test.go
@@ -19,6 +19,7 @@
 // new flows from any balancer, and the removal of its platform object.
 func TestKilledAgent(t *testing.T) {
 	s := newSite(t)
+	s.put(1, 24541)
 	bs := []*running{s.balancer(), s.balancer(), s.balancer(), s.balancer()}
 	as := []*fakeAgent{s.agent(bs[0]), s.agent(bs[0]), s.agent(bs[0])}
 	s.eventually(10*time.Second, "three usable endpoints everywhere", each(bs, func(b *running) bool { return b.usable() == 3 }))
@@ -60,6 +61,61 @@
 	}))
 }
 
+// TestRegionsApart guards the living endpoints of a region that cannot be
+// reached for longer than downLimit: only those of the own region are removed,
+// and the others are usable again without a new announcement.
+func TestRegionsApart(t *testing.T) {
+	s := newSite(t)
+	s.put(1, 24531)
+	b := s.balancer()
+	as := []*fakeAgent{s.agentAt(b, "fortaleza"), s.agentAt(b, "namur-a"), s.agentAt(b, "undeclared")}
+	usable := func() (n int) {
+		for _, e := range b.State().Endpoints {
+			if e.Usable {
+				n++
+			}
+		}
+		return n
+	}
+	s.eventually(10*time.Second, "three usable endpoints", func() bool { return b.generation() == 1 && usable() == 3 })
+	seqs := make([]ident.Seq, len(as))
+	for i, a := range as {
+		e, _ := b.views.node.Get(a.key)
+		seqs[i] = e.Seq
+		if _, err := s.platform.Put(t.Context(), plat.KindEndpoint, a.key.Hop.String(), entryObject{Entry: e}, 0); err != nil {
+			t.Fatal(err)
+		}
+		a.apart.Store(true)
+	}
+	s.eventually(5*time.Second, "all down and their objects known", func() bool {
+		b.views.mu.Lock()
+		known := len(b.views.objects[plat.KindEndpoint])
+		b.views.mu.Unlock()
+		return known == 3 && usable() == 0
+	})
+	now := b.views.now()
+	b.views.cleanOnce(t.Context(), now)
+	b.views.cleanOnce(t.Context(), now+downLimit+time.Second)
+	for i, a := range as {
+		e, _ := b.views.node.Get(a.key)
+		// The owner of a removed entry announces itself anew with a higher seq.
+		if removed := e.State == view.Gone || e.Seq > seqs[i]; removed != (i == 0) {
+			t.Errorf("endpoint in %s: have state %v, seq %d", e.Place, e.State, e.Seq)
+		}
+	}
+	if l, err := s.platform.List(t.Context(), plat.KindEndpoint); err != nil || len(l.Objects) != 2 {
+		t.Errorf("want the two objects of other regions, have %d, %v", len(l.Objects), err)
+	}
+	as[1].apart.Store(false)
+	as[2].apart.Store(false)
+	s.eventually(5*time.Second, "usable again", func() bool { return usable() == 2 })
+	for i, a := range as[1:] {
+		if e, _ := b.views.node.Get(a.key); e.Seq != seqs[i+1] {
+			t.Errorf("endpoint in %s was announced anew: want seq %d, have %d", e.Place, seqs[i+1], e.Seq)
+		}
+	}
+}
+
 // TestConfiguration guards R8: a configuration reaches every balancer, also one
 // that starts while the platform is down, and is never replaced by an older or
 // invalid one, even if the platform itself went back.
--- a/internal/relay/member.go
+++ b/internal/relay/member.go
@@ -67,6 +67,7 @@
 type object struct {
 	key     view.Key
 	version plat.Version
+	place   ident.PlaceName
 }
 
 func newMembership(b *Balancer, o peer.Options) *membership {
@@ -123,7 +124,7 @@
 			m.b.objectsRefused.Add(1)
 			continue
 		}
-		m.objects[k][o.Name] = object{e.Key, o.Version}
+		m.objects[k][o.Name] = object{e.Key, o.Version, e.Place}
 		items = append(items, view.Item{Entry: e.Entry})
 	}
 	m.mu.Unlock()
--- a/internal/relay/site_test.go
+++ b/internal/relay/site_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -103,10 +104,15 @@
 	key view.Key
 	// kill ends the agent; freeze leaves its sessions open.
 	kill, freeze func()
+	// apart makes the agent ignore probes.
+	apart atomic.Bool
 }
 
-func (s *site) agent(b *running) *fakeAgent {
+func (s *site) agent(b *running) *fakeAgent { return s.agentAt(b, "recife") }
+
+func (s *site) agentAt(b *running, place ident.PlaceName) *fakeAgent {
 	s.t.Helper()
+	a := &fakeAgent{}
 	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		s.t.Fatal(err)
@@ -121,7 +127,7 @@
 				return
 			}
 			var h encap.Header
-			if _, fault := h.Parse(keys, buf[:n]); fault != encap.FaultNone || h.Kind != encap.Probe {
+			if _, fault := h.Parse(keys, buf[:n]); fault != encap.FaultNone || h.Kind != encap.Probe || a.apart.Load() {
 				continue
 			}
 			h = encap.Header{Kind: encap.ProbeAnswer, Service: ident.TagOf("listas"), Instance: k.Instance}
@@ -131,7 +137,7 @@
 		}
 	}()
 	p := peer.NewClient(peer.ClientOptions{
-		Self:  view.Entry{Key: k, State: view.Serving, Service: "listas", Place: "recife"},
+		Self:  view.Entry{Key: k, State: view.Serving, Service: "listas", Place: place},
 		Seeds: s.peers,
 	})
 	ctx, cancel := context.WithCancel(s.t.Context())
@@ -140,7 +146,8 @@
 		cancel()
 		c.Close()
 	}
-	return &fakeAgent{k, kill, func() { c.Close() }}
+	a.key, a.kill, a.freeze = k, kill, func() { c.Close() }
+	return a
 }
 
 func (s *site) put(generation ident.Generation, port int) {
@@ -155,7 +162,8 @@
 
 func configJSON(writer string, generation ident.Generation, port int) json.RawMessage {
 	return json.RawMessage(fmt.Sprintf(`{"generation": %d, "writer": %q, "declaration": {"name": "main",
-		"places": [{"name": "recife", "region": "nordeste"}, {"name": "fortaleza", "region": "nordeste"}],
+		"places": [{"name": "recife", "region": "nordeste"}, {"name": "fortaleza", "region": "nordeste"},
+			{"name": "namur-a", "region": "wallonia"}],
 		"services": [{"name": "listas", "address": "127.0.0.1:%d", "limits": {}}]}}`, generation, writer, port))
 }
 
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -215,3 +215,8 @@
 func (w *weights) remote(p ident.PlaceName) bool {
 	return w.region != "" && w.regions[p] != w.region
 }
+
+// own reports whether a place is known to be in this balancer's region.
+func (w *weights) own(p ident.PlaceName) bool {
+	return w.region != "" && w.regions[p] == w.region
+}
