--- a/internal/relay/control_test.go
+++ b/internal/relay/control_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/netip"
 	"os"
 	"testing"
 	"time"
@@ -178,6 +179,57 @@
 	}
 }
 
+// TestFollowEmptyStore guards against missing the first object of a store that
+// was empty when it was listed.
+func TestFollowEmptyStore(t *testing.T) {
+	s := newSite(t)
+	var last plat.List
+	f := follower{client: s.platform, kind: plat.KindConfig, apply: func(l plat.List) { last = l }}
+	if err := f.step(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	s.put(1, 24551)
+	if err := f.step(t.Context()); err != nil || len(last.Objects) != 1 {
+		t.Errorf("want the first object, have %+v, %v", last, err)
+	}
+}
+
+// TestWatchBurst guards the platform against a watch call for each change of a
+// burst: the endpoint watch of a balancer makes about one call a second.
+func TestWatchBurst(t *testing.T) {
+	s := newSite(t)
+	b := s.balancer()
+	objects := func() int {
+		b.views.mu.Lock()
+		defer b.views.mu.Unlock()
+		return len(b.views.objects[plat.KindEndpoint])
+	}
+	const burst = 100
+	announce := func(i int) {
+		e := view.Entry{
+			Key:   view.Key{Hop: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 9, byte(i)}), 7000), Instance: 1},
+			State: view.Serving, Seq: 1, Service: "listas",
+		}
+		if _, err := s.platform.Put(t.Context(), plat.KindEndpoint, e.Key.Hop.String(), entryObject{Entry: e}, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	announce(0)
+	s.eventually(5*time.Second, "first object known", func() bool { return objects() == 1 })
+	before, begin := s.store.Counts()["watch"], time.Now()
+	for i := 1; i < burst; i++ {
+		announce(i)
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.eventually(5*time.Second, "all objects known", func() bool { return objects() == burst })
+	calls, took := s.store.Counts()["watch"]-before, time.Since(begin)
+	t.Logf("%d announcements in %v: %d watch calls", burst, took, calls)
+	// The other two watches may each call once more.
+	if limit := int(took/watchInterval) + 3; calls > limit {
+		t.Errorf("want at most %d watch calls in %v, have %d", limit, took, calls)
+	}
+}
+
 // TestDrain guards the planned stop of a balancer: it announces itself, keeps
 // forwarding while packets arrive, and a second signal cuts.
 func TestDrain(t *testing.T) {
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -15,6 +15,10 @@
 	maxRetry  = 5 * time.Second
 	// listInterval is the least time between two lists of one kind.
 	listInterval = time.Second
+	// watchInterval is the least time between a watch answer with changes of
+	// endpoints or balancers and the next watch call, so that the changes of a
+	// burst share an answer. Sessions carry these changes at once anyway.
+	watchInterval = time.Second
 	// relistInterval bounds how long changes stay unseen that a restored store
 	// no longer reports; 440 balancers then cause 4 lists a second in all.
 	relistInterval = 5 * time.Minute
@@ -26,8 +30,14 @@
 	kind   plat.Kind
 	// apply receives the objects of a list or of a watch answer.
 	apply func(l plat.List)
+	// interval is the least time after an answer with changes; it is jittered
+	// so that the balancers do not call together. Zero means none.
+	interval time.Duration
 
+	// since is the version that the next watch begins at. Zero demands a list
+	// unless empty is set: the store was listed and held nothing yet.
 	since  plat.Version
+	empty  bool
 	listed time.Time
 	relist time.Time
 }
@@ -49,13 +59,13 @@
 // step makes one call. A failed watch goes on from the same version, so an
 // outage causes no lists; a version that the store does not know does.
 func (f *follower) step(ctx context.Context) error {
-	if f.since == 0 || time.Now().After(f.relist) {
+	if f.since == 0 && !f.empty || time.Now().After(f.relist) {
 		return f.list(ctx)
 	}
 	l, err := f.client.Watch(ctx, f.kind, f.since, watchWait)
 	var gone *plat.GoneError
 	if errors.As(err, &gone) || err == nil && l.Version < f.since {
-		f.since = 0
+		f.since, f.empty = 0, false
 		return nil
 	}
 	if err != nil {
@@ -63,6 +73,9 @@
 	}
 	f.since = l.Version
 	f.apply(l)
+	if f.interval > 0 && len(l.Objects) > 0 {
+		pause(ctx, f.interval+rand.N(f.interval/2))
+	}
 	return nil
 }
 
@@ -75,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	f.since = max(l.Version, 1)
+	f.since, f.empty = l.Version, l.Version == 0
 	f.relist = time.Now().Add(relistInterval/2 + rand.N(relistInterval))
 	f.apply(l)
 	return nil
--- a/internal/relay/member.go
+++ b/internal/relay/member.go
@@ -102,7 +102,7 @@
 
 // watch returns a task that follows the platform objects of a kind.
 func (m *membership) watch(k plat.Kind) func(ctx context.Context) error {
-	f := follower{client: m.b.client, kind: k, apply: func(l plat.List) { m.apply(k, l) }}
+	f := follower{client: m.b.client, kind: k, interval: watchInterval, apply: func(l plat.List) { m.apply(k, l) }}
 	return f.run
 }
 
