--- a/internal/relay/member.go
+++ b/internal/relay/member.go
@@ -21,14 +21,7 @@
 	healthTick = 50 * time.Millisecond
 	// scanTicks is the number of ticks between two looks at all records of the
 	// data path. They carry their own times, so a later look loses nothing.
-	scanTicks = 3
-	// rebuildInterval is the least time between two routing tables, but for
-	// changes that make something unusable.
-	rebuildInterval = 20 * time.Millisecond
-	// rebuildShare stretches rebuildInterval to this multiple of the time that
-	// the last rebuild took, 14 ms at the target size, so that a storm of
-	// changes takes at most a tenth of a core.
-	rebuildShare   = 10
+	scanTicks      = 3
 	brokenSessions = 1024
 )
 
@@ -152,36 +145,42 @@
 	tick := time.NewTicker(healthTick)
 	defer tick.Stop()
 	var (
-		rebuilt time.Time
-		wait    time.Duration
+		p       pace
 		due     <-chan time.Time
 		evident <-chan time.Time
 	)
 	for {
-		now := false
 		select {
 		case <-tick.C:
-			now = m.tick()
+			if m.tick() {
+				p.ask(true)
+			}
 		case <-m.worse:
-			now = true
+			p.ask(true)
 		case <-m.better:
-			if due == nil {
-				due = time.After(wait - time.Since(rebuilt))
-			}
+			p.ask(false)
 		case <-due:
-			now = true
 		case <-evident:
-			now, evident = m.evidence()
+			var ended bool
+			if ended, evident = m.evidence(); ended {
+				p.ask(true)
+				evident = nil
+			}
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if now {
-			begin := time.Now()
-			m.rebuild()
-			rebuilt, due = time.Now(), nil
-			wait = max(rebuildInterval, rebuildShare*rebuilt.Sub(begin))
-			_, evident = m.evidence()
+		begin := time.Now()
+		if !p.wanted {
+			continue
+		}
+		if wait := p.due.Sub(begin); wait > 0 {
+			due = time.After(wait)
+			continue
 		}
+		m.rebuild()
+		p.rebuilt(begin, time.Now())
+		due = nil
+		_, evident = m.evidence()
 	}
 }
 
