--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -75,6 +75,7 @@
 // leave hands over new flows, announces the state and sends GOAWAY.
 func (a *Agent) leave() {
 	a.frame.Log.WithField("requests", a.handler.active.Load()).Info("drain began")
+	a.frame.Draining()
 	a.state.Store(int32(drain.Draining))
 	a.updateGate()
 	a.setState(drain.Draining)
--- a/internal/agent/stop_test.go
+++ b/internal/agent/stop_test.go
@@ -84,6 +84,11 @@
 	if s.serving() || !s.gate.stats().Draining {
 		t.Error("want an agent that reports draining and hands over")
 	}
+	resp, err := http.Get("http://" + s.adminAddr.String() + "/healthz")
+	must(t, err)
+	if resp.Body.Close(); resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("/healthz during the drain: want status 503, have %d", resp.StatusCode)
+	}
 	eventually(t, "next request of the same caller at the other agent", func() bool {
 		r := f.do(t.Context(), "GET", "/", nil)
 		return r.status == http.StatusOK && other.handler.requests.Load() > 0
--- a/internal/proc/admin.go
+++ b/internal/proc/admin.go
@@ -55,12 +55,25 @@
 func (f *Frame) adminHandler(state func() any) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", f.reporter.HTTPHandler())
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /healthz", f.serveHealth)
 	mux.HandleFunc("GET /process", func(w http.ResponseWriter, _ *http.Request) { f.serveJSON(w, f.identity()) })
 	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) { f.serveJSON(w, state()) })
 	return mux
 }
 
+// Draining makes /healthz answer 503 from now on, so that a fabric which uses
+// it as its check takes the process out.
+func (f *Frame) Draining() { f.draining.Store(true) }
+
+func (f *Frame) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	if f.draining.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		io.WriteString(w, "draining\n")
+		return
+	}
+	io.WriteString(w, "ok\n")
+}
+
 func (f *Frame) identity() Identity {
 	return Identity{Role: f.role, Name: f.name, StartedAt: f.started, UptimeSeconds: time.Since(f.started).Seconds()}
 }
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -37,6 +38,7 @@
 
 	role, name string
 	started    time.Time
+	draining   atomic.Bool
 	tree       *suture.Supervisor
 	reporter   promreporter.Reporter
 	closer     io.Closer
--- a/internal/proc/proc_test.go
+++ b/internal/proc/proc_test.go
@@ -137,6 +137,19 @@
 	}
 }
 
+// TestHealth guards the check of a fabric: it must fail as soon as a drain begins.
+func TestHealth(t *testing.T) {
+	f := New("balancer", "b1", io.Discard)
+	url := start(t, f, func() any { return nil })
+	if code, b := get(t, url+"/healthz"); code != http.StatusOK || b != "ok\n" {
+		t.Errorf("want 200 ok, have %d %q", code, b)
+	}
+	f.Draining()
+	if code, b := get(t, url+"/healthz"); code != http.StatusServiceUnavailable || b != "draining\n" {
+		t.Errorf("want 503 draining, have %d %q", code, b)
+	}
+}
+
 // TestLevel guards against a misspelt level that silences the log.
 func TestLevel(t *testing.T) {
 	var out buffer
--- a/internal/relay/control_test.go
+++ b/internal/relay/control_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"testing"
@@ -252,6 +253,13 @@
 		}
 	}
 	s.eventually(time.Second, "drain known to the peer", state(view.Draining))
+	resp, err := http.Get("http://" + bs[0].views.node.Self().Admin.String() + "/healthz")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.Body.Close(); resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("want status 503 during the drain, have %d", resp.StatusCode)
+	}
 	for begin := time.Now(); time.Since(begin) < drainQuiet+500*time.Millisecond; time.Sleep(100 * time.Millisecond) {
 		c.Write([]byte("x"))
 		select {
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -47,6 +47,7 @@
 	m.Signal(time.Now())
 	b.frame.Log.Info("drain began")
 	b.draining.Store(true)
+	b.frame.Draining()
 	b.announce(b.views.node.SetState(view.Draining))
 	t := time.NewTicker(drainTick)
 	defer t.Stop()
