--- a/internal/relay/control_test.go
+++ b/internal/relay/control_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/http"
+	"net/netip"
 	"os"
 	"testing"
 	"time"
@@ -19,6 +21,7 @@
 // new flows from any balancer, and the removal of its platform object.
 func TestKilledAgent(t *testing.T) {
 	s := newSite(t)
+	s.put(1, 24541)
 	bs := []*running{s.balancer(), s.balancer(), s.balancer(), s.balancer()}
 	as := []*fakeAgent{s.agent(bs[0]), s.agent(bs[0]), s.agent(bs[0])}
 	s.eventually(10*time.Second, "three usable endpoints everywhere", each(bs, func(b *running) bool { return b.usable() == 3 }))
@@ -60,6 +63,61 @@
 	}))
 }
 
+// TestRegionsApart guards the living endpoints of a region that cannot be
+// reached for longer than downLimit: only those of the own region are removed,
+// and the others are usable again without a new announcement.
+func TestRegionsApart(t *testing.T) {
+	s := newSite(t)
+	s.put(1, 24531)
+	b := s.balancer()
+	as := []*fakeAgent{s.agentAt(b, "fortaleza"), s.agentAt(b, "namur-a"), s.agentAt(b, "undeclared")}
+	usable := func() (n int) {
+		for _, e := range b.State().Endpoints {
+			if e.Usable {
+				n++
+			}
+		}
+		return n
+	}
+	s.eventually(10*time.Second, "three usable endpoints", func() bool { return b.generation() == 1 && usable() == 3 })
+	seqs := make([]ident.Seq, len(as))
+	for i, a := range as {
+		e, _ := b.views.node.Get(a.key)
+		seqs[i] = e.Seq
+		if _, err := s.platform.Put(t.Context(), plat.KindEndpoint, a.key.Hop.String(), entryObject{Entry: e}, 0); err != nil {
+			t.Fatal(err)
+		}
+		a.apart.Store(true)
+	}
+	s.eventually(5*time.Second, "all down and their objects known", func() bool {
+		b.views.mu.Lock()
+		known := len(b.views.objects[plat.KindEndpoint])
+		b.views.mu.Unlock()
+		return known == 3 && usable() == 0
+	})
+	now := b.views.now()
+	b.views.cleanOnce(t.Context(), now)
+	b.views.cleanOnce(t.Context(), now+downLimit+time.Second)
+	for i, a := range as {
+		e, _ := b.views.node.Get(a.key)
+		// The owner of a removed entry announces itself anew with a higher seq.
+		if removed := e.State == view.Gone || e.Seq > seqs[i]; removed != (i == 0) {
+			t.Errorf("endpoint in %s: have state %v, seq %d", e.Place, e.State, e.Seq)
+		}
+	}
+	if l, err := s.platform.List(t.Context(), plat.KindEndpoint); err != nil || len(l.Objects) != 2 {
+		t.Errorf("want the two objects of other regions, have %d, %v", len(l.Objects), err)
+	}
+	as[1].apart.Store(false)
+	as[2].apart.Store(false)
+	s.eventually(5*time.Second, "usable again", func() bool { return usable() == 2 })
+	for i, a := range as[1:] {
+		if e, _ := b.views.node.Get(a.key); e.Seq != seqs[i+1] {
+			t.Errorf("endpoint in %s was announced anew: want seq %d, have %d", e.Place, seqs[i+1], e.Seq)
+		}
+	}
+}
+
 // TestConfiguration guards R8: a configuration reaches every balancer, also one
 // that starts while the platform is down, and is never replaced by an older or
 // invalid one, even if the platform itself went back.
@@ -122,6 +180,57 @@
 	}
 }
 
+// TestFollowEmptyStore guards against missing the first object of a store that
+// was empty when it was listed.
+func TestFollowEmptyStore(t *testing.T) {
+	s := newSite(t)
+	var last plat.List
+	f := follower{client: s.platform, kind: plat.KindConfig, apply: func(l plat.List) { last = l }}
+	if err := f.step(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	s.put(1, 24551)
+	if err := f.step(t.Context()); err != nil || len(last.Objects) != 1 {
+		t.Errorf("want the first object, have %+v, %v", last, err)
+	}
+}
+
+// TestWatchBurst guards the platform against a watch call for each change of a
+// burst: the endpoint watch of a balancer makes about one call a second.
+func TestWatchBurst(t *testing.T) {
+	s := newSite(t)
+	b := s.balancer()
+	objects := func() int {
+		b.views.mu.Lock()
+		defer b.views.mu.Unlock()
+		return len(b.views.objects[plat.KindEndpoint])
+	}
+	const burst = 100
+	announce := func(i int) {
+		e := view.Entry{
+			Key:   view.Key{Hop: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 9, byte(i)}), 7000), Instance: 1},
+			State: view.Serving, Seq: 1, Service: "listas",
+		}
+		if _, err := s.platform.Put(t.Context(), plat.KindEndpoint, e.Key.Hop.String(), entryObject{Entry: e}, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	announce(0)
+	s.eventually(5*time.Second, "first object known", func() bool { return objects() == 1 })
+	before, begin := s.store.Counts()["watch"], time.Now()
+	for i := 1; i < burst; i++ {
+		announce(i)
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.eventually(5*time.Second, "all objects known", func() bool { return objects() == burst })
+	calls, took := s.store.Counts()["watch"]-before, time.Since(begin)
+	t.Logf("%d announcements in %v: %d watch calls", burst, took, calls)
+	// The other two watches may each call once more.
+	if limit := int(took/watchInterval) + 3; calls > limit {
+		t.Errorf("want at most %d watch calls in %v, have %d", limit, took, calls)
+	}
+}
+
 // TestDrain guards the planned stop of a balancer: it announces itself, keeps
 // forwarding while packets arrive, and a second signal cuts.
 func TestDrain(t *testing.T) {
@@ -144,6 +253,13 @@
 		}
 	}
 	s.eventually(time.Second, "drain known to the peer", state(view.Draining))
+	resp, err := http.Get("http://" + bs[0].views.node.Self().Admin.String() + "/healthz")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.Body.Close(); resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("want status 503 during the drain, have %d", resp.StatusCode)
+	}
 	for begin := time.Now(); time.Since(begin) < drainQuiet+500*time.Millisecond; time.Sleep(100 * time.Millisecond) {
 		c.Write([]byte("x"))
 		select {
