--- a/internal/agent/rotate.go
+++ b/internal/agent/rotate.go
@@ -178,7 +178,12 @@
 }
 
 func (a *Agent) newLateServer() *http3.Server {
-	return &http3.Server{Handler: http.HandlerFunc(a.refuseLate), MaxHeaderBytes: maxHeaderBytes}
+	return &http3.Server{
+		Handler:        http.HandlerFunc(a.refuseLate),
+		MaxHeaderBytes: maxHeaderBytes,
+		// Without it a late flow could stay under a key that is to be dropped.
+		IdleTimeout: emptyTimeout,
+	}
 }
 
 // reportKeys sets the gauges of open flows by key.
