--- a/internal/agent/quic.go
+++ b/internal/agent/quic.go
@@ -92,6 +92,7 @@
 // flow is the state of one QUIC connection.
 type flow struct {
 	server    *server
+	opened    time.Time
 	requested atomic.Bool
 }
 
@@ -106,7 +107,7 @@
 		a.refusals.add("flow", "refused")
 		return nil, errFlowRefused
 	}
-	f := &flow{server: a.servers.flowOpened()}
+	f := &flow{server: a.servers.flowOpened(), opened: a.gate.now()}
 	context.AfterFunc(ctx, func() {
 		a.gate.flow((*admit.Gate).FlowClosed)
 		a.servers.flowClosed(f.server.key)
@@ -114,10 +115,15 @@
 	return context.WithValue(ctx, flowKey{}, f), nil
 }
 
-// flowRequested tells the gate about the first request of a connection.
+// expectTime is how long the gate expects the first request of a flow. It does
+// not tell flows apart, so a later request would end another flow's expectation.
+const expectTime = time.Second
+
+// flowRequested tells the gate about the first request of a connection, unless
+// the gate expects it no longer.
 func (a *Agent) flowRequested(ctx context.Context) {
 	f, ok := ctx.Value(flowKey{}).(*flow)
-	if ok && f.requested.CompareAndSwap(false, true) {
+	if ok && f.requested.CompareAndSwap(false, true) && a.gate.now().Sub(f.opened) < expectTime {
 		a.gate.flow((*admit.Gate).FlowRequested)
 	}
 }
--- a/internal/agent/quic_test.go
+++ b/internal/agent/quic_test.go
@@ -1,9 +1,12 @@
 package agent
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/quic-go/quic-go"
+
 	"github.com/bramleycourse/bramleycourse/internal/config"
 	"github.com/bramleycourse/bramleycourse/internal/connid"
 	"github.com/bramleycourse/bramleycourse/pkg/decl"
@@ -92,3 +95,31 @@
 		t.Errorf("flows: want 3, have %d", n)
 	}
 }
+
+// TestLateFirstRequest guards the expectation of a flow against the first
+// request of another one that comes after its own expectation has ended, and
+// the count by key against a flow without a request that outlives the move to
+// another key.
+func TestLateFirstRequest(t *testing.T) {
+	b := newBench(t)
+	a := b.prepare("127.0.0.1:0", "http://127.0.0.1:1", decl.Service{})
+	a.servers.current.IdleTimeout = 500 * time.Millisecond
+	a.late.IdleTimeout = 500 * time.Millisecond
+	now := time.Now()
+	a.gate.now = func() time.Time { return now }
+	b.run(a)
+	c, err := quic.DialAddr(t.Context(), addrOf(b.front).String(), b.caller, nil)
+	must(t, err)
+	defer c.CloseWithError(0, "")
+	for _, f := range []struct {
+		age      time.Duration
+		expected int
+	}{{expectTime, 1}, {expectTime - 1, 0}} {
+		a.flowRequested(context.WithValue(t.Context(), flowKey{}, &flow{opened: now.Add(-f.age)}))
+		if n := a.gate.stats().Expected; n != f.expected {
+			t.Errorf("first request after %v: want %d expected, have %d", f.age, f.expected, n)
+		}
+	}
+	go a.servers.replace(2).leave()
+	eventually(t, "flow of the old key closed", func() bool { return a.servers.byKey()[1] == 0 })
+}
