--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -22,14 +22,10 @@
 
 // fetch holds which configurations peers offer. The node's mutex guards it.
 type fetch struct {
-	// offers maps sessions to the generations that their peers hold; only
-	// those above the own generation matter.
-	offers map[*session]ident.Generation
-	// waiting is true while a timer is set for the next request; due is when
-	// it fires, and asked says that a request precedes it.
-	waiting, asked bool
-	due            time.Time
-	timer          *time.Timer
+	offers map[*session]offer
+	// notBefore is zero unless a request has no answer yet.
+	notBefore time.Time
+	timer     *time.Timer
 	// received is the hash of the last configuration that a peer sent.
 	received uint64
 	// parts caches the values sent to agents of the generation partsOf.
@@ -37,16 +33,23 @@
 	partsOf ident.Generation
 }
 
+// offer is a configuration that a peer holds.
+type offer struct {
+	generation ident.Generation
+	// due is the end of the wait for the platform.
+	due time.Time
+}
+
 // announceConfig offers the configuration to balancers that are not known to
 // hold it and sends agents their part; the caller holds the mutex.
 func (n *Node) announceConfig() {
-	offer := n.offerFrame()
+	p := n.offerFrame()
 	for s := range n.sessions {
 		switch {
 		case !s.remote.Key.IsBalancer():
 			s.send(n.agentConfig(s))
-		case n.fetch.offers[s] < n.conf.Generation:
-			s.send(offer)
+		case n.fetch.offers[s].generation < n.conf.Generation:
+			s.send(p)
 		}
 	}
 }
@@ -116,14 +119,12 @@
 	}
 }
 
-// offered notes a generation above the own one and sets the time of the
-// request; the caller holds the mutex.
+// offered notes a generation above the own one and when to ask for it; the
+// caller holds the mutex.
 func (n *Node) offered(s *session, g ident.Generation, relayed bool) {
-	f := &n.fetch
-	if _, ok := n.sessions[s]; !ok {
+	if _, ok := n.sessions[s]; !ok || n.fetch.offers[s].generation >= g {
 		return
 	}
-	f.offers[s] = g
 	wait := minConfigWait + rand.N(maxConfigWait-minConfigWait)
 	switch {
 	case n.conf.Generation == 0:
@@ -131,47 +132,49 @@
 	case relayed:
 		wait = rand.N(maxRelayedWait)
 	}
-	due := time.Now().Add(wait)
-	if f.waiting && (f.asked || !due.Before(f.due)) {
-		return
-	}
-	if f.waiting && !f.timer.Stop() {
-		return
-	}
-	f.waiting, f.asked, f.due = true, false, due
-	f.timer = time.AfterFunc(wait, n.request)
+	n.fetch.offers[s] = offer{g, time.Now().Add(wait)}
+	n.schedule()
 }
 
-// refetch ends the wait for an answer after a configuration has come, so that
-// the next change is not delayed by configRetry; the caller holds the mutex.
-func (n *Node) refetch() {
+// schedule sets the timer for the next request; the caller holds the mutex.
+func (n *Node) schedule() {
 	f := &n.fetch
-	if f.waiting && f.asked && f.timer.Stop() {
-		f.due = time.Now().Add(minConfigWait)
-		f.asked = false
-		f.timer = time.AfterFunc(minConfigWait, n.request)
+	if f.timer != nil {
+		f.timer.Stop()
 	}
+	var at time.Time
+	for _, o := range f.offers {
+		if o.generation > n.conf.Generation && (at.IsZero() || o.due.Before(at)) {
+			at = o.due
+		}
+	}
+	if at.IsZero() {
+		return
+	}
+	if at.Before(f.notBefore) {
+		at = f.notBefore
+	}
+	f.timer = time.AfterFunc(time.Until(at), n.request)
 }
 
-// request asks the peer with the highest offer, unless the configuration has
-// come meanwhile, and repeats that with another peer until one answers.
+// request asks the peer with the highest offer that is due, unless the
+// configuration has come meanwhile, and another one later if none comes.
 func (n *Node) request() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	f := &n.fetch
-	f.waiting, f.asked = false, false
+	f, now := &n.fetch, time.Now()
 	var best *session
-	for s, g := range f.offers {
-		if g > n.conf.Generation && (best == nil || g > f.offers[best]) {
-			best = s
+	highest := n.conf.Generation
+	for s, o := range f.offers {
+		if o.generation > highest && !o.due.After(now) {
+			best, highest = s, o.generation
 		}
 	}
-	if best == nil {
-		return
+	if best != nil && !now.Before(f.notBefore) {
+		// The peer offers again with its next digest, so another one is asked first.
+		delete(f.offers, best)
+		best.send(encode(&Frame{Body: &Frame_ConfigWanted{&ConfigWanted{}}}))
+		f.notBefore = now.Add(configRetry)
 	}
-	// The peer offers again with its next digest, so another one is asked first.
-	delete(f.offers, best)
-	best.send(encode(&Frame{Body: &Frame_ConfigWanted{&ConfigWanted{}}}))
-	f.waiting, f.asked, f.due = true, true, time.Now().Add(configRetry)
-	f.timer = time.AfterFunc(configRetry, n.request)
+	n.schedule()
 }
--- a/internal/peer/config_test.go
+++ b/internal/peer/config_test.go
@@ -96,8 +96,9 @@
 		}
 		before := sentConfig(ns[0])
 		value := declared(t, 2, services)
+		// All at once, as watches of the platform are answered.
 		for _, n := range ns {
-			n.SetConfig(2, value)
+			go n.SetConfig(2, value)
 		}
 		for i, values := range received {
 			checkReduced(t, <-values, i, agents)
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -116,7 +116,7 @@
 		sessions:  map[*session]struct{}{},
 		dialers:   map[string]*dialer{},
 		selfAddrs: map[string]bool{},
-		fetch:     fetch{offers: map[*session]ident.Generation{}},
+		fetch:     fetch{offers: map[*session]offer{}},
 		changes:   1,
 	}
 	n.view.Merge(0, n.self)
@@ -199,7 +199,8 @@
 	}
 	n.conf = c
 	n.announceConfig()
-	n.refetch()
+	n.fetch.notBefore = time.Time{}
+	n.schedule()
 }
 
 // Generation returns the generation of the configuration held.
