--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -66,11 +66,23 @@
 	n.sessions = peer.NewClient(peer.ClientOptions{
 		Self: self, Seeds: a.settings.Balancers, TLS: secure, Scope: a.frame.Scope,
 		OnSelf: n.write, OnConfig: n.config, OnBalancers: n.balancers,
+		OnFailed: n.sessionTrouble("dial to balancer failed"),
+		OnLost:   n.sessionTrouble("last session to a balancer lost"),
+		OnOpen: func(addr string) {
+			a.frame.Log.WithField("address", addr).Info("session to a balancer open again")
+		},
 	})
 	n.write(self)
 	return n, nil
 }
 
+// sessionTrouble returns a function that logs a failure of a session.
+func (n *announcer) sessionTrouble(event string) func(string, error) {
+	return func(addr string, err error) {
+		n.agent.frame.Log.WithError(err).WithField("address", addr).Warn(event)
+	}
+}
+
 // write makes the platform object hold an entry.
 func (n *announcer) write(e view.Entry) {
 	n.keeper.Set(func(writer string) any { return entryObject{e, writer} })
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -33,6 +33,13 @@
 	OnSelf func(view.Entry)
 	// OnBalancers receives all known balancers that are not gone.
 	OnBalancers func([]view.Entry)
+	// OnFailed reports a dial that failed; at most once in failureInterval.
+	OnFailed func(addr string, err error)
+	// OnLost reports that the last session ended, with the reason; at most
+	// once in failureInterval.
+	OnLost func(addr string, err error)
+	// OnOpen reports the first session after a report of OnFailed or OnLost.
+	OnOpen func(addr string)
 }
 
 // Client is the agent's side of its sessions.
@@ -49,6 +56,9 @@
 	dialing  map[string]bool
 	// retry holds when an address that failed may be dialed again.
 	retry map[string]retry
+	// failedDials counts since the start.
+	failedDials meter
+	reports     reports
 }
 
 // NewClient returns a client without sessions.
@@ -58,6 +68,10 @@
 	}
 	o.Seeds = slices.Clone(o.Seeds)
 	rand.Shuffle(len(o.Seeds), func(i, j int) { o.Seeds[i], o.Seeds[j] = o.Seeds[j], o.Seeds[i] })
+	scope := o.Scope
+	if scope == nil {
+		scope = tally.NoopScope
+	}
 	return &Client{
 		o:        o,
 		traffic:  newTraffic(o.Scope),
@@ -67,6 +81,8 @@
 		sessions: map[string]*session{},
 		dialing:  map[string]bool{},
 		retry:    map[string]retry{},
+
+		failedDials: meter{counter: scope.Counter("peer_failed_dials")},
 	}
 }
 
@@ -91,14 +107,18 @@
 	return c.self
 }
 
-func (c *Client) run(s *session) {
+// run serves a session until it ends and returns the reason.
+func (c *Client) run(s *session) error {
 	go s.writeLoop()
 	c.entries([]view.Item{s.remote})
 	for {
 		f, err := s.read(s.limit())
-		if err != nil || c.handle(f) != nil {
+		if err == nil {
+			err = c.handle(f)
+		}
+		if err != nil {
 			s.close()
-			return
+			return err
 		}
 	}
 }
@@ -209,6 +229,9 @@
 	for _, s := range c.sessions {
 		st.Sessions[s.remote.Key.String()] = true
 	}
-	st.Counts = map[string]uint64{"balancers": uint64(c.view.Len())}
+	st.Counts = map[string]uint64{
+		"balancers":   uint64(c.view.Len()),
+		"failedDials": c.failedDials.total.Load(),
+	}
 	return st
 }
--- /dev/null
+++ b/internal/peer/client_test.go
@@ -0,0 +1,85 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// seen counts the reports of a client.
+type seen struct{ failed, lost, opened, nameless atomic.Int32 }
+
+func reportingClient(t *testing.T, i int, seed string) (*Client, *seen) {
+	t.Helper()
+	r := &seen{}
+	count := func(n *atomic.Int32) func(string, error) {
+		return func(addr string, err error) {
+			n.Add(1)
+			if err == nil || addr != seed {
+				r.nameless.Add(1)
+			}
+		}
+	}
+	c := NewClient(ClientOptions{
+		Self: endpointItem(i).Entry, Seeds: []string{seed},
+		OnFailed: count(&r.failed), OnLost: count(&r.lost), OnOpen: func(string) { r.opened.Add(1) },
+	})
+	go c.Run(t.Context())
+	return c, r
+}
+
+// TestFailureReports guards that an agent without a session says so, with the
+// reason, once and not at each of several dials a second, and says when the
+// failure is over.
+func TestFailureReports(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	c, r := reportingClient(t, 1, addr)
+	eventually(t, 10*time.Second, "3 failed dials", func() bool { return c.State().Counts["failedDials"] >= 3 })
+	if r.failed.Load() != 1 || r.opened.Load() != 0 {
+		t.Errorf("want 1 report of failed dials, have %d and %d of open sessions", r.failed.Load(), r.opened.Load())
+	}
+	n := startNode(t, 0, nil)
+	if l, err = net.Listen("tcp4", addr); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go n.Serve(ctx, l)
+	eventually(t, 10*time.Second, "report of the open session", func() bool { return r.opened.Load() == 1 })
+
+	other, quiet := reportingClient(t, 2, n.addr)
+	eventually(t, 10*time.Second, "session", func() bool { return len(other.State().Sessions) == 1 })
+	if quiet.opened.Load() != 0 {
+		t.Error("a first session without a failure was reported")
+	}
+	n.stop()
+	eventually(t, 10*time.Second, "report of the lost session", func() bool { return quiet.lost.Load() == 1 })
+	eventually(t, 10*time.Second, "failed dial after the loss", func() bool { return other.State().Counts["failedDials"] >= 1 })
+	if a, b := quiet.failed.Load(), r.nameless.Load()+quiet.nameless.Load(); a != 0 || b != 0 {
+		t.Errorf("want no second report within %v and no report without reason, have %d and %d", failureInterval, a, b)
+	}
+}
+
+// TestReports guards the rate of the reports.
+func TestReports(t *testing.T) {
+	var r reports
+	begin := time.Now()
+	for _, s := range []struct {
+		after time.Duration
+		due   bool
+		open  bool
+	}{
+		{0, true, true}, {time.Second, false, false}, {failureInterval, true, true}, {failureInterval + 1, false, false},
+	} {
+		if due, open := r.failure(begin.Add(s.after)), r.open(); due != s.due || open != s.open {
+			t.Errorf("after %v: want %v and %v, have %v and %v", s.after, s.due, s.open, due, open)
+		}
+	}
+}
--- a/internal/peer/clientdial.go
+++ b/internal/peer/clientdial.go
@@ -82,20 +82,60 @@
 	}
 	if err != nil {
 		c.failed(addr)
+		due := ctx.Err() == nil && c.reports.failure(time.Now())
 		c.mu.Unlock()
+		c.failedDials.add(1)
+		if due && c.o.OnFailed != nil {
+			c.o.OnFailed(addr, err)
+		}
 		return
 	}
 	delete(c.retry, addr)
 	c.sessions[addr] = s
+	again := c.reports.open()
 	if c.self != hello {
 		s.send(entryFrames([]view.Item{c.self}, nil)...)
 	}
 	c.mu.Unlock()
-	c.run(s)
+	if again && c.o.OnOpen != nil {
+		c.o.OnOpen(addr)
+	}
+	err = c.run(s)
 	c.mu.Lock()
 	delete(c.sessions, addr)
 	c.failed(addr)
+	due := len(c.sessions) == 0 && ctx.Err() == nil && c.reports.failure(time.Now())
 	c.mu.Unlock()
+	if due && c.o.OnLost != nil {
+		c.o.OnLost(addr, err)
+	}
+}
+
+// failureInterval bounds the reports of failures: an agent without a balancer
+// dials several times a second.
+const failureInterval = 10 * time.Second
+
+// reports decides which failures are reported. The client's mutex guards it.
+type reports struct {
+	last time.Time
+	// pending is true after a report until a session is open.
+	pending bool
+}
+
+// failure reports whether a failure is due for a report.
+func (r *reports) failure(now time.Time) bool {
+	if !r.last.IsZero() && now.Sub(r.last) < failureInterval {
+		return false
+	}
+	r.last, r.pending = now, true
+	return true
+}
+
+// open reports whether an open session ends a reported failure.
+func (r *reports) open() bool {
+	was := r.pending
+	r.pending = false
+	return was
 }
 
 // failed delays the next attempt to dial an address; the caller holds the mutex.
