--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -75,6 +75,7 @@
 		limits:   drain.Limits{Minimum: drainMinimum, Quiet: drainQuiet, Limit: s.DrainLimit()},
 		tag:      ident.TagOf(ident.ServiceName(s.Service)),
 	}
+	a.client.Log = f.Log
 	udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(s.HopAddress)))
 	if err != nil {
 		return nil, errors.Annotatef(err, "hopAddress")
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 )
 
 // Kind is a kind of objects.
@@ -101,7 +102,10 @@
 type Client struct {
 	// Calls counts every call, including failed ones.
 	Calls Calls
+	// Log, when set before the first call, tells when calls fail and recover.
+	Log *logrus.Entry
 
+	report  report
 	base    string
 	timeout time.Duration
 	http    *http.Client
@@ -201,16 +205,19 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		c.Calls.Failures.Add(1)
-		return errors.Annotatef(err, "platform call")
+		return c.failed(errors.Annotatef(err, "platform call"))
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
-		c.Calls.Failures.Add(1)
-		return errors.Annotatef(err, "platform answer")
+		return c.failed(errors.Annotatef(err, "platform answer"))
 	}
-	return c.result(resp, b, out, k, name)
+	err = c.result(resp, b, out, k, name)
+	var status *StatusError
+	if !errors.As(err, &status) {
+		c.report.note(c.Log, time.Now(), nil)
+	}
+	return err
 }
 
 func (c *Client) result(resp *http.Response, b []byte, out any, k Kind, name string) error {
@@ -231,8 +238,7 @@
 		n, _ := strconv.ParseUint(v, 10, 64)
 		return &ConflictError{Kind: k, Name: name, Current: Version(n)}
 	}
-	c.Calls.Failures.Add(1)
-	return &StatusError{resp.StatusCode, k, name}
+	return c.failed(&StatusError{resp.StatusCode, k, name})
 }
 
 // parseList decodes the answer to a list or watch call. It refuses objects
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -70,6 +70,7 @@
 		events:   ring.New[hopEvent](hopEvents),
 		ports:    map[ident.ServiceTag]*port{},
 	}
+	b.client.Log = f.Log
 	b.table.Store(route.NewTable(nil))
 	for _, n := range s.AgentNetworks {
 		b.networks = append(b.networks, netip.MustParsePrefix(n))
