--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -52,7 +52,7 @@
 	views  *membership
 	keeper *plat.Keeper
 
-	configInvalid, configConflicts, objectsRefused atomic.Uint64
+	configInvalid, configConflicts, objectsRefused, endpointsRefused atomic.Uint64
 }
 
 // New prepares a balancer; it binds the addresses of the settings.
--- a/internal/relay/scale_test.go
+++ b/internal/relay/scale_test.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,6 +46,22 @@
 	return b.views
 }
 
+// TestForeignEndpoint guards against an endpoint that silently gets no flows,
+// and against a log line for it at each rebuild.
+func TestForeignEndpoint(t *testing.T) {
+	m := targetSize(t)
+	var log bytes.Buffer
+	m.b.frame = proc.New("balancer", "test", &log)
+	k := view.Key{Hop: netip.MustParseAddrPort("192.0.2.1:7000"), Instance: 1}
+	m.node.Merge(view.Item{Entry: view.Entry{Key: k, State: view.Serving, Seq: 1, Service: "listas", Place: "recife"}})
+	for range 3 {
+		m.rebuild()
+	}
+	if n, lines := m.b.endpointsRefused.Load(), strings.Count(log.String(), "outside agentNetworks"); n != 1 || lines != 1 {
+		t.Errorf("want one count and one line, have %d and %d", n, lines)
+	}
+}
+
 // BenchmarkRebuild measures a new routing table at the target size.
 func BenchmarkRebuild(b *testing.B) {
 	m := targetSize(b)
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -66,6 +66,7 @@
 		"configInvalid":     b.configInvalid.Load(),
 		"configConflicts":   b.configConflicts.Load(),
 		"objectsRefused":    b.objectsRefused.Load(),
+		"endpointsRefused":  b.endpointsRefused.Load(),
 		"pauses":            pauses,
 		"probeEventsLost":   b.events.Overflow(),
 		"sessionEventsLost": b.views.broken.Overflow(),
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -19,6 +19,8 @@
 	stats map[netip.AddrPort]*agentStat
 	// usable holds the endpoints that take new flows.
 	usable map[view.Key]bool
+	// foreign holds the endpoints outside the allowed networks.
+	foreign map[view.Key]bool
 }
 
 // doubtful returns the usable endpoints that others have marked down.
@@ -72,11 +74,17 @@
 		byHop:   make(map[netip.AddrPort]view.Key, len(entries)),
 		stats:   make(map[netip.AddrPort]*agentStat, len(entries)),
 		usable:  make(map[view.Key]bool, len(entries)),
+		foreign: map[view.Key]bool{},
 	}
 	targets := make(map[view.Key]bool, len(entries))
 	self := m.node.Self().Key.Hash()
 	for _, e := range entries {
-		if e.Key.IsBalancer() || !m.b.inNetworks(e.Key.Hop.Addr()) {
+		if e.Key.IsBalancer() {
+			continue
+		}
+		if !m.b.inNetworks(e.Key.Hop.Addr()) {
+			next.foreign[e.Key] = true
+			m.refuse(e.Key)
 			continue
 		}
 		next.entries[e.Key] = e
@@ -94,6 +102,16 @@
 	m.b.table.Store(m.table())
 }
 
+// refuse counts and logs an endpoint outside the allowed networks when it is
+// first seen. The caller holds the mutex.
+func (m *membership) refuse(k view.Key) {
+	if m.current.foreign[k] {
+		return
+	}
+	m.b.endpointsRefused.Add(1)
+	m.b.frame.Log.WithField("endpoint", k).Warn("endpoint is outside agentNetworks and gets no flows")
+}
+
 // live returns the balancers that probe endpoints: those neither draining nor
 // marked down.
 func (m *membership) live(entries []view.Entry, marks map[view.Key]view.Condition) []uint64 {
