--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -52,7 +52,7 @@
 	views  *membership
 	keeper *plat.Keeper
 
-	configInvalid, configConflicts, objectsRefused atomic.Uint64
+	configInvalid, configConflicts, objectsRefused, endpointsRefused atomic.Uint64
 }
 
 // New prepares a balancer; it binds the addresses of the settings.
@@ -70,6 +70,7 @@
 		events:   ring.New[hopEvent](hopEvents),
 		ports:    map[ident.ServiceTag]*port{},
 	}
+	b.client.Log = f.Log
 	b.table.Store(route.NewTable(nil))
 	for _, n := range s.AgentNetworks {
 		b.networks = append(b.networks, netip.MustParsePrefix(n))
