--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -198,7 +198,7 @@
 	}
 	// A balancer that is no longer watched from here must not keep its mark.
 	for _, k := range n.at(addr) {
-		n.Mark(k, view.Clear)
+		n.Mark(view.Mark{Target: k, Condition: view.Clear})
 	}
 }
 
@@ -241,7 +241,7 @@
 		n.mu.Unlock()
 		return
 	}
-	n.Mark(s.remote.Key, view.Clear)
+	n.Mark(view.Mark{Target: s.remote.Key, Condition: view.Clear})
 	for _, k := range n.at(addr) {
 		if e, ok := n.Get(k); ok && k != s.remote.Key {
 			n.SetGone(e)
@@ -251,7 +251,7 @@
 
 func (n *Node) unreachable(addr string) {
 	for _, k := range n.at(addr) {
-		n.Mark(k, view.Down)
+		n.Mark(view.Mark{Target: k, Condition: view.Down})
 	}
 	n.viewChanged(worse)
 }
--- a/internal/peer/marks.go
+++ b/internal/peer/marks.go
@@ -21,20 +21,34 @@
 	ageMargin = 20 * time.Millisecond
 )
 
-// Mark sets what this balancer itself found out about a process.
-func (n *Node) Mark(k view.Key, c view.Condition) {
+// Mark sets what this balancer itself found out about processes, all of it in
+// one message: the loss of a place would otherwise fill the queues of sessions.
+func (n *Node) Mark(ms ...view.Mark) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.mark(k, c)
+	n.mark(ms...)
 }
 
 // mark is Mark for callers that hold the mutex.
-func (n *Node) mark(k view.Key, c view.Condition) {
-	if n.marks.Own(k, n.self.Key) == c {
+func (n *Node) mark(ms ...view.Mark) {
+	var changed []view.Mark
+	// A target may occur twice, with the later condition the valid one.
+	latest := map[view.Key]view.Condition{}
+	for _, m := range ms {
+		c, ok := latest[m.Target]
+		if !ok {
+			c = n.marks.Own(m.Target, n.self.Key)
+		}
+		if c != m.Condition {
+			changed = append(changed, m)
+		}
+		latest[m.Target] = m.Condition
+	}
+	if len(changed) == 0 {
 		return
 	}
 	n.changes++
-	n.sendMarks(n.marks.Set(n.now(), n.self.Key, view.Mark{Target: k, Condition: c}), nil)
+	n.sendMarks(n.marks.Set(n.now(), n.self.Key, changed...), nil)
 }
 
 // MarkOf returns the worst condition that other balancers report of a process.
@@ -60,7 +74,7 @@
 	n.mu.Lock()
 	for k := range n.marks.List(n.self.Key) {
 		if e, ok := n.view.Get(k); !ok || e.State == view.Gone {
-			n.mark(k, view.Clear)
+			n.mark(view.Mark{Target: k, Condition: view.Clear})
 		}
 	}
 	expired := n.marks.Expire(n.now(), n.self.Key)
--- a/internal/peer/marks_test.go
+++ b/internal/peer/marks_test.go
@@ -23,7 +23,7 @@
 		}
 		return held
 	}
-	ns[0].Mark(target.Key, view.Down)
+	ns[0].Mark(view.Mark{Target: target.Key, Condition: view.Down})
 	d := eventually(t, time.Second, "mark everywhere", func() bool { return count() == 9 })
 	t.Logf("a mark reached 10 balancers in %v", d)
 	for begin := time.Now(); time.Since(begin) < 4*time.Second; time.Sleep(10 * time.Millisecond) {
@@ -59,8 +59,8 @@
 	eventually(t, 5*time.Second, "all entries everywhere", func() bool { return equal(ns, count+4) })
 	start := ns[1].State().Traffic
 	for _, i := range is {
-		ns[0].Mark(i.Key, view.Down)
-		ns[1].Mark(i.Key, view.Down)
+		ns[0].Mark(view.Mark{Target: i.Key, Condition: view.Down})
+		ns[1].Mark(view.Mark{Target: i.Key, Condition: view.Down})
 	}
 	held := func() bool {
 		for _, n := range ns[2:] {
--- a/internal/relay/clean.go
+++ b/internal/relay/clean.go
@@ -81,7 +81,7 @@
 		e, ok := m.node.Get(k)
 		if ok && e.State != view.Gone && age >= downLimit {
 			m.node.SetGone(e)
-			m.node.Mark(k, view.Clear)
+			m.node.Mark(view.Mark{Target: k, Condition: view.Clear})
 			m.b.frame.Log.WithField("key", k).Warn("entry removed after it was down")
 		}
 		if ok && e.State == view.Gone && age < goneLimit {
--- a/internal/relay/member.go
+++ b/internal/relay/member.go
@@ -210,9 +210,7 @@
 	}
 	pauses := m.health.Pauses()
 	m.mu.Unlock()
-	for _, e := range events {
-		m.act(e)
-	}
+	m.act(events)
 	m.cleaner.pauses(pauses)
 	return len(events) > 0
 }
@@ -261,24 +259,30 @@
 	return m.health.Heard(now-time.Duration(wall-at), k)
 }
 
-// act passes on what this balancer itself found out about an endpoint.
-func (m *membership) act(e health.Event) {
-	log := m.b.frame.Log.WithField("endpoint", e.Key)
-	switch e.Verdict {
-	case health.Down:
-		m.node.Mark(e.Key, view.Down)
-		log.Warn("endpoint is down")
-	case health.Refusing:
-		m.node.Mark(e.Key, view.Refusing)
-		log.Warn("endpoint takes no new work")
-	case health.Up:
-		m.node.Mark(e.Key, view.Clear)
-		log.Info("endpoint is up")
-	case health.Gone:
-		m.node.Mark(e.Key, view.Clear)
-		if held, ok := m.node.Get(e.Key); ok {
+// act passes on what this balancer itself found out about endpoints.
+func (m *membership) act(events []health.Event) {
+	var marks []view.Mark
+	for _, e := range events {
+		log := m.b.frame.Log.WithField("endpoint", e.Key)
+		c := view.Clear
+		switch e.Verdict {
+		case health.Down:
+			c = view.Down
+			log.Warn("endpoint is down")
+		case health.Refusing:
+			c = view.Refusing
+			log.Warn("endpoint takes no new work")
+		case health.Up:
+			log.Info("endpoint is up")
+		case health.Gone:
+			log.Warn("endpoint has been replaced")
+		}
+		marks = append(marks, view.Mark{Target: e.Key, Condition: c})
+	}
+	m.node.Mark(marks...)
+	for _, e := range events {
+		if held, ok := m.node.Get(e.Key); ok && e.Verdict == health.Gone {
 			m.node.SetGone(held)
 		}
-		log.Warn("endpoint has been replaced")
 	}
 }
--- a/internal/slope/peers.go
+++ b/internal/slope/peers.go
@@ -231,10 +231,13 @@
 		return nil
 	}
 	before, begin := c.traffic(), time.Now()
-	for i := range c.Marks {
-		for j := range 2 {
-			c.nodes[(2*i+j)%c.Nodes].Mark(c.addrs.entry(i, c.Services).Key, view.Down)
-		}
+	found := make([][]view.Mark, c.Nodes) // by each node in one turn of its prober
+	for i := range 2 * c.Marks {
+		k := c.addrs.entry(i/2, c.Services).Key
+		found[i%c.Nodes] = append(found[i%c.Nodes], view.Mark{Target: k, Condition: view.Down})
+	}
+	for i, n := range c.nodes {
+		n.Mark(found[i]...)
 	}
 	last := c.addrs.entry(c.Marks-1, c.Services).Key
 	err := await(ctx, pollFast, "the last mark at all nodes", func() bool {
--- a/internal/view/marks.go
+++ b/internal/view/marks.go
@@ -87,16 +87,18 @@
 	return &Marks{origins: map[Key]*origin{}, byTarget: map[Key]map[Key]Condition{}}
 }
 
-// Set changes a mark of the owner and returns the update for the others. An
+// Set changes marks of the owner and returns the update for the others. An
 // update out of an empty list is a full one, so that a balancer that has
 // forgotten the empty list needs no other.
-func (m *Marks) Set(now time.Duration, self Key, k Mark) MarkUpdate {
+func (m *Marks) Set(now time.Duration, self Key, ks ...Mark) MarkUpdate {
 	o := m.origin(self)
 	empty := len(o.marks) == 0
-	o.version++
+	o.version += uint64(len(ks))
 	o.heard = now
-	m.put(self, o, k)
-	return MarkUpdate{By: self, Version: o.version, Full: empty, Marks: []Mark{k}}
+	for _, k := range ks {
+		m.put(self, o, k)
+	}
+	return MarkUpdate{By: self, Version: o.version, Full: empty, Marks: ks}
 }
 
 // Apply adopts an update that is newer than what is held of its origin.
