--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,6 +10,8 @@
 	"net/netip"
 	"sync/atomic"
 
+	"github.com/bramleycourse/bramleycourse/internal/view"
+
 	"github.com/juju/errors"
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
@@ -50,7 +52,7 @@
 	announcer  *announcer
 	handshakes handshakes
 	// setState announces a new state.
-	setState func(drain.State)
+	setState func(view.State)
 	// limits are the times of the drain; tests shorten them.
 	limits drain.Limits
 	// late serves connections whose handshake ends after the drain began.
@@ -72,11 +74,12 @@
 		frame:    f,
 		client:   plat.New(s.Platform.URL, s.Platform.Timeout()),
 		keys:     keys.Load,
-		setState: func(drain.State) {},
+		setState: func(view.State) {},
 		limits:   drain.Limits{Minimum: drainMinimum, Quiet: drainQuiet, Limit: s.DrainLimit()},
 		tag:      ident.TagOf(ident.ServiceName(s.Service)),
 	}
 	a.client.Log = f.Log
+	a.state.Store(int32(view.Serving))
 	udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(s.HopAddress)))
 	if err != nil {
 		return nil, errors.Annotatef(err, "hopAddress")
@@ -143,12 +146,12 @@
 
 // serving says whether the agent reports itself as serving.
 func (a *Agent) serving() bool {
-	return drain.State(a.state.Load()) == drain.Serving && a.health.good()
+	return view.State(a.state.Load()) == view.Serving && a.health.good()
 }
 
 // updateGate makes the gate hand over new flows if the agent takes none.
 func (a *Agent) updateGate() {
-	a.gate.setDraining(drain.State(a.state.Load()) != drain.Serving || !a.health.reachable())
+	a.gate.setDraining(view.State(a.state.Load()) != view.Serving || !a.health.reachable())
 }
 
 // serve accepts connections until the context ends.
@@ -222,7 +225,7 @@
 		Endpoint:         a.self.String(),
 		Generation:       a.announcer.Generation(),
 		Sessions:         a.announcer.State(),
-		State:            drain.State(a.state.Load()).String(),
+		State:            view.State(a.state.Load()).String(),
 		Serving:          a.serving(),
 		Service:          a.settings.Service,
 		Requests:         a.handler.requests.Load(),
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -10,7 +10,6 @@
 	"github.com/juju/errors"
 
 	"github.com/bramleycourse/bramleycourse/internal/config"
-	"github.com/bramleycourse/bramleycourse/internal/drain"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/peer"
 	"github.com/bramleycourse/bramleycourse/internal/plat"
@@ -159,17 +158,11 @@
 	n.OnConfig = func(c *config.Accepted) { a.Configure(c.Declaration) }
 	n.OnBalancers = a.setBalancers
 	a.announcer = n
-	a.setState = func(s drain.State) { n.SetState(viewStates[s]) }
+	a.setState = n.SetState
 	a.frame.Add("announcement", n.Run)
 	return nil
 }
 
-var viewStates = map[drain.State]view.State{
-	drain.Serving:  view.Serving,
-	drain.Draining: view.Draining,
-	drain.Gone:     view.Gone,
-}
-
 // setBalancers makes the balancers known that may be pinged, and stops replies
 // through those that drain.
 func (a *Agent) setBalancers(es []view.Entry) {
--- a/internal/agent/hop_test.go
+++ b/internal/agent/hop_test.go
@@ -9,11 +9,12 @@
 	"testing"
 	"time"
 
+	"github.com/bramleycourse/bramleycourse/internal/view"
+
 	"github.com/quic-go/quic-go"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/bramleycourse/bramleycourse/internal/connid"
-	"github.com/bramleycourse/bramleycourse/internal/drain"
 	"github.com/bramleycourse/bramleycourse/internal/encap"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/pkg/decl"
@@ -127,7 +128,7 @@
 		if have.header.Service != a.tag || have.header.Instance != a.self.Instance || have.state != want {
 			t.Errorf("probe answer: want service %d, instance %d, state %d, have %+v", a.tag, a.self.Instance, want, have)
 		}
-		a.state.Store(int32(drain.Draining))
+		a.state.Store(int32(view.Draining))
 	}
 }
 
--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -5,6 +5,8 @@
 	"os"
 	"time"
 
+	"github.com/bramleycourse/bramleycourse/internal/view"
+
 	"github.com/bramleycourse/bramleycourse/internal/drain"
 )
 
@@ -25,22 +27,8 @@
 // the first of them cuts the drain.
 func (a *Agent) Run(ctx context.Context, again func() <-chan os.Signal) error {
 	a.frame.Log.WithField("endpoint", a.self).Info("agent started")
-	life, end := context.WithCancel(context.Background())
-	defer end()
-	ended := make(chan error, 1)
-	go func() { ended <- a.frame.Run(life) }()
-	select {
-	case err := <-ended:
-		return err
-	case <-ctx.Done():
-	}
-	a.drain(again())
-	end()
-	err := <-ended
+	err := a.frame.RunDrained(ctx, func() { a.drain(again()) })
 	a.frame.Log.Info("agent ended")
-	if life.Err() != nil {
-		return ctx.Err()
-	}
 	return err
 }
 
@@ -66,7 +54,7 @@
 		}
 		if act == drain.Finish || act == drain.Cut {
 			a.frame.Log.WithField("cut", act == drain.Cut).Info("drain ended")
-			a.setState(drain.Gone)
+			a.setState(view.Gone)
 			return
 		}
 	}
@@ -76,8 +64,8 @@
 func (a *Agent) leave() {
 	a.frame.Log.WithField("requests", a.handler.active.Load()).Info("drain began")
 	a.frame.Draining()
-	a.state.Store(int32(drain.Draining))
+	a.state.Store(int32(view.Draining))
 	a.updateGate()
-	a.setState(drain.Draining)
+	a.setState(view.Draining)
 	a.servers.leaveAll()
 }
--- a/internal/agent/stop_test.go
+++ b/internal/agent/stop_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/bramleycourse/bramleycourse/internal/view"
+
 	"github.com/bramleycourse/bramleycourse/internal/drain"
 	"github.com/bramleycourse/bramleycourse/internal/hdrs"
 	"github.com/bramleycourse/bramleycourse/pkg/decl"
@@ -24,14 +26,14 @@
 	again   chan os.Signal
 	ended   chan struct{}
 	mu      sync.Mutex
-	history []drain.State
+	history []view.State
 }
 
 func (b *bench) stopping(upstreamURL string) *stopping {
 	a := b.prepare("127.0.0.1:0", upstreamURL, decl.Service{StreamPaths: []string{"/feeds/"}})
 	a.limits.Minimum, a.limits.Quiet = 300*time.Millisecond, 100*time.Millisecond
 	s := &stopping{Agent: a, again: make(chan os.Signal, 1), ended: make(chan struct{})}
-	a.setState = func(d drain.State) {
+	a.setState = func(d view.State) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.history = append(s.history, d)
@@ -53,7 +55,7 @@
 	return s
 }
 
-func (s *stopping) states() []drain.State {
+func (s *stopping) states() []view.State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.history
@@ -110,7 +112,7 @@
 	case <-time.After(10 * time.Second):
 		t.Fatal("agent did not end in 10 s without work")
 	}
-	if want := []drain.State{drain.Draining, drain.Gone}; !reflect.DeepEqual(s.states(), want) {
+	if want := []view.State{view.Draining, view.Gone}; !reflect.DeepEqual(s.states(), want) {
 		t.Errorf("announced states: want %v, have %v", want, s.states())
 	}
 	if n := s.handler.desk.size(); n.Bytes == 0 {
@@ -193,12 +195,12 @@
 	b := newBench(t)
 	a := b.prepare("127.0.0.1:0", "http://127.0.0.1:1", decl.Service{})
 	a.limits = drain.Limits{Quiet: time.Millisecond}
-	var have []drain.State
-	a.setState = func(s drain.State) { have = append(have, s) }
+	var have []view.State
+	a.setState = func(s view.State) { have = append(have, s) }
 	ctx, stop := context.WithCancel(t.Context())
 	stop()
 	a.Run(ctx, func() <-chan os.Signal { return nil })
-	if want := []drain.State{drain.Draining, drain.Gone}; !reflect.DeepEqual(have, want) {
+	if want := []view.State{view.Draining, view.Gone}; !reflect.DeepEqual(have, want) {
 		t.Errorf("announced states: want %v, have %v", want, have)
 	}
 }
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -2,29 +2,12 @@
 // no clock, goroutine or signal handler and is not safe for concurrent use.
 package drain
 
-import "time"
+import (
+	"time"
 
-// State is the state of a process.
-type State uint8
-
-// States, in the order in which a process passes them.
-const (
-	Serving State = iota
-	Draining
-	Gone
+	"github.com/bramleycourse/bramleycourse/internal/view"
 )
 
-// String returns the state as a value of state dumps and logs.
-func (s State) String() string {
-	switch s {
-	case Serving:
-		return "serving"
-	case Draining:
-		return "draining"
-	}
-	return "gone"
-}
-
 // Action is what the process does next.
 type Action uint8
 
@@ -54,26 +37,26 @@
 // Machine is the drain state of one process.
 type Machine struct {
 	limits Limits
-	state  State
+	state  view.State
 	began  time.Time
 	// worked is when the process last had work; valid in state Draining.
 	worked time.Time
 }
 
 // New returns a machine in state Serving.
-func New(l Limits) *Machine { return &Machine{limits: l} }
+func New(l Limits) *Machine { return &Machine{limits: l, state: view.Serving} }
 
 // State returns the state.
-func (m *Machine) State() State { return m.state }
+func (m *Machine) State() view.State { return m.state }
 
 // Signal handles a signal to stop: the first begins the drain, the next cuts it.
 func (m *Machine) Signal(now time.Time) Action {
 	switch m.state {
-	case Serving:
-		m.state, m.began, m.worked = Draining, now, now
+	case view.Serving:
+		m.state, m.began, m.worked = view.Draining, now, now
 		return Leave
-	case Draining:
-		m.state = Gone
+	case view.Draining:
+		m.state = view.Gone
 		return Cut
 	}
 	return None
@@ -81,7 +64,7 @@
 
 // Check handles the passing of time; busy says whether there is work.
 func (m *Machine) Check(now time.Time, busy bool) Action {
-	if m.state != Draining {
+	if m.state != view.Draining {
 		return None
 	}
 	if busy {
@@ -89,10 +72,10 @@
 	}
 	switch {
 	case m.limits.Limit > 0 && now.Sub(m.began) >= m.limits.Limit:
-		m.state = Gone
+		m.state = view.Gone
 		return Cut
 	case now.Sub(m.worked) >= m.limits.Quiet && now.Sub(m.began) >= m.limits.Minimum:
-		m.state = Gone
+		m.state = view.Gone
 		return Finish
 	}
 	return None
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -133,3 +133,21 @@
 	defer f.closer.Close()
 	return f.tree.Serve(ctx)
 }
+
+// RunDrained runs the supervisor tree until the context ends, then drains, and
+// then ends the tree. A tree that ends by itself is not drained.
+func (f *Frame) RunDrained(ctx context.Context, drain func()) error {
+	life, end := context.WithCancel(context.Background())
+	defer end()
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(life) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	drain()
+	end()
+	<-ended
+	return ctx.Err()
+}
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -22,23 +22,14 @@
 // follow; the first of them cuts the drain.
 func (b *Balancer) Run(ctx context.Context, again func() <-chan os.Signal) error {
 	b.frame.Log.WithField("hop", b.hopAddr).Info("balancer started")
-	life, end := context.WithCancel(context.Background())
-	defer end()
 	b.announce(b.views.node.Self())
-	ended := make(chan error, 1)
-	go func() { ended <- b.frame.Run(life) }()
-	select {
-	case err := <-ended:
-		return err
-	case <-ctx.Done():
-	}
-	b.drain(again())
-	b.farewell()
-	end()
-	<-ended
+	err := b.frame.RunDrained(ctx, func() {
+		b.drain(again())
+		b.farewell()
+	})
 	b.closePorts()
 	b.frame.Log.Info("balancer ended")
-	return ctx.Err()
+	return err
 }
 
 // drain returns when the fabric sends no more packets or the drain is cut.
