--- a/cmd/bramleycourse/trial.go
+++ b/cmd/bramleycourse/trial.go
@@ -8,21 +8,21 @@
 
 type trialCmd struct {
 	Seed  uint64 `help:"Seed of arrivals and service times." default:"1"`
-	Flows int    `help:"Flows for each policy, scene and size." default:"200000"`
-	All   bool   `help:"Run every scene, not only the standard one."`
+	Flows int    `help:"Flows for each policy, scenario and size." default:"200000"`
+	All   bool   `help:"Run every scenario, not only the standard one."`
 	JSON  bool   `name:"json" help:"Print JSON."`
-	Plot  string `help:"Write a chart of the standard scene to this file, for example trial.svg."`
+	Plot  string `help:"Write a chart of the standard scenario to this file, for example trial.svg."`
 }
 
 // Run compares placement policies and prints the results.
 func (c *trialCmd) Run() error {
-	scenes := trial.Scenes()
+	scenarios := trial.Scenarios()
 	if !c.All {
-		scenes = scenes[:1]
+		scenarios = scenarios[:1]
 	}
-	ts := trial.Run(scenes, c.Seed, c.Flows)
+	ts := trial.Run(scenarios, c.Seed, c.Flows)
 	if c.Plot != "" {
-		if err := trial.Plot(c.Plot, scenes[0].Name, ts); err != nil {
+		if err := trial.Plot(c.Plot, scenarios[0].Name, ts); err != nil {
 			return err
 		}
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -122,7 +122,7 @@
 func newHandler(a *Agent) *handler {
 	h := &handler{
 		gate:      a.gate,
-		desk:      newDesk(a.self),
+		tickets:   newTicketStore(a.self),
 		refusals:  a.refusals,
 		requested: a.flowRequested,
 		place:     a.settings.Place,
@@ -231,7 +231,7 @@
 		Requests:         a.handler.requests.Load(),
 		Admission:        a.gate.stats(),
 		ConnectionsByKey: a.servers.byKey(),
-		Tickets:          a.handler.desk.size(),
+		Tickets:          a.handler.tickets.size(),
 		Refused:          a.refusals.values(),
 		Counts:           a.hop.values(),
 		Balancers:        a.hop.balancers(),
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -16,8 +16,8 @@
 	"github.com/bramleycourse/bramleycourse/internal/view"
 )
 
-// farewellTime bounds the announcement of the end.
-const farewellTime = time.Second
+// goneTimeout bounds the announcement of the end.
+const goneTimeout = time.Second
 
 // entryObject is the platform object of an agent.
 type entryObject struct {
@@ -27,7 +27,7 @@
 
 // announcer tells balancers and the platform about the agent, and receives the
 // configuration and the list of balancers. It works in the background; neither
-// start, drain nor exit waits for the platform for more than farewellTime.
+// start, drain nor exit waits for the platform for more than goneTimeout.
 type announcer struct {
 	// OnConfig receives each configuration of a higher generation.
 	OnConfig func(*config.Accepted)
@@ -134,14 +134,14 @@
 func (n *announcer) State() peer.State { return n.sessions.State() }
 
 // Run keeps sessions and the platform object until the context ends; then it
-// announces the end within farewellTime.
+// announces the end within goneTimeout.
 func (n *announcer) Run(ctx context.Context) error {
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	go n.sessions.Run(life)
 	go n.keeper.Run(life)
 	<-ctx.Done()
-	bound, cancel := context.WithTimeout(life, farewellTime)
+	bound, cancel := context.WithTimeout(life, goneTimeout)
 	defer cancel()
 	n.SetState(view.Gone)
 	n.sessions.Flush(bound)
--- a/internal/agent/announce_test.go
+++ b/internal/agent/announce_test.go
@@ -93,7 +93,7 @@
 	begin := time.Now()
 	cancel()
 	<-ended
-	if d := time.Since(begin); d > farewellTime+300*time.Millisecond {
+	if d := time.Since(begin); d > goneTimeout+300*time.Millisecond {
 		t.Errorf("the end took %v while the platform was down", d)
 	}
 	await(t, time.Second, "end known", known(view.Gone))
--- a/internal/agent/front_test.go
+++ b/internal/agent/front_test.go
@@ -59,7 +59,7 @@
 func newFront(t *testing.T, upstreamURL string, s decl.Service) *front {
 	h := &handler{
 		gate:      newAdmission(gateLimits(s.Limits.WithDefaults()), 0),
-		desk:      newDesk(ident.EndpointID{Addr: netip.MustParseAddrPort("127.0.0.1:1"), Instance: 1}),
+		tickets:   newTicketStore(ident.EndpointID{Addr: netip.MustParseAddrPort("127.0.0.1:1"), Instance: 1}),
 		refusals:  newReasons(quietLog(), tally.NoopScope),
 		upstream:  newUpstream(upstreamURL, func(error) {}),
 		requested: func(context.Context) {},
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -36,7 +36,7 @@
 type handler struct {
 	upstream *upstream
 	gate     *admission
-	desk     *desk
+	tickets  *ticketStore
 	refusals *reasons
 	// place and group are those of the upstream, for its declared weight.
 	place, group string
--- a/internal/agent/stop_test.go
+++ b/internal/agent/stop_test.go
@@ -115,7 +115,7 @@
 	if want := []view.State{view.Draining, view.Gone}; !reflect.DeepEqual(s.states(), want) {
 		t.Errorf("announced states: want %v, have %v", want, s.states())
 	}
-	if n := s.handler.desk.size(); n.Bytes == 0 {
+	if n := s.handler.tickets.size(); n.Bytes == 0 {
 		t.Errorf("ticket run without caller: want a stored answer, have %+v", n)
 	}
 }
--- a/internal/agent/tickets.go
+++ b/internal/agent/tickets.go
@@ -25,9 +25,9 @@
 		h.refuse(w, http.StatusMethodNotAllowed, reasonMethod)
 		return
 	}
-	h.desk.mu.Lock()
-	text, reason := h.desk.book.Issue(time.Now())
-	h.desk.mu.Unlock()
+	h.tickets.mu.Lock()
+	text, reason := h.tickets.store.Issue(time.Now())
+	h.tickets.mu.Unlock()
 	if reason != ticket.ReasonNone {
 		h.refuse(w, http.StatusServiceUnavailable, string(reason))
 		return
@@ -55,7 +55,7 @@
 		h.rejectTicket(w, text, http.StatusRequestEntityTooLarge, reasonBody)
 		return
 	}
-	d, run := h.desk.begin(text, o.hash())
+	d, run := h.tickets.begin(text, o.hash())
 	switch d.Action {
 	case ticket.Run:
 		h.active.Add(1)
@@ -75,7 +75,7 @@
 // rejectTicket answers a request at fault. Only a ticket that has not begun may
 // be answered not-run: the fault concerns this repetition and not the first request.
 func (h *handler) rejectTicket(w http.ResponseWriter, text string, status int, reason string) {
-	first, notRun := h.desk.reject(text, reason)
+	first, notRun := h.tickets.reject(text, reason)
 	switch {
 	case !notRun:
 		h.unknown(w, status, reason)
@@ -93,31 +93,31 @@
 	defer cancel()
 	if !h.streams(path) {
 		if v := h.enter(ctx, deadline); v != admit.Run {
-			h.desk.refuse(r, string(v))
+			h.tickets.refuse(r, string(v))
 			return
 		}
 		defer h.gate.leave()
 	}
-	o.called = func() { h.desk.called(r) }
+	o.called = func() { h.tickets.called(r) }
 	resp, err := h.upstream.call(ctx, o)
 	if err != nil {
 		h.endFailed(r, err)
 		return
 	}
 	defer resp.Body.Close()
-	limit := h.desk.limits.AnswerBytes
+	limit := h.tickets.limits.AnswerBytes
 	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(limit)+1))
 	if err != nil {
-		h.desk.lose(r, http.StatusBadGateway, reasonBrokenOff)
+		h.tickets.lose(r, http.StatusBadGateway, reasonBrokenOff)
 		return
 	}
 	a := &ticket.Answer{Status: resp.StatusCode, Header: answerHeader(resp.Header), Body: body}
 	if len(body) <= limit {
 		a.Trailer = trailer(resp)
-		h.desk.finish(r, a, nil)
+		h.tickets.finish(r, a, nil)
 		return
 	}
-	h.desk.finish(r, a, resp)
+	h.tickets.finish(r, a, resp)
 	<-r.copied
 	io.Copy(io.Discard, resp.Body) // an upstream may stop its work when its answer is not read
 }
@@ -125,10 +125,10 @@
 func (h *handler) endFailed(r *run, err error) {
 	var c *callError
 	if errors.As(err, &c) && !c.called {
-		h.desk.refuse(r, reasonUnreachable)
+		h.tickets.refuse(r, reasonUnreachable)
 		return
 	}
-	h.desk.lose(r, http.StatusBadGateway, reasonFailed)
+	h.tickets.lose(r, http.StatusBadGateway, reasonFailed)
 }
 
 // await answers with the end of a run. Only the caller that started the run
--- a/internal/agent/desk.go
+++ b/internal/agent/ticketstore.go
@@ -14,12 +14,12 @@
 // maxRun bounds a run that goes on after its caller left.
 const maxRun = 5 * time.Minute
 
-// desk guards the ticket book with one mutex and lets repetitions wait for a run.
-type desk struct {
+// ticketStore guards the tickets with one mutex and lets repetitions wait for a run.
+type ticketStore struct {
 	limits ticket.Limits
 
 	mu      sync.Mutex
-	book    *ticket.Book
+	store   *ticket.Store
 	running map[ticket.Serial]*run
 }
 
@@ -37,22 +37,22 @@
 	copied chan struct{}
 }
 
-func newDesk(self ident.EndpointID) *desk {
+func newTicketStore(self ident.EndpointID) *ticketStore {
 	key := make([]byte, 32)
 	rand.Read(key)
 	l := ticket.DefaultLimits()
-	return &desk{
+	return &ticketStore{
 		limits:  l,
-		book:    ticket.NewBook(ticket.NewMint(self, key), l),
+		store:   ticket.NewStore(ticket.NewIssuer(self, key), l),
 		running: map[ticket.Serial]*run{},
 	}
 }
 
 // begin decides about a ticket and returns the run to start or to wait for.
-func (d *desk) begin(text string, request ticket.Hash) (ticket.Decision, *run) {
+func (d *ticketStore) begin(text string, request ticket.Hash) (ticket.Decision, *run) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c := d.book.Begin(time.Now(), text, request)
+	c := d.store.Begin(time.Now(), text, request)
 	switch c.Action {
 	case ticket.Run:
 		r := &run{serial: c.Serial, done: make(chan struct{}), copied: make(chan struct{})}
@@ -66,28 +66,28 @@
 
 // reject uses up a ticket that was not used yet and whose request is at fault.
 // It returns the reason if the request never ran and never will.
-func (d *desk) reject(text, reason string) (string, bool) {
+func (d *ticketStore) reject(text, reason string) (string, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	c := d.book.Begin(now, text, ticket.Hash{})
+	c := d.store.Begin(now, text, ticket.Hash{})
 	if c.Action == ticket.Run {
-		return reason, d.book.Refuse(now, c.Serial, ticket.Reason(reason))
+		return reason, d.store.Refuse(now, c.Serial, ticket.Reason(reason))
 	}
 	return string(c.Reason), c.Action == ticket.NotRun
 }
 
-func (d *desk) called(r *run) {
+func (d *ticketStore) called(r *run) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.book.Call(r.serial)
+	d.store.Call(r.serial)
 }
 
 // refuse ends a run before the upstream was called.
-func (d *desk) refuse(r *run, reason string) {
+func (d *ticketStore) refuse(r *run, reason string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.book.Refuse(time.Now(), r.serial, ticket.Reason(reason)) {
+	if d.store.Refuse(time.Now(), r.serial, ticket.Reason(reason)) {
 		r.outcome, r.status = hdrs.NotRun, http.StatusServiceUnavailable
 	} else {
 		r.outcome, r.status = hdrs.Unknown, http.StatusBadGateway
@@ -97,35 +97,35 @@
 }
 
 // lose ends a run whose outcome is unknown.
-func (d *desk) lose(r *run, status int, reason string) {
+func (d *ticketStore) lose(r *run, status int, reason string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.book.Lose(r.serial)
+	d.store.Lose(r.serial)
 	r.outcome, r.status, r.reason = hdrs.Unknown, status, reason
 	d.end(r)
 }
 
 // finish ends a run with an answer. If rest is not nil, the answer is too long
 // to be stored.
-func (d *desk) finish(r *run, a *ticket.Answer, rest *http.Response) {
+func (d *ticketStore) finish(r *run, a *ticket.Answer, rest *http.Response) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r.answer, r.rest = a, rest
 	if rest != nil {
-		d.book.Lose(r.serial)
+		d.store.Lose(r.serial)
 	} else {
-		d.book.Finish(time.Now(), r.serial, a)
+		d.store.Finish(time.Now(), r.serial, a)
 	}
 	d.end(r)
 }
 
-func (d *desk) end(r *run) {
+func (d *ticketStore) end(r *run) {
 	delete(d.running, r.serial)
 	close(r.done)
 }
 
-func (d *desk) size() ticket.Size {
+func (d *ticketStore) size() ticket.Size {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.book.Size()
+	return d.store.Size()
 }
--- a/internal/itest/badinput_test.go
+++ b/internal/itest/badinput_test.go
@@ -39,7 +39,7 @@
 // headers and bodies, and a second agent on a used address are refused: nothing
 // reaches an upstream, memory stays bounded and service goes on.
 func TestBadInput(t *testing.T) {
-	s := NewScene(NewCluster(t, binary), Declaration(4, "listas"), 1, map[string]int{"listas": 1})
+	s := NewDeployment(NewCluster(t, binary), Declaration(4, "listas"), 1, map[string]int{"listas": 1})
 	b, a := s.Balancers[0], s.Agents["listas"][0]
 	f := s.Fabrics["listas"]
 	f.Record(1000)
@@ -87,7 +87,7 @@
 
 // oversized sends a body and a header that are too large; neither may reach
 // the upstream.
-func (s *Scene) oversized() {
+func (s *Deployment) oversized() {
 	s.T.Helper()
 	stub := s.Agents["listas"][0].Stub
 	served := stub.Counts().Requests
@@ -117,7 +117,7 @@
 
 // secondAgent starts an agent on the address of another; it must end with an
 // error and leave the first alone.
-func (s *Scene) secondAgent(first *Process) {
+func (s *Deployment) secondAgent(first *Process) {
 	s.T.Helper()
 	second := s.Agent("second", "listas", "recife", time.Millisecond, func(a *config.Agent) { a.HopAddress = first.Hop })
 	select {
--- a/internal/itest/conf_test.go
+++ b/internal/itest/conf_test.go
@@ -24,7 +24,7 @@
 const inForceLimit = 2 * time.Second
 
 // generation returns the generation in force on a balancer, 0 if there is none.
-func (s *Scene) generation(b *Process) uint64 {
+func (s *Deployment) generation(b *Process) uint64 {
 	var st relay.State
 	if b.State(&st) != nil || st.Configuration == nil {
 		return 0
@@ -32,7 +32,7 @@
 	return uint64(st.Configuration.Generation)
 }
 
-func (s *Scene) waitGeneration(want uint64, bs ...*Process) {
+func (s *Deployment) waitGeneration(want uint64, bs ...*Process) {
 	s.T.Helper()
 	for _, b := range bs {
 		s.Eventually(inForceLimit, fmt.Sprintf("generation %d in force on %s", want, b.Name), func() bool {
@@ -42,7 +42,7 @@
 }
 
 // apply starts the product's apply command on a declaration.
-func (s *Scene) apply(name string, d *decl.Declaration) *exec.Cmd {
+func (s *Deployment) apply(name string, d *decl.Declaration) *exec.Cmd {
 	s.T.Helper()
 	b, err := d.JSON()
 	s.must(err)
@@ -69,7 +69,7 @@
 func TestConfigurationInForce(t *testing.T) {
 	c := NewCluster(t, binary)
 	d := Declaration(4, "listas")
-	s := NewScene(c, d, 3, map[string]int{"listas": 1})
+	s := NewDeployment(c, d, 3, map[string]int{"listas": 1})
 	d2 := Declaration(5, "listas")
 	if out, err := s.apply("two", d2).CombinedOutput(); err != nil {
 		t.Fatalf("apply: %v: %s", err, out)
@@ -110,7 +110,7 @@
 
 // restore writes an older configuration to the platform without a condition,
 // as a restored backup of the platform would.
-func (s *Scene) restore(old plat.Object) {
+func (s *Deployment) restore(old plat.Object) {
 	s.T.Helper()
 	req, err := http.NewRequest(http.MethodPut, s.PlatformURL+"/v1/objects/config/main", bytes.NewReader(old.Value))
 	s.must(err)
@@ -127,7 +127,7 @@
 // that an operator who was paused between reading and writing does not win.
 func TestOperatorsRace(t *testing.T) {
 	c := NewCluster(t, binary)
-	s := NewScene(c, Declaration(1, "listas"), 1, map[string]int{})
+	s := NewDeployment(c, Declaration(1, "listas"), 1, map[string]int{})
 	const operators = 8
 	c.Store.SetFaults(store.Faults{AnswerDelayMillis: 300}) // all read before any writes
 	codes := make([]int, operators)
--- a/internal/itest/scene.go
+++ b/internal/itest/deployment.go
@@ -36,8 +36,8 @@
 // places are the places of Declaration, taken in turn.
 var places = []string{"recife", "fortaleza"}
 
-// Scene is a running cluster with balancers and agents.
-type Scene struct {
+// Deployment is a running cluster with balancers and agents.
+type Deployment struct {
 	*Cluster
 	// Balancers are the balancers that the fabric sprays over.
 	Balancers []*Process
@@ -47,13 +47,13 @@
 	started int
 }
 
-// NewScene starts balancers and the given number of agents of each service,
+// NewDeployment starts balancers and the given number of agents of each service,
 // and waits until every balancer can use every agent.
-func NewScene(c *Cluster, d *decl.Declaration, balancers int, agents map[string]int) *Scene {
+func NewDeployment(c *Cluster, d *decl.Declaration, balancers int, agents map[string]int) *Deployment {
 	c.T.Helper()
 	c.Apply(d)
 	c.StartFabric(1)
-	s := &Scene{Cluster: c, Agents: map[string][]*Process{}}
+	s := &Deployment{Cluster: c, Agents: map[string][]*Process{}}
 	for range balancers {
 		s.AddBalancer()
 	}
@@ -67,7 +67,7 @@
 }
 
 // AddBalancer starts a balancer and makes the fabric spray over it.
-func (s *Scene) AddBalancer(change ...func(*config.Balancer)) *Process {
+func (s *Deployment) AddBalancer(change ...func(*config.Balancer)) *Process {
 	s.T.Helper()
 	s.started++
 	b := s.Balancer(fmt.Sprintf("b%d", s.started), places[s.started%len(places)], change...)
@@ -79,7 +79,7 @@
 
 // waitForwarding waits until a balancer has a configuration, as a fabric does
 // before it sends packets to a new VM.
-func (s *Scene) waitForwarding(b *Process) {
+func (s *Deployment) waitForwarding(b *Process) {
 	s.T.Helper()
 	s.Eventually(readyLimit, b.Name+" has a configuration", func() bool {
 		var st relay.State
@@ -88,7 +88,7 @@
 }
 
 // AddAgent starts an agent.
-func (s *Scene) AddAgent(service string, work time.Duration, change ...func(*config.Agent)) *Process {
+func (s *Deployment) AddAgent(service string, work time.Duration, change ...func(*config.Agent)) *Process {
 	s.T.Helper()
 	s.started++
 	a := s.Agent(fmt.Sprintf("%s%d", service, s.started), service, places[s.started%len(places)], work, change...)
@@ -97,13 +97,13 @@
 }
 
 // RemoveBalancer takes a balancer out of the fabric.
-func (s *Scene) RemoveBalancer(p *Process) {
+func (s *Deployment) RemoveBalancer(p *Process) {
 	s.Balancers = without(s.Balancers, p)
 	s.SetFabricTargets(s.Balancers...)
 }
 
 // RemoveAgent forgets an agent; it does not stop it.
-func (s *Scene) RemoveAgent(service string, p *Process) {
+func (s *Deployment) RemoveAgent(service string, p *Process) {
 	s.Agents[service] = without(s.Agents[service], p)
 }
 
@@ -117,15 +117,15 @@
 	return kept
 }
 
-// WaitReady waits until every balancer can use exactly the agents of the scene.
-func (s *Scene) WaitReady() {
+// WaitReady waits until every balancer can use exactly the agents of the deployment.
+func (s *Deployment) WaitReady() {
 	s.T.Helper()
 	for _, b := range s.Balancers {
 		s.Eventually(readyLimit, b.Name+" uses all agents", func() bool { return s.uses(b) })
 	}
 }
 
-func (s *Scene) uses(b *Process) bool {
+func (s *Deployment) uses(b *Process) bool {
 	wanted := map[string]bool{}
 	for _, as := range s.Agents {
 		for _, a := range as {
@@ -145,7 +145,7 @@
 }
 
 // Usable returns the hop addresses of the agents that a balancer sends new flows to.
-func (s *Scene) Usable(b *Process) map[string]bool {
+func (s *Deployment) Usable(b *Process) map[string]bool {
 	have := map[string]bool{}
 	var st relay.State
 	if b.State(&st) != nil {
@@ -160,19 +160,19 @@
 }
 
 // Client returns a caller of the services.
-func (s *Scene) Client(opts ...caller.Option) *caller.Client {
+func (s *Deployment) Client(opts ...caller.Option) *caller.Client {
 	c := caller.New(append([]caller.Option{caller.WithTLS(s.CallerTLS())}, opts...)...)
 	s.T.Cleanup(func() { c.Close() })
 	return c
 }
 
 // URL returns the URL of a path of a service at the fabric.
-func (s *Scene) URL(service, path string) string {
+func (s *Deployment) URL(service, path string) string {
 	return "https://" + s.Fabrics[service].Addr().String() + path
 }
 
 // Misrouted sums the requests that reached an upstream of another service.
-func (s *Scene) Misrouted() int {
+func (s *Deployment) Misrouted() int {
 	n := 0
 	for _, as := range s.Agents {
 		for _, a := range as {
@@ -183,6 +183,6 @@
 }
 
 // plain returns the transport of an ordinary HTTP/3 client.
-func (s *Scene) plain() *http3.Transport {
+func (s *Deployment) plain() *http3.Transport {
 	return &http3.Transport{TLSClientConfig: s.CallerTLS()}
 }
--- a/internal/itest/feed.go
+++ b/internal/itest/feed.go
@@ -14,10 +14,10 @@
 
 // Feeds reads a number of open feeds and checks their events.
 type Feeds struct {
-	scene *Scene
-	feeds []*caller.Feed
-	done  sync.WaitGroup
-	stop  context.CancelFunc
+	deployment *Deployment
+	feeds      []*caller.Feed
+	done       sync.WaitGroup
+	stop       context.CancelFunc
 
 	mu      sync.Mutex
 	faults  []string
@@ -26,10 +26,10 @@
 }
 
 // OpenFeeds opens feeds of a service that send an event every interval.
-func (s *Scene) OpenFeeds(c *caller.Client, service string, n int, every time.Duration) *Feeds {
+func (s *Deployment) OpenFeeds(c *caller.Client, service string, n int, every time.Duration) *Feeds {
 	s.T.Helper()
 	ctx, stop := context.WithCancel(context.Background())
-	f := &Feeds{scene: s, stop: stop}
+	f := &Feeds{deployment: s, stop: stop}
 	s.T.Cleanup(stop)
 	url := s.URL(service, "/feeds/prices?everyMillis="+strconv.FormatInt(every.Milliseconds(), 10))
 	for range n {
--- a/internal/itest/frozen_test.go
+++ b/internal/itest/frozen_test.go
@@ -55,7 +55,7 @@
 // any timeout and goes on with what it believed before: on waking it must mark
 // nothing down, bring no view back and break no feed.
 func TestFrozenBalancer(t *testing.T) {
-	s := NewScene(NewCluster(t, binary), Declaration(4, "listas"), 3, map[string]int{"listas": 3})
+	s := NewDeployment(NewCluster(t, binary), Declaration(4, "listas"), 3, map[string]int{"listas": 3})
 	feeds := s.OpenFeeds(s.Client(), "listas", 20, 50*time.Millisecond)
 	all, frozen := s.Balancers, s.Balancers[0]
 	seen := progress{}
@@ -92,7 +92,7 @@
 
 // watchResumed checks all balancers for 5 s after one of them was resumed, and
 // gives it packets again after fabricDelay. Marks on it may remain for a while.
-func (s *Scene) watchResumed(all []*Process, resumed *Process, seen progress) {
+func (s *Deployment) watchResumed(all []*Process, resumed *Process, seen progress) {
 	key := ownKey(s.T, resumed)
 	back := time.Now().Add(fabricDelay)
 	for end := back.Add(5 * time.Second); time.Now().Before(end) && !s.T.Failed(); time.Sleep(20 * time.Millisecond) {
--- a/internal/itest/giveup_test.go
+++ b/internal/itest/giveup_test.go
@@ -16,7 +16,7 @@
 // one with a ticket learns it from the other agent.
 func TestKilledAgentGivenUp(t *testing.T) {
 	const limit = 7 * time.Second
-	s := NewScene(NewCluster(t, binary), Declaration(8, "listas"), 2, map[string]int{"listas": 1})
+	s := NewDeployment(NewCluster(t, binary), Declaration(8, "listas"), 2, map[string]int{"listas": 1})
 	old := s.Agents["listas"][0]
 	old.Stub.SetSettings(stub.Settings{WorkMillis: 60_000, UpdateDelayMillis: 60_000})
 	client := s.Client()
--- a/internal/itest/isolation_test.go
+++ b/internal/itest/isolation_test.go
@@ -20,7 +20,7 @@
 // down throughout.
 func TestAddressReuse(t *testing.T) {
 	c := NewCluster(t, binary)
-	s := NewScene(c, Declaration(4, "listas", "fichas"), 2, map[string]int{"listas": 2, "fichas": 1})
+	s := NewDeployment(c, Declaration(4, "listas", "fichas"), 2, map[string]int{"listas": 2, "fichas": 1})
 	old := s.Agents["listas"][0]
 	feeds := s.OpenFeeds(s.Client(), "listas", 20, 20*time.Millisecond)
 	tr := s.startTraffic("listas", 2)
@@ -77,7 +77,7 @@
 func TestReplayedPackets(t *testing.T) {
 	c := NewCluster(t, binary)
 	d := Declaration(4, "listas", "fichas")
-	s := NewScene(c, d, 2, map[string]int{"listas": 2, "fichas": 2})
+	s := NewDeployment(c, d, 2, map[string]int{"listas": 2, "fichas": 2})
 	f := s.Fabrics["listas"]
 	f.Record(4000)
 	tr := s.startTraffic("listas", 2)
@@ -118,7 +118,7 @@
 }
 
 // portOf returns the address of a balancer for a service.
-func (s *Scene) portOf(d *decl.Declaration, service string, b *Process) netip.AddrPort {
+func (s *Deployment) portOf(d *decl.Declaration, service string, b *Process) netip.AddrPort {
 	for _, v := range d.Services {
 		if v.Name == service {
 			return netip.AddrPortFrom(netip.MustParseAddr(b.CallerIP), netip.MustParseAddrPort(v.Address).Port())
--- a/internal/itest/keys_test.go
+++ b/internal/itest/keys_test.go
@@ -14,7 +14,7 @@
 
 // rotate runs a step of the key rotation and waits until every process has
 // read the file again; n counts the steps.
-func (s *Scene) rotate(n int, args ...string) {
+func (s *Deployment) rotate(n int, args ...string) {
 	s.T.Helper()
 	out, err := exec.Command(s.Binary, append([]string{"keys"}, args...)...).CombinedOutput()
 	if err != nil {
@@ -33,7 +33,7 @@
 }
 
 // unknownKeys sums the packets that balancers refused because of their key.
-func (s *Scene) unknownKeys() uint64 {
+func (s *Deployment) unknownKeys() uint64 {
 	var n uint64
 	for _, b := range s.Balancers {
 		var st relay.State
@@ -46,7 +46,7 @@
 
 // settledUnknownKeys waits until no packet was refused for half a second, or
 // for 5 s, and returns the count.
-func (s *Scene) settledUnknownKeys() uint64 {
+func (s *Deployment) settledUnknownKeys() uint64 {
 	n, since := s.unknownKeys(), time.Now()
 	for end := since.Add(5 * time.Second); time.Now().Before(end) && time.Since(since) < 500*time.Millisecond; time.Sleep(50 * time.Millisecond) {
 		if m := s.unknownKeys(); m != n {
@@ -57,7 +57,7 @@
 }
 
 // unbroken checks that feeds have neither failed, moved nor broken.
-func (s *Scene) unbroken(what string, f *Feeds) {
+func (s *Deployment) unbroken(what string, f *Feeds) {
 	s.T.Helper()
 	r := f.Report()
 	s.T.Logf("%s: %+v", what, r)
@@ -66,7 +66,7 @@
 	}
 }
 
-func (s *Scene) newFlowsWork(what string) {
+func (s *Deployment) newFlowsWork(what string) {
 	s.T.Helper()
 	if done, failed := s.newFlows(time.Second); done == 0 || failed != 0 {
 		s.T.Errorf("%s: want all new flows to work, have %d done and %d failed", what, done, failed)
@@ -74,7 +74,7 @@
 }
 
 // moved checks that feeds may have moved but lost no event and never broke.
-func (s *Scene) moved(what string, f *Feeds) {
+func (s *Deployment) moved(what string, f *Feeds) {
 	s.T.Helper()
 	r := f.Report()
 	s.T.Logf("%s: %+v", what, r)
@@ -85,7 +85,7 @@
 
 // flowsOfKey sums the connections of all agents that began under a key; it is
 // negative when an agent does not answer.
-func (s *Scene) flowsOfKey(key string) int {
+func (s *Deployment) flowsOfKey(key string) int {
 	n := 0
 	for _, as := range s.Agents {
 		for _, a := range as {
@@ -107,7 +107,7 @@
 // under the old key, and its packets are refused and counted after the drop.
 func TestKeyRotation(t *testing.T) {
 	const count = 50
-	s := NewScene(NewCluster(t, binary), Declaration(4, "listas"), 2, map[string]int{"listas": 2})
+	s := NewDeployment(NewCluster(t, binary), Declaration(4, "listas"), 2, map[string]int{"listas": 2})
 	left := s.holdFeed(s.Agents["listas"][0])
 	old := s.OpenFeeds(s.Client(), "listas", count, 50*time.Millisecond)
 	defer old.Close()
--- a/internal/itest/member_test.go
+++ b/internal/itest/member_test.go
@@ -14,7 +14,7 @@
 )
 
 // newFlows sends requests to listas, each on a flow of its own, until the time is over.
-func (s *Scene) newFlows(d time.Duration) (done, failed int) {
+func (s *Deployment) newFlows(d time.Duration) (done, failed int) {
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		c := caller.New(caller.WithTLS(s.CallerTLS()), caller.WithDialTimeout(3*time.Second))
 		req, _ := http.NewRequest(http.MethodPost, s.URL("listas", "/echo"), strings.NewReader("x"))
@@ -37,7 +37,7 @@
 	for _, outage := range []bool{false, true} {
 		t.Run(fmt.Sprintf("outage=%v", outage), func(t *testing.T) {
 			c := NewCluster(t, binary)
-			s := NewScene(c, Declaration(4, "listas"), 2, map[string]int{"listas": 2})
+			s := NewDeployment(c, Declaration(4, "listas"), 2, map[string]int{"listas": 2})
 			old := s.Agents["listas"][0]
 			// An open feed keeps the leaving agent alive during the test.
 			feed := s.holdFeed(old)
@@ -58,7 +58,7 @@
 }
 
 // holdFeed keeps one feed of a plain client open at the given agent.
-func (s *Scene) holdFeed(at *Process) (end func()) {
+func (s *Deployment) holdFeed(at *Process) (end func()) {
 	s.T.Helper()
 	for range 50 {
 		tr := s.plain()
@@ -80,7 +80,7 @@
 // and that the same holds when it happens twice.
 func TestKilledUpstream(t *testing.T) {
 	c := NewCluster(t, binary)
-	s := NewScene(c, Declaration(4, "listas"), 3, map[string]int{"listas": 4})
+	s := NewDeployment(c, Declaration(4, "listas"), 3, map[string]int{"listas": 4})
 	for range 2 {
 		victim := s.Agents["listas"][0]
 		victim.Kill()
@@ -102,7 +102,7 @@
 // takes them again when it goes on.
 func TestFrozenUpstream(t *testing.T) {
 	c := NewCluster(t, binary)
-	s := NewScene(c, Declaration(4, "listas"), 3, map[string]int{"listas": 3})
+	s := NewDeployment(c, Declaration(4, "listas"), 3, map[string]int{"listas": 3})
 	victim := s.Agents["listas"][0]
 	victim.Freeze()
 	defer victim.Resume()
@@ -124,7 +124,7 @@
 // and views converge when the platform comes back.
 func TestOutageMembership(t *testing.T) {
 	c := NewCluster(t, binary)
-	s := NewScene(c, Declaration(4, "listas"), 2, map[string]int{"listas": 1})
+	s := NewDeployment(c, Declaration(4, "listas"), 2, map[string]int{"listas": 1})
 	c.Store.SetFaults(store.Faults{Outage: true})
 	time.Sleep(3 * time.Second) // longer than the platform's request timeout of 2 s
 	a := s.AddAgent("listas", time.Millisecond)
@@ -147,7 +147,7 @@
 }
 
 // converged waits until all balancers have the same view.
-func (s *Scene) converged() {
+func (s *Deployment) converged() {
 	s.T.Helper()
 	s.Eventually(10*time.Second, "views converge", func() bool {
 		roots := map[uint64]bool{}
@@ -167,7 +167,7 @@
 // same view, and that no entry goes back meanwhile.
 func TestUnevenViews(t *testing.T) {
 	c := NewCluster(t, binary)
-	s := NewScene(c, Declaration(4, "listas", "fichas"), 2, map[string]int{"listas": 2, "fichas": 1})
+	s := NewDeployment(c, Declaration(4, "listas", "fichas"), 2, map[string]int{"listas": 2, "fichas": 1})
 	blind := func(b *config.Balancer) { b.Platform.URL = "http://127.0.0.1:9" }
 	s.AddBalancer(blind)
 	s.AddAgent("listas", time.Millisecond, func(a *config.Agent) {
--- a/internal/itest/memory_test.go
+++ b/internal/itest/memory_test.go
@@ -25,7 +25,7 @@
 	c := NewCluster(t, binary)
 	d := Declaration(4, "listas")
 	d.Services[0].Limits.Connections = 2 * memoryFeeds
-	s := NewScene(c, d, 1, map[string]int{"listas": 1})
+	s := NewDeployment(c, d, 1, map[string]int{"listas": 1})
 	feeds := s.OpenFeeds(s.Client(), "listas", memoryFeeds, 500*time.Millisecond)
 	p := s.Agents["listas"][0].cmd.Process.Pid
 	before, used := feeds.Report().Events, cpuTime(t, p)
--- a/internal/itest/mtu_test.go
+++ b/internal/itest/mtu_test.go
@@ -17,7 +17,7 @@
 // limit of the hop: its probes above the limit are dropped, and a download and
 // an upload that follow are complete and hardly lose a packet.
 func TestPathMTU(t *testing.T) {
-	s := NewScene(NewCluster(t, binary), Declaration(4, "listas"), 1, map[string]int{"listas": 1})
+	s := NewDeployment(NewCluster(t, binary), Declaration(4, "listas"), 1, map[string]int{"listas": 1})
 	tr := s.plain()
 	defer tr.Close()
 	client := http.Client{Transport: tr, Timeout: 20 * time.Second}
--- a/internal/itest/once_test.go
+++ b/internal/itest/once_test.go
@@ -25,7 +25,7 @@
 // frozen or killed, an update runs at most once, and what the caller is told
 // about it is true.
 func TestAtMostOnce(t *testing.T) {
-	pulses := func(s *Scene, up, down fabric.Faults) {
+	pulses := func(s *Deployment, up, down fabric.Faults) {
 		// Flows open first, so that the faults meet updates in progress.
 		for range 4 {
 			time.Sleep(600 * time.Millisecond)
@@ -37,20 +37,20 @@
 	}
 	for _, c := range []struct {
 		name  string
-		run   func(s *Scene)
+		run   func(s *Deployment)
 		limit time.Duration
 		// wantUnknown is true when the fault must leave some outcomes open.
 		wantUnknown bool
 	}{
-		{"lost answers", func(s *Scene) { pulses(s, fabric.Faults{}, fabric.Faults{Loss: 1}) }, updateLimit, false},
-		{"duplicates out of order", func(s *Scene) {
+		{"lost answers", func(s *Deployment) { pulses(s, fabric.Faults{}, fabric.Faults{Loss: 1}) }, updateLimit, false},
+		{"duplicates out of order", func(s *Deployment) {
 			f := fabric.Faults{Duplicate: 0.5, Jitter: 20 * time.Millisecond}
 			pulses(s, f, f)
 		}, updateLimit, false},
-		{"loss in both directions", func(s *Scene) {
+		{"loss in both directions", func(s *Deployment) {
 			pulses(s, fabric.Faults{Loss: 0.3}, fabric.Faults{Loss: 0.3})
 		}, updateLimit, false},
-		{"frozen agent", func(s *Scene) {
+		{"frozen agent", func(s *Deployment) {
 			for range 2 {
 				s.Agents["listas"][0].Freeze()
 				time.Sleep(2 * updateLimit)
@@ -58,7 +58,7 @@
 				time.Sleep(500 * time.Millisecond)
 			}
 		}, updateLimit, true},
-		{"killed agent", func(s *Scene) {
+		{"killed agent", func(s *Deployment) {
 			for range 2 {
 				time.Sleep(300 * time.Millisecond)
 				a := s.Agents["listas"][0]
@@ -67,7 +67,7 @@
 				time.Sleep(1500 * time.Millisecond)
 			}
 		}, updateLimit, true},
-		{"killed agent and patient callers", func(s *Scene) {
+		{"killed agent and patient callers", func(s *Deployment) {
 			for range 2 {
 				time.Sleep(300 * time.Millisecond)
 				a := s.Agents["listas"][0]
@@ -76,7 +76,7 @@
 			}
 			time.Sleep(patientLimit)
 		}, patientLimit, true},
-		{"upstream fails after running", func(s *Scene) {
+		{"upstream fails after running", func(s *Deployment) {
 			for range 2 {
 				s.setFail(stub.FailAfter)
 				time.Sleep(400 * time.Millisecond)
@@ -84,7 +84,7 @@
 				time.Sleep(400 * time.Millisecond)
 			}
 		}, updateLimit, true},
-		{"killed agent and lost answers", func(s *Scene) {
+		{"killed agent and lost answers", func(s *Deployment) {
 			a := s.Agents["listas"][0]
 			s.Fabrics["listas"].SetFaults(fabric.Faults{Loss: 0.1}, fabric.Faults{Loss: 0.5})
 			time.Sleep(500 * time.Millisecond)
@@ -96,7 +96,7 @@
 		}, updateLimit, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := NewScene(NewCluster(t, binary), Declaration(4, "listas"), 2, map[string]int{"listas": 4})
+			s := NewDeployment(NewCluster(t, binary), Declaration(4, "listas"), 2, map[string]int{"listas": 4})
 			all := append([]*Process{}, s.Agents["listas"]...)
 			s.setFail(stub.FailNever)
 			tr := s.startUpdates("listas", 16, c.limit)
@@ -115,7 +115,7 @@
 }
 
 // setFail makes the upstreams of listas fail updates, or not.
-func (s *Scene) setFail(f stub.UpdateFail) {
+func (s *Deployment) setFail(f stub.UpdateFail) {
 	for _, a := range s.Agents["listas"] {
 		a.Stub.SetSettings(stub.Settings{WorkMillis: 1, UpdateDelayMillis: 20, UpdateFail: f})
 	}
@@ -124,7 +124,7 @@
 // TestTicketStoreFull guards the bound on tickets: at the bound the agent
 // refuses new tickets as not run, and those issued before still run once.
 func TestTicketStoreFull(t *testing.T) {
-	s := NewScene(NewCluster(t, binary), Declaration(4, "listas"), 1, map[string]int{"listas": 1})
+	s := NewDeployment(NewCluster(t, binary), Declaration(4, "listas"), 1, map[string]int{"listas": 1})
 	tr := s.plain()
 	defer tr.Close()
 	client := http.Client{Transport: tr, Timeout: 5 * time.Second}
--- a/internal/itest/overload_test.go
+++ b/internal/itest/overload_test.go
@@ -36,7 +36,7 @@
 // with half the capacity go on while others add 2.5 times the capacity.
 func TestOverload(t *testing.T) {
 	d := Declaration(overloadSlots, "listas")
-	s := NewScene(NewCluster(t, binary), d, 2, map[string]int{"listas": overloadAgents})
+	s := NewDeployment(NewCluster(t, binary), d, 2, map[string]int{"listas": overloadAgents})
 	var stubs []string
 	for _, a := range s.Agents["listas"] {
 		a.Stub.SetSettings(stub.Settings{WorkMillis: float64(overloadWork.Milliseconds())})
@@ -95,7 +95,7 @@
 }
 
 // offer runs an open loop of short requests with a deadline of one second.
-func (s *Scene) offer(stubs []string, callers int, rate float64, seconds int, seed uint64) *load.Result {
+func (s *Deployment) offer(stubs []string, callers int, rate float64, seconds int, seed uint64) *load.Result {
 	r, err := load.Run(s.T.Context(), load.Config{
 		Targets:  []load.Target{{Service: "listas", Addr: s.Fabrics["listas"].Addr(), Mix: load.Mix{Shorts: callers, ShortRate: rate}}},
 		Duration: time.Duration(seconds) * time.Second, Timeout: time.Second,
--- a/internal/itest/replace_test.go
+++ b/internal/itest/replace_test.go
@@ -45,16 +45,16 @@
 }
 
 // startTraffic runs workers that download sheets and send updates.
-func (s *Scene) startTraffic(service string, workers int) *traffic {
+func (s *Deployment) startTraffic(service string, workers int) *traffic {
 	return s.startWorkers(service, workers, 0, true)
 }
 
 // startUpdates runs workers that only send updates, with a time limit each.
-func (s *Scene) startUpdates(service string, workers int, limit time.Duration) *traffic {
+func (s *Deployment) startUpdates(service string, workers int, limit time.Duration) *traffic {
 	return s.startWorkers(service, workers, limit, false)
 }
 
-func (s *Scene) startWorkers(service string, workers int, limit time.Duration, downloads bool) *traffic {
+func (s *Deployment) startWorkers(service string, workers int, limit time.Duration, downloads bool) *traffic {
 	ctx, stop := context.WithCancel(context.Background())
 	t := &traffic{stop: stop, limit: limit, ok: map[string]int{}, updates: map[string]string{}}
 	s.T.Cleanup(stop)
@@ -76,7 +76,7 @@
 
 const sheetSize = 300_000
 
-func (t *traffic) download(s *Scene, c *caller.Client, service string) {
+func (t *traffic) download(s *Deployment, c *caller.Client, service string) {
 	req, _ := http.NewRequest(http.MethodGet, s.URL(service, fmt.Sprintf("/sheet?size=%d", sheetSize)), nil)
 	req.Header.Set("X-Service", service)
 	resp, err := c.Do(req)
@@ -94,7 +94,7 @@
 	t.count("download")
 }
 
-func (t *traffic) update(s *Scene, c *caller.Client, service, id string) {
+func (t *traffic) update(s *Deployment, c *caller.Client, service, id string) {
 	ctx := context.Background()
 	if t.limit > 0 {
 		limited, cancel := context.WithTimeout(ctx, t.limit)
@@ -125,7 +125,7 @@
 }
 
 // check compares what the callers were told with what the upstreams ran.
-func (t *traffic) check(s *Scene, all []*Process) {
+func (t *traffic) check(s *Deployment, all []*Process) {
 	s.T.Helper()
 	runs := map[string]int{}
 	for _, a := range all {
@@ -154,7 +154,7 @@
 // 200 feeds are open and downloads and updates go on.
 func TestRollingReplacement(t *testing.T) {
 	c := NewCluster(t, binary)
-	s := NewScene(c, Declaration(4, "listas", "fichas"), 3, map[string]int{"listas": 7, "fichas": 3})
+	s := NewDeployment(c, Declaration(4, "listas", "fichas"), 3, map[string]int{"listas": 7, "fichas": 3})
 	feeds := s.OpenFeeds(s.Client(), "listas", 140, 200*time.Millisecond)
 	sheets := s.OpenFeeds(s.Client(), "fichas", 60, 200*time.Millisecond)
 	traffics := []*traffic{s.startTraffic("listas", 3), s.startTraffic("fichas", 2)}
@@ -205,7 +205,7 @@
 // agent that was told to stop ends an open feed whole before it exits.
 func TestPlainClientDrain(t *testing.T) {
 	c := NewCluster(t, binary)
-	s := NewScene(c, Declaration(4, "listas"), 2, map[string]int{"listas": 1})
+	s := NewDeployment(c, Declaration(4, "listas"), 2, map[string]int{"listas": 1})
 	old := s.Agents["listas"][0]
 	tr := &http3.Transport{TLSClientConfig: c.CallerTLS()}
 	defer tr.Close()
@@ -228,7 +228,7 @@
 // breaks, and the same happens twice.
 func TestBalancerKilled(t *testing.T) {
 	c := NewCluster(t, binary)
-	s := NewScene(c, Declaration(4, "listas"), 3, map[string]int{"listas": 3})
+	s := NewDeployment(c, Declaration(4, "listas"), 3, map[string]int{"listas": 3})
 	feeds := s.OpenFeeds(s.Client(), "listas", 100, 50*time.Millisecond)
 	for range 2 {
 		feeds.ResetSilence()
--- a/internal/itest/reply_test.go
+++ b/internal/itest/reply_test.go
@@ -18,7 +18,7 @@
 func TestReplyPolicies(t *testing.T) {
 	for _, policy := range []string{config.ReplyPerCaller, config.ReplyPerPacket} {
 		t.Run(policy, func(t *testing.T) {
-			s := NewScene(NewCluster(t, binary), Declaration(8, "listas"), 3, nil)
+			s := NewDeployment(NewCluster(t, binary), Declaration(8, "listas"), 3, nil)
 			for range 2 {
 				s.AddAgent("listas", time.Millisecond, func(a *config.Agent) { a.ReplyPolicy = policy })
 			}
@@ -45,7 +45,7 @@
 }
 
 // downloadRate fetches sheets of 1 MB on n flows and returns the number per second.
-func (s *Scene) downloadRate(n int, d time.Duration) float64 {
+func (s *Deployment) downloadRate(n int, d time.Duration) float64 {
 	ctx, cancel := context.WithTimeout(s.T.Context(), d)
 	defer cancel()
 	var done atomic.Int64
@@ -74,7 +74,7 @@
 }
 
 // replies sums the packets that the balancers passed to callers.
-func (s *Scene) replies() (n uint64) {
+func (s *Deployment) replies() (n uint64) {
 	for _, b := range s.Balancers {
 		var st relay.State
 		s.must(b.State(&st))
--- a/internal/itest/silent_test.go
+++ b/internal/itest/silent_test.go
@@ -9,7 +9,7 @@
 // address in turn all packets vanish while new addresses work. The caller
 // library moves to a new socket and the same flow goes on; it happens twice.
 func TestSilentPath(t *testing.T) {
-	s := NewScene(NewCluster(t, binary), Declaration(4, "listas"), 3, map[string]int{"listas": 2})
+	s := NewDeployment(NewCluster(t, binary), Declaration(4, "listas"), 3, map[string]int{"listas": 2})
 	client := s.Client()
 	feeds := s.OpenFeeds(client, "listas", 20, 50*time.Millisecond)
 	f := s.Fabrics["listas"]
--- a/internal/itest/status_test.go
+++ b/internal/itest/status_test.go
@@ -18,7 +18,7 @@
 	Error      string   `json:"error"`
 }
 
-func (s *Scene) status() map[string][]statusLine {
+func (s *Deployment) status() map[string][]statusLine {
 	s.T.Helper()
 	out, err := exec.Command(s.Binary, "status", "--json", "--platform", s.PlatformURL).Output()
 	s.must(err)
@@ -48,7 +48,7 @@
 // the generation, state and age of balancers and agents, mark those behind, and
 // list those that do not answer. It also runs dump on each process.
 func TestStatus(t *testing.T) {
-	s := NewScene(NewCluster(t, binary), Declaration(2, "listas"), 2, map[string]int{"listas": 2})
+	s := NewDeployment(NewCluster(t, binary), Declaration(2, "listas"), 2, map[string]int{"listas": 2})
 	s.Eventually(inForceLimit, "status of all processes", func() bool {
 		st := s.status()
 		return inForce(st["balancer"], 1, false) && inForce(st["agent"], 1, false)
--- a/internal/itest/tls_test.go
+++ b/internal/itest/tls_test.go
@@ -45,7 +45,7 @@
 	c := NewCluster(t, binary)
 	c.Apply(Declaration(2, "listas"))
 	c.StartFabric(1)
-	s := &Scene{Cluster: c, Agents: map[string][]*Process{}}
+	s := &Deployment{Cluster: c, Agents: map[string][]*Process{}}
 	good := c.peerTLS(c.Authority, "peer")
 	use := func(p *config.PeerTLS) func(*config.Balancer) {
 		return func(b *config.Balancer) { b.PeerTLS = p }
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -186,7 +186,7 @@
 
 // TestAgentSessions guards what an agent depends on: the configuration and the
 // balancers over two sessions, its changes in all views, and a broken session
-// that is told apart from a farewell.
+// that is told apart from a announceGone.
 func TestAgentSessions(t *testing.T) {
 	var broken atomic.Int32
 	change := func(o *Options) { o.OnAgentBroken = func(view.Key) { broken.Add(1) } }
--- a/internal/relay/control_test.go
+++ b/internal/relay/control_test.go
@@ -281,7 +281,7 @@
 	bs[1].stop()
 	bs[1].signal <- os.Interrupt
 	<-bs[1].ended
-	if d := time.Since(begin); d > farewellTime+500*time.Millisecond {
+	if d := time.Since(begin); d > goneTimeout+500*time.Millisecond {
 		t.Errorf("a cut drain took %v while the platform was down", d)
 	}
 }
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -13,8 +13,8 @@
 	// drainQuiet is the time without packets from the fabric that ends a drain.
 	drainQuiet = 2 * time.Second
 	drainTick  = 50 * time.Millisecond
-	// farewellTime bounds the announcement of the end.
-	farewellTime = time.Second
+	// goneTimeout bounds the announcement of the end.
+	goneTimeout = time.Second
 )
 
 // Run runs the balancer until it has drained. The drain begins when the
@@ -25,7 +25,7 @@
 	b.announce(b.views.node.Self())
 	err := b.frame.RunDrained(ctx, func() {
 		b.drain(again())
-		b.farewell()
+		b.announceGone()
 	})
 	b.closePorts()
 	b.frame.Log.Info("balancer ended")
@@ -69,10 +69,10 @@
 	return n
 }
 
-// farewell announces the end to peers, agents and the platform, within
-// farewellTime even if none of them answers.
-func (b *Balancer) farewell() {
-	ctx, cancel := context.WithTimeout(context.Background(), farewellTime)
+// announceGone announces the end to peers, agents and the platform, within
+// goneTimeout even if none of them answers.
+func (b *Balancer) announceGone() {
+	ctx, cancel := context.WithTimeout(context.Background(), goneTimeout)
 	defer cancel()
 	b.views.node.SetState(view.Gone)
 	b.keeper.Set(nil)
--- a/internal/relay/member.go
+++ b/internal/relay/member.go
@@ -37,9 +37,9 @@
 	b     *Balancer
 	node  *peer.Node
 	start time.Time
-	// worse and better wake the loop; each holds at most one signal.
-	worse, better chan struct{}
-	broken        *ring.Ring[view.Key]
+	// urgent and routine wake the loop; each holds at most one signal.
+	urgent, routine chan struct{}
+	broken          *ring.Ring[view.Key]
 
 	mu     sync.Mutex
 	health *health.Health
@@ -67,8 +67,8 @@
 	m := &membership{
 		b:       b,
 		start:   time.Now(),
-		worse:   make(chan struct{}, 1),
-		better:  make(chan struct{}, 1),
+		urgent:  make(chan struct{}, 1),
+		routine: make(chan struct{}, 1),
 		broken:  ring.New[view.Key](brokenSessions),
 		health:  health.New(rand.Float64),
 		objects: map[plat.Kind]map[string]object{plat.KindEndpoint: {}, plat.KindBalancer: {}},
@@ -83,9 +83,9 @@
 
 // changed makes the loop rebuild the routing table.
 func (m *membership) changed(urgent bool) {
-	c := m.better
+	c := m.routine
 	if urgent {
-		c = m.worse
+		c = m.urgent
 	}
 	select {
 	case c <- struct{}{}:
@@ -155,9 +155,9 @@
 			if m.tick() {
 				p.ask(true)
 			}
-		case <-m.worse:
+		case <-m.urgent:
 			p.ask(true)
-		case <-m.better:
+		case <-m.routine:
 			p.ask(false)
 		case <-due:
 		case <-evident:
--- a/internal/slope/peers.go
+++ b/internal/slope/peers.go
@@ -34,8 +34,8 @@
 	changes  = 5
 )
 
-// crowd is the set of running nodes.
-type crowd struct {
+// nodeGroup is the set of running nodes.
+type nodeGroup struct {
 	Peers
 	run    string
 	report Report
@@ -47,7 +47,7 @@
 func (p Peers) Run(ctx context.Context, report Report) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	c := crowd{
+	c := nodeGroup{
 		Peers: p, report: report, addrs: newAddresses(),
 		run: fmt.Sprintf("peers nodes=%d endpoints=%d services=%d", p.Nodes, p.Endpoints, p.Services),
 	}
@@ -67,7 +67,7 @@
 	return nil
 }
 
-func (c *crowd) start(ctx context.Context) error {
+func (c *nodeGroup) start(ctx context.Context) error {
 	var all []view.Item
 	for i := range c.Nodes {
 		all = append(all, view.Item{Entry: c.balancer(i)})
@@ -110,7 +110,7 @@
 	return n
 }
 
-func (c *crowd) balancer(i int) view.Entry {
+func (c *nodeGroup) balancer(i int) view.Entry {
 	return view.Entry{
 		Key:   view.Key{Name: fmt.Sprintf("b%d", i), Hop: c.addrs.balancer(i, hopPort), Instance: ident.Instance(i + 1)},
 		State: view.Serving, Seq: 1, Place: place(i),
@@ -118,7 +118,7 @@
 	}
 }
 
-func (c *crowd) equal() bool {
+func (c *nodeGroup) equal() bool {
 	root := c.nodes[0].Root()
 	for _, n := range c.nodes {
 		if n.Root() != root {
@@ -129,7 +129,7 @@
 }
 
 // traffic sums the octets of all nodes.
-func (c *crowd) traffic() peer.Traffic {
+func (c *nodeGroup) traffic() peer.Traffic {
 	t := peer.Traffic{Sent: map[string]uint64{}, Received: map[string]uint64{}}
 	for _, n := range c.nodes {
 		add(&t, n.State().Traffic)
@@ -149,7 +149,7 @@
 }
 
 // rates measures octets and processor time over the window.
-func (c *crowd) rates(ctx context.Context, run string) {
+func (c *nodeGroup) rates(ctx context.Context, run string) {
 	before, cpu, begin := c.traffic(), processorTime(), time.Now()
 	pause(ctx, c.Window)
 	cpu = processorTime() - cpu
@@ -160,14 +160,14 @@
 	c.report.add(run, "CPU ms/s per node", 1e3*cpu.Seconds()/took.Seconds()/float64(c.Nodes))
 }
 
-func (c *crowd) idle(ctx context.Context) error {
+func (c *nodeGroup) idle(ctx context.Context) error {
 	c.rates(ctx, c.run+" idle")
 	return nil
 }
 
 // members measures single new endpoints: the time until all views hold each,
 // and the octets of entries sent.
-func (c *crowd) members(ctx context.Context) error {
+func (c *nodeGroup) members(ctx context.Context) error {
 	before := c.traffic()
 	for i := range changes {
 		e := c.addrs.entry(c.Endpoints+i, c.Services)
@@ -184,7 +184,7 @@
 	return nil
 }
 
-func (c *crowd) holds(e view.Entry) bool {
+func (c *nodeGroup) holds(e view.Entry) bool {
 	for _, n := range c.nodes {
 		if _, ok := n.Get(e.Key); !ok {
 			return false
@@ -194,7 +194,7 @@
 }
 
 // configure measures a configuration that one node receives first.
-func (c *crowd) configure(ctx context.Context) error {
+func (c *nodeGroup) configure(ctx context.Context) error {
 	before := c.traffic()
 	for i := range changes {
 		g := ident.Generation(i + 1)
@@ -215,7 +215,7 @@
 	return nil
 }
 
-func (c *crowd) at(g ident.Generation) bool {
+func (c *nodeGroup) at(g ident.Generation) bool {
 	for _, n := range c.nodes {
 		if n.Generation() != g {
 			return false
@@ -226,7 +226,7 @@
 
 // marks measures endpoints that two nodes each hold to be down, as after the
 // loss of a place.
-func (c *crowd) marks(ctx context.Context) error {
+func (c *nodeGroup) marks(ctx context.Context) error {
 	if c.Marks == 0 {
 		return nil
 	}
--- a/internal/ticket/book.go
+++ b/internal/ticket/store.go
@@ -35,7 +35,7 @@
 // Hash identifies the request that a ticket is used for.
 type Hash [32]byte
 
-// Limits bounds what a Book holds.
+// Limits bounds what a Store holds.
 type Limits struct {
 	// Tickets is the number of tickets that are unused, running or stored.
 	Tickets int
@@ -114,7 +114,7 @@
 	refused
 )
 
-// entry is one ticket. A ticket that is not in the Book's map was forgotten.
+// entry is one ticket. A ticket that is not in the Store's map was forgotten.
 type entry struct {
 	serial Serial
 	state  state
@@ -124,13 +124,13 @@
 	reason Reason
 	// request is that of the first use.
 	request Hash
-	// place is the entry's element in Book.idle or Book.ended; nil while it runs.
+	// place is the entry's element in Store.idle or Store.ended; nil while it runs.
 	place *list.Element
 }
 
-// Book holds the tickets of one agent.
-type Book struct {
-	mint   *Mint
+// Store holds the tickets of one agent.
+type Store struct {
+	issuer *Issuer
 	limits Limits
 	last   Serial
 	known  map[Serial]*entry
@@ -140,13 +140,13 @@
 	bytes       int
 }
 
-// NewBook returns an empty Book.
-func NewBook(m *Mint, l Limits) *Book {
-	return &Book{mint: m, limits: l, known: map[Serial]*entry{}}
+// NewStore returns an empty Store.
+func NewStore(m *Issuer, l Limits) *Store {
+	return &Store{issuer: m, limits: l, known: map[Serial]*entry{}}
 }
 
 // Issue returns a new ticket, or the reason why there is none.
-func (b *Book) Issue(now time.Time) (string, Reason) {
+func (b *Store) Issue(now time.Time) (string, Reason) {
 	b.expire(now)
 	if len(b.known) >= b.limits.Tickets {
 		return "", ReasonTickets
@@ -158,14 +158,14 @@
 	e := &entry{serial: b.last, ends: now.Add(b.limits.Unused)}
 	e.place = b.idle.PushBack(e)
 	b.known[e.serial] = e
-	return b.mint.Text(e.serial), ReasonNone
+	return b.issuer.Text(e.serial), ReasonNone
 }
 
 // Begin decides about a request with the given ticket. Its first use binds the
 // ticket to the request: another one neither runs nor gets the answer.
-func (b *Book) Begin(now time.Time, text string, request Hash) Decision {
+func (b *Store) Begin(now time.Time, text string, request Hash) Decision {
 	b.expire(now)
-	s, reason := b.mint.read(text)
+	s, reason := b.issuer.read(text)
 	if reason != ReasonNone {
 		return Decision{Action: Unknown, Reason: reason}
 	}
@@ -191,7 +191,7 @@
 
 // Call records that the upstream is called for a begun ticket. From here on
 // the ticket can no longer be refused.
-func (b *Book) Call(s Serial) {
+func (b *Store) Call(s Serial) {
 	if e := b.known[s]; e != nil && e.state == begun {
 		e.state = called
 	}
@@ -199,7 +199,7 @@
 
 // Refuse uses up a begun ticket without a run. It returns false if the
 // upstream was called; then the outcome is unknown and the ticket is forgotten.
-func (b *Book) Refuse(now time.Time, s Serial, r Reason) bool {
+func (b *Store) Refuse(now time.Time, s Serial, r Reason) bool {
 	e := b.known[s]
 	if e == nil || e.state != begun {
 		b.Lose(s)
@@ -211,7 +211,7 @@
 }
 
 // Finish stores the answer of a called ticket if it fits, and returns whether it did.
-func (b *Book) Finish(now time.Time, s Serial, a *Answer) bool {
+func (b *Store) Finish(now time.Time, s Serial, a *Answer) bool {
 	e := b.known[s]
 	if e == nil || e.state != called {
 		return false
@@ -229,19 +229,19 @@
 }
 
 // Lose forgets a running ticket whose outcome is unknown.
-func (b *Book) Lose(s Serial) {
+func (b *Store) Lose(s Serial) {
 	if e := b.known[s]; e != nil && (e.state == begun || e.state == called) {
 		delete(b.known, s)
 	}
 }
 
-func (b *Book) end(now time.Time, e *entry) {
+func (b *Store) end(now time.Time, e *entry) {
 	e.ends = now.Add(b.limits.Keep)
 	e.place = b.ended.PushBack(e)
 }
 
 // expire forgets what is older than its limit.
-func (b *Book) expire(now time.Time) {
+func (b *Store) expire(now time.Time) {
 	for _, l := range []*list.List{&b.idle, &b.ended} {
 		for l.Len() > 0 {
 			e := l.Front().Value.(*entry)
@@ -257,11 +257,11 @@
 	}
 }
 
-// Size is the fill of a Book.
+// Size is the fill of a Store.
 type Size struct {
 	Tickets int `json:"tickets"`
 	Bytes   int `json:"bytes"`
 }
 
-// Size returns the fill of the Book.
-func (b *Book) Size() Size { return Size{Tickets: len(b.known), Bytes: b.bytes} }
+// Size returns the fill of the Store.
+func (b *Store) Size() Size { return Size{Tickets: len(b.known), Bytes: b.bytes} }
--- a/internal/ticket/book_test.go
+++ b/internal/ticket/store_test.go
@@ -20,12 +20,12 @@
 func TestBook(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		l := Limits{Tickets: 3, AnswerBytes: 1000, TotalBytes: 1500, Unused: time.Minute, Keep: time.Minute}
-		mint := NewMint(endpoint(1, 1), []byte("key"))
-		b := NewBook(mint, l)
-		others := map[string]*Mint{
-			"agent":    NewMint(endpoint(2, 1), []byte("key")),
-			"instance": NewMint(endpoint(1, 2), []byte("key")),
-			"mac":      NewMint(endpoint(1, 1), []byte("other")),
+		issuer := NewIssuer(endpoint(1, 1), []byte("key"))
+		b := NewStore(issuer, l)
+		others := map[string]*Issuer{
+			"agent":    NewIssuer(endpoint(2, 1), []byte("key")),
+			"instance": NewIssuer(endpoint(1, 2), []byte("key")),
+			"mac":      NewIssuer(endpoint(1, 1), []byte("other")),
 		}
 		start := time.Unix(0, 0)
 		now := start
@@ -49,7 +49,7 @@
 				_, reason := b.Issue(now)
 				return fmt.Sprintf("last=%d reason=%q", b.last, reason)
 			case "begin":
-				m := mint
+				m := issuer
 				if from != "" {
 					m = others[from]
 				}
@@ -88,19 +88,19 @@
 
 // model is what callers were told and what the upstream saw.
 type model struct {
-	book               *Book
-	mint               *Mint
+	store              *Store
+	issuer             *Issuer
 	now                time.Time
 	begun, ran, denied map[Serial]bool
 }
 
 func (m *model) pick(t *rapid.T) Serial {
-	return Serial(rapid.Uint64Range(1, uint64(m.book.last)+1).Draw(t, "serial"))
+	return Serial(rapid.Uint64Range(1, uint64(m.store.last)+1).Draw(t, "serial"))
 }
 
 func (m *model) begin(t *rapid.T) {
 	s := m.pick(t)
-	switch d := m.book.Begin(m.now, m.mint.Text(s), Hash{}); d.Action {
+	switch d := m.store.Begin(m.now, m.issuer.Text(s), Hash{}); d.Action {
 	case Run:
 		if m.begun[s] || m.denied[s] {
 			t.Fatalf("serial %d runs again: begun %v, denied %v", s, m.begun[s], m.denied[s])
@@ -125,13 +125,13 @@
 	if !m.begun[s] || m.ran[s] || m.denied[s] {
 		return
 	}
-	m.book.Call(s)
+	m.store.Call(s)
 	m.ran[s] = true
 }
 
 func (m *model) refuse(t *rapid.T) {
 	s := m.pick(t)
-	if !m.begun[s] || !m.book.Refuse(m.now, s, "queue full") {
+	if !m.begun[s] || !m.store.Refuse(m.now, s, "queue full") {
 		return
 	}
 	if m.ran[s] {
@@ -142,12 +142,12 @@
 
 func (m *model) finish(t *rapid.T) {
 	n := rapid.IntRange(0, 1000).Draw(t, "octets")
-	m.book.Finish(m.now, m.pick(t), &Answer{Status: 200, Body: make([]byte, n)})
+	m.store.Finish(m.now, m.pick(t), &Answer{Status: 200, Body: make([]byte, n)})
 }
 
 func (m *model) lose(t *rapid.T) {
 	if s := m.pick(t); m.begun[s] {
-		m.book.Lose(s)
+		m.store.Lose(s)
 	}
 }
 
@@ -157,13 +157,13 @@
 func TestAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := Limits{Tickets: 6, AnswerBytes: 800, TotalBytes: 1600, Unused: 5 * time.Second, Keep: 5 * time.Second}
-		mint := NewMint(endpoint(1, 1), []byte("key"))
+		issuer := NewIssuer(endpoint(1, 1), []byte("key"))
 		m := &model{
-			book: NewBook(mint, l), mint: mint, now: time.Unix(0, 0),
+			store: NewStore(issuer, l), issuer: issuer, now: time.Unix(0, 0),
 			begun: map[Serial]bool{}, ran: map[Serial]bool{}, denied: map[Serial]bool{},
 		}
 		t.Repeat(map[string]func(*rapid.T){
-			"issue":  func(*rapid.T) { m.book.Issue(m.now) },
+			"issue":  func(*rapid.T) { m.store.Issue(m.now) },
 			"begin":  m.begin,
 			"call":   m.call,
 			"refuse": m.refuse,
@@ -172,13 +172,13 @@
 			"advance": func(t *rapid.T) {
 				m.now = m.now.Add(time.Duration(rapid.IntRange(0, 6).Draw(t, "seconds")) * time.Second)
 			},
-			"": func(t *rapid.T) { checkSize(t, m.book) },
+			"": func(t *rapid.T) { checkSize(t, m.store) },
 		})
 	})
 }
 
 // checkSize compares the fill of b with its limits and with its entries.
-func checkSize(t *rapid.T, b *Book) {
+func checkSize(t *rapid.T, b *Store) {
 	sum := 0
 	for _, e := range b.known {
 		if e.answer != nil {
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -20,20 +20,20 @@
 	macSize  = 16
 )
 
-// Mint writes and reads the text form of the tickets of one agent.
-type Mint struct {
+// Issuer writes and reads the text form of the tickets of one agent.
+type Issuer struct {
 	self ident.EndpointID
 	// key is drawn at each start, because only this run accepts its tickets.
 	key []byte
 }
 
-// NewMint returns the mint of an agent; key is secret.
-func NewMint(self ident.EndpointID, key []byte) *Mint {
-	return &Mint{self: self, key: key}
+// NewIssuer returns the issuer of an agent; key is secret.
+func NewIssuer(self ident.EndpointID, key []byte) *Issuer {
+	return &Issuer{self: self, key: key}
 }
 
 // Text returns the text form of a ticket.
-func (m *Mint) Text(s Serial) string {
+func (m *Issuer) Text(s Serial) string {
 	b := make([]byte, bodySize, bodySize+macSize)
 	ip := m.self.Addr.Addr().As4()
 	copy(b, ip[:])
@@ -43,14 +43,14 @@
 	return base64.RawURLEncoding.EncodeToString(append(b, m.mac(b)...))
 }
 
-func (m *Mint) mac(b []byte) []byte {
+func (m *Issuer) mac(b []byte) []byte {
 	h := hmac.New(sha256.New, m.key)
 	h.Write(b)
 	return h.Sum(nil)[:macSize]
 }
 
 // read returns the serial of a ticket of this run of the agent.
-func (m *Mint) read(text string) (Serial, Reason) {
+func (m *Issuer) read(text string) (Serial, Reason) {
 	b, err := base64.RawURLEncoding.DecodeString(text)
 	if err != nil || len(b) != bodySize+macSize {
 		return 0, ReasonMalformed
--- a/internal/trial/model.go
+++ b/internal/trial/model.go
@@ -70,17 +70,17 @@
 
 // model is one run of a policy.
 type model struct {
-	now     float64
-	rng     *rand.Rand
-	flows   []*flow
-	agents  []*agent
-	tables  [balancers]*route.Table
-	policy  Policy
-	scene   Scene
-	limits  admit.Limits
-	events  events
-	history history
-	result  Result
+	now      float64
+	rng      *rand.Rand
+	flows    []*flow
+	agents   []*agent
+	tables   [balancers]*route.Table
+	policy   Policy
+	scenario Scenario
+	limits   admit.Limits
+	events   events
+	history  history
+	result   Result
 
 	waits  []float64
 	spread float64
@@ -117,10 +117,10 @@
 
 func indexOf(e ident.EndpointID) int { return int(e.Instance) - 1 }
 
-// newModel prepares a run. Runs with the same seed, size and scene see the
+// newModel prepares a run. Runs with the same seed, size and scenario see the
 // same arrivals, whatever their policy.
-func newModel(p Policy, sc Scene, s Size, seed uint64, flows int) *model {
-	m := &model{policy: p, scene: sc, rng: rand.New(rand.NewPCG(seed, 2))}
+func newModel(p Policy, sc Scenario, s Size, seed uint64, flows int) *model {
+	m := &model{policy: p, scenario: sc, rng: rand.New(rand.NewPCG(seed, 2))}
 	m.limits = admit.Limits{Slots: s.Slots, Queue: flows * 20, Connections: flows * 2}
 	for i := range s.Endpoints {
 		m.agents = append(m.agents, &agent{
@@ -156,7 +156,7 @@
 func equal(int) float64 { return 1 }
 
 // arrivals draws n flows with requests and, between them, the feeds.
-func arrivals(sc Scene, s Size, seed uint64, n int) []*flow {
+func arrivals(sc Scenario, s Size, seed uint64, n int) []*flow {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	capacity := (float64(s.Endpoints) - 1 + sc.speed()) * float64(s.Slots)
 	rate := sc.load() * capacity / float64(sc.requests()) / (1 - sc.Feeds)
@@ -182,8 +182,8 @@
 
 // run plays all flows to their end.
 func (m *model) run() Result {
-	if m.scene.Start != nil {
-		m.scene.Start(m)
+	if m.scenario.Start != nil {
+		m.scenario.Start(m)
 	}
 	m.tick()
 	m.arrive(0)
--- a/internal/trial/plot.go
+++ b/internal/trial/plot.go
@@ -19,11 +19,11 @@
 	minRatio = 0.1
 )
 
-// Plot writes a chart of the ratios of one scene to a file; the suffix of its
+// Plot writes a chart of the ratios of one scenario to a file; the suffix of its
 // name chooses the format.
-func Plot(file, scene string, ts []Table) error {
+func Plot(file, scenario string, ts []Table) error {
 	p := plot.New()
-	p.Title.Text = "p99 wait relative to the shortest queue of all: " + scene
+	p.Title.Text = "p99 wait relative to the shortest queue of all: " + scenario
 	p.X.Label.Text = "ratio, logarithmic"
 	p.X.Scale = plot.LogScale{}
 	p.X.Tick.Marker = plot.LogTicks{Prec: -1}
@@ -32,7 +32,7 @@
 	colors := []color.Color{color.RGBA{R: 0x1b, G: 0x6c, B: 0xa8, A: 0xff}, color.RGBA{R: 0xc8, G: 0x55, B: 0x1b, A: 0xff}}
 	var names []string
 	for _, t := range ts {
-		if t.Scene != scene {
+		if t.Scenario != scenario {
 			continue
 		}
 		names = nil
--- a/internal/trial/report.go
+++ b/internal/trial/report.go
@@ -6,27 +6,27 @@
 	"text/tabwriter"
 )
 
-// Table is the comparison of all policies in one scene at one size.
+// Table is the comparison of all policies in one scenario at one size.
 type Table struct {
-	Scene   string   `json:"scene"`
-	Size    Size     `json:"size"`
-	Seed    uint64   `json:"seed"`
-	Flows   int      `json:"flows"`
-	Results []Result `json:"results"`
+	Scenario string   `json:"scenario"`
+	Size     Size     `json:"size"`
+	Seed     uint64   `json:"seed"`
+	Flows    int      `json:"flows"`
+	Results  []Result `json:"results"`
 }
 
 // Sizes returns the service sizes of the experiment.
 func Sizes() []Size { return []Size{{7, 4}, {3, 5}} }
 
-// Run runs the whole experiment. Scenes with several requests per flow get
+// Run runs the whole experiment. Scenarios with several requests per flow get
 // fewer flows, so that the number of requests is the same.
-func Run(scenes []Scene, seed uint64, flows int) []Table {
+func Run(scenarios []Scenario, seed uint64, flows int) []Table {
 	var ts []Table
-	for _, sc := range scenes {
+	for _, sc := range scenarios {
 		for _, s := range Sizes() {
 			n := max(flows/sc.requests(), 1)
 			rs := Compare(Policies(), sc, s, seed, n)
-			ts = append(ts, Table{Scene: sc.Name, Size: s, Seed: seed, Flows: n, Results: rs})
+			ts = append(ts, Table{Scenario: sc.Name, Size: s, Seed: seed, Flows: n, Results: rs})
 		}
 	}
 	return ts
@@ -35,7 +35,7 @@
 // Write prints tables for people.
 func Write(w io.Writer, ts []Table) error {
 	for _, t := range ts {
-		fmt.Fprintf(w, "%s, %d endpoints x %d slots, %d flows, seed %d\n", t.Scene, t.Size.Endpoints, t.Size.Slots, t.Flows, t.Seed)
+		fmt.Fprintf(w, "%s, %d endpoints x %d slots, %d flows, seed %d\n", t.Scenario, t.Size.Endpoints, t.Size.Slots, t.Flows, t.Seed)
 		tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 		fmt.Fprintln(tw, "policy\tp99 wait\tratio\tmean wait\tmax/mean load\tflows\trequests\thand-overs/flow\tlost packets")
 		for _, r := range t.Results {
--- a/internal/trial/result.go
+++ b/internal/trial/result.go
@@ -15,7 +15,7 @@
 	// Imbalance is the mean over time of the highest relative to the mean load.
 	Imbalance float64 `json:"imbalance"`
 	// FlowImbalance is the mean over time of the highest relative to the mean
-	// number of open flows, once the long scenes are in their steady state.
+	// number of open flows, once the long scenarios are in their steady state.
 	FlowImbalance float64 `json:"flowImbalance"`
 	// RequestImbalance is the mean, over windows of window, of the
 	// highest relative to the mean number of requests that arrived at an agent.
@@ -28,7 +28,7 @@
 
 const (
 	// warmTime is how long flows and requests are not sampled. Flows of the long
-	// scenes stay open for about 420 units.
+	// scenarios stay open for about 420 units.
 	warmTime = 1000
 	// window is the time over which requests are counted. It is shorter than
 	// most flows are open, so that a lasting excess of flows shows.
@@ -133,7 +133,7 @@
 }
 
 // Compare runs the policies on the same arrivals.
-func Compare(ps []Policy, sc Scene, s Size, seed uint64, flows int) []Result {
+func Compare(ps []Policy, sc Scenario, s Size, seed uint64, flows int) []Result {
 	var rs []Result
 	limit := 0.0
 	for _, p := range ps {
--- a/internal/trial/scene.go
+++ b/internal/trial/scenario.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 )
 
-// Scene is the surroundings of a run.
-type Scene struct {
+// Scenario is the surroundings of a run.
+type Scenario struct {
 	Name string
 	// Requests is the number of requests of each flow; 0 means 1.
 	Requests int
@@ -23,10 +23,10 @@
 	Start func(m *model)
 }
 
-func (s Scene) requests() int { return max(s.Requests, 1) }
+func (s Scenario) requests() int { return max(s.Requests, 1) }
 
 // load returns the offered work relative to the capacity.
-func (s Scene) load() float64 {
+func (s Scenario) load() float64 {
 	if s.Load == 0 {
 		return standardLoad
 	}
@@ -34,7 +34,7 @@
 }
 
 // speed returns the speed of the first agent.
-func (s Scene) speed() float64 {
+func (s Scenario) speed() float64 {
 	if s.Equal {
 		return 1
 	}
@@ -42,7 +42,7 @@
 }
 
 // work draws 0.5 units with probability 0.9 and else 5.5: the mean is 1.
-func (s Scene) work(r *rand.Rand) float64 {
+func (s Scenario) work(r *rand.Rand) float64 {
 	if s.Work != nil {
 		return s.Work(r)
 	}
@@ -52,9 +52,9 @@
 	return 5.5
 }
 
-// Scenes returns the cases of the experiment; the first is the standard one.
-func Scenes() []Scene {
-	return append([]Scene{
+// Scenarios returns the cases of the experiment; the first is the standard one.
+func Scenarios() []Scenario {
+	return append([]Scenario{
 		{Name: "standard"},
 		{Name: "false load reports of the slow agent", Start: func(m *model) { m.lies = true }},
 		{Name: "one agent frozen", Start: freeze},
@@ -65,17 +65,17 @@
 	}, append(longFlows(), sharedFlows())...)
 }
 
-// longFlows returns the scenes for the imbalance of open flows.
-func longFlows() []Scene {
+// longFlows returns the scenarios for the imbalance of open flows.
+func longFlows() []Scenario {
 	const requests, feeds = 20, 0.35
-	var scs []Scene
+	var scs []Scenario
 	for _, load := range []float64{0.3, 0.5, standardLoad} {
 		for _, same := range []bool{true, false} {
 			name := fmt.Sprintf("long flows and feeds, load %v", load)
 			if same {
 				name += ", equal agents"
 			}
-			scs = append(scs, Scene{Name: name, Requests: requests, Load: load, Equal: same, Feeds: feeds})
+			scs = append(scs, Scenario{Name: name, Requests: requests, Load: load, Equal: same, Feeds: feeds})
 		}
 	}
 	return scs
@@ -129,9 +129,9 @@
 	return (1 - long*share) / (1 - share)
 }
 
-// sharedFlows returns the scene for declared shares.
-func sharedFlows() Scene {
-	return Scene{Name: "long flows and one light agent", Requests: 20, Load: 0.3, Equal: true, Feeds: 0.35, Start: lighten}
+// sharedFlows returns the scenario for declared shares.
+func sharedFlows() Scenario {
+	return Scenario{Name: "long flows and one light agent", Requests: 20, Load: 0.3, Equal: true, Feeds: 0.35, Start: lighten}
 }
 
 const lightWeight = 0.25
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -39,7 +39,7 @@
 func TestGoal(t *testing.T) {
 	const goal, old = 1.3, "two choices, 1 old"
 	for _, s := range Sizes() {
-		rs := Compare(choose(Design, Limit, old), Scene{}, s, 1, testFlows)
+		rs := Compare(choose(Design, Limit, old), Scenario{}, s, 1, testFlows)
 		if r := named(t, rs, Design).Ratio; r > goal {
 			t.Errorf("%+v: want a ratio of at most %v, have %.2f", s, goal, r)
 		}
@@ -49,13 +49,13 @@
 	}
 }
 
-// TestScenes guards against an influence of reported load figures on the
+// TestScenarios guards against an influence of reported load figures on the
 // placement, and against flows that are lost when agents freeze.
-func TestScenes(t *testing.T) {
+func TestScenarios(t *testing.T) {
 	const flows = 8000
 	s := Sizes()[0]
-	want := Compare(choose(Design), Scene{}, s, 1, flows)[0]
-	for _, sc := range Scenes() {
+	want := Compare(choose(Design), Scenario{}, s, 1, flows)[0]
+	for _, sc := range Scenarios() {
 		n := flows / sc.requests()
 		m := newModel(choose(Design)[0], sc, s, 1, n)
 		have := m.run()
@@ -72,7 +72,7 @@
 func TestSame(t *testing.T) {
 	var a, b bytes.Buffer
 	for _, w := range []*bytes.Buffer{&a, &b} {
-		if err := Write(w, Run(Scenes()[:1], 3, 500)); err != nil {
+		if err := Write(w, Run(Scenarios()[:1], 3, 500)); err != nil {
 			t.Fatal(err)
 		}
 	}
