--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -39,16 +39,19 @@
 	keys func() *connid.Set
 	self ident.EndpointID
 	// adminAddr is where others reach the admin server.
-	adminAddr  netip.AddrPort
-	tag        ident.ServiceTag
-	hop        *hopConn
-	servers    *servers
-	tls        *tls.Config
-	gate       *admission
-	handler    *handler
-	refusals   *reasons
-	health     upstreamHealth
-	state      atomic.Int32
+	adminAddr netip.AddrPort
+	tag       ident.ServiceTag
+	hop       *hopConn
+	servers   *servers
+	tls       *tls.Config
+	gate      *admission
+	handler   *handler
+	refusals  *reasons
+	health    upstreamHealth
+	state     atomic.Int32
+	// configured is false until the first configuration arrives. Before it, the
+	// agent does not know its limits and streaming paths: a feed would take a slot.
+	configured atomic.Bool
 	announcer  *announcer
 	handshakes handshakes
 	// setState announces a new state.
@@ -80,6 +83,7 @@
 	}
 	a.client.Log = f.Log
 	a.state.Store(int32(view.Serving))
+	a.configured.Store(len(s.Balancers) == 0) // without balancers none would ever arrive
 	udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(s.HopAddress)))
 	if err != nil {
 		return nil, errors.Annotatef(err, "hopAddress")
@@ -109,6 +113,7 @@
 	if err := a.join(); err != nil {
 		return nil, err
 	}
+	a.updateGate()
 	return a, nil
 }
 
@@ -146,12 +151,12 @@
 
 // serving says whether the agent reports itself as serving.
 func (a *Agent) serving() bool {
-	return view.State(a.state.Load()) == view.Serving && a.health.good()
+	return view.State(a.state.Load()) == view.Serving && a.configured.Load() && a.health.good()
 }
 
 // updateGate makes the gate hand over new flows if the agent takes none.
 func (a *Agent) updateGate() {
-	a.gate.setDraining(view.State(a.state.Load()) != view.Serving || !a.health.reachable())
+	a.gate.setDraining(view.State(a.state.Load()) != view.Serving || !a.configured.Load() || !a.health.reachable())
 }
 
 // serve accepts connections until the context ends.
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -155,7 +155,11 @@
 	if err != nil {
 		return err
 	}
-	n.OnConfig = func(c *config.Accepted) { a.Configure(c.Declaration) }
+	n.OnConfig = func(c *config.Accepted) {
+		a.Configure(c.Declaration)
+		a.configured.Store(true)
+		a.updateGate()
+	}
 	n.OnBalancers = a.setBalancers
 	a.announcer = n
 	a.setState = n.SetState
--- a/internal/itest/member_test.go
+++ b/internal/itest/member_test.go
@@ -98,6 +98,30 @@
 	}
 }
 
+// TestUnconfiguredUpstream guards against an agent that was found on the
+// platform but has no session and so no configuration: it does not know its
+// limits and streaming paths, and must get no new flows.
+func TestUnconfiguredUpstream(t *testing.T) {
+	c := NewCluster(t, binary)
+	s := NewDeployment(c, Declaration(4, "listas"), 2, map[string]int{"listas": 1})
+	lost := s.AddAgent("listas", time.Millisecond, func(a *config.Agent) { a.Balancers = []string{"127.0.0.1:9"} })
+	s.RemoveAgent("listas", lost)
+	s.Eventually(10*time.Second, "the platform holds both agents", func() bool {
+		return c.Store.Len("endpoint") == 2
+	})
+	if done, failed := s.newFlows(3 * time.Second); done == 0 || failed != 0 {
+		t.Errorf("want all requests served, have %d done and %d failed", done, failed)
+	}
+	if n := lost.Stub.Counts().Requests; n != 0 {
+		t.Errorf("want no request at the agent without a configuration, have %d", n)
+	}
+	for _, b := range s.Balancers {
+		if s.Usable(b)[lost.Hop] {
+			t.Errorf("%s uses the agent without a configuration", b.Name)
+		}
+	}
+}
+
 // TestFrozenUpstream guards that a frozen agent gets no new flows after 2 s and
 // takes them again when it goes on.
 func TestFrozenUpstream(t *testing.T) {
