--- a/pkg/caller/sse.go
+++ b/pkg/caller/sse.go
@@ -3,12 +3,28 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"strings"
 )
 
-// maxEventLine bounds one line of a feed.
-const maxEventLine = 1 << 20
+const (
+	// maxEventLine bounds one line of a feed, in octets.
+	maxEventLine = 1 << 20
+	// maxEventData bounds the data of one event, in octets.
+	maxEventData = 4 << 20
+)
+
+// EventSizeError says that the data of an event exceeds the bound of a feed.
+type EventSizeError struct {
+	// Limit is the bound in octets.
+	Limit int
+}
+
+// Error implements error.
+func (e *EventSizeError) Error() string {
+	return fmt.Sprintf("event of a feed has more than %d octets of data", e.Limit)
+}
 
 // Event is one server-sent event.
 type Event struct {
@@ -38,6 +54,7 @@
 func (r *eventReader) next() (Event, error) {
 	e := Event{Type: "message"}
 	var data [][]byte
+	size := 0
 	for r.scanner.Scan() {
 		line := r.scanner.Text()
 		if line == "" && data != nil {
@@ -59,6 +76,9 @@
 		case "event":
 			e.Type = value
 		case "data":
+			if size += len(value) + 1; size > maxEventData {
+				return Event{}, &EventSizeError{maxEventData}
+			}
 			data = append(data, []byte(value))
 		}
 	}
