--- a/internal/itest/conf_test.go
+++ b/internal/itest/conf_test.go
@@ -183,3 +183,23 @@
 		t.Errorf("want generation 3, have %d", g)
 	}
 }
+
+// TestSlowPlatform guards configuration and membership while each answer of the
+// platform takes 1.5 s, close to the time limit of a call.
+func TestSlowPlatform(t *testing.T) {
+	c := NewCluster(t, binary)
+	s := NewDeployment(c, Declaration(4, "listas"), 2, map[string]int{"listas": 1})
+	c.Store.SetFaults(store.Faults{AnswerDelayMillis: 1500})
+	a := s.AddAgent("listas", time.Millisecond)
+	s.WaitReady()
+	if out, err := s.apply("slow", Declaration(5, "listas")).CombinedOutput(); err != nil {
+		t.Fatalf("apply: %v: %s", err, out)
+	}
+	s.waitGeneration(2, s.Balancers...)
+	if done, failed := s.newFlows(time.Second); done == 0 || failed != 0 {
+		t.Errorf("want all requests served, have %d done and %d failed", done, failed)
+	}
+	if a.Stub.Counts().Requests == 0 {
+		t.Error("the agent that joined got no request")
+	}
+}
