--- a/internal/itest/replace_test.go
+++ b/internal/itest/replace_test.go
@@ -246,3 +246,23 @@
 	}
 	feeds.Close()
 }
+
+// TestBrokenOffAnswer guards promise 3 against an upstream that breaks off an
+// answer of unknown length: the caller must not see a clean end.
+func TestBrokenOffAnswer(t *testing.T) {
+	s := NewDeployment(NewCluster(t, binary), Declaration(4, "listas"), 1, map[string]int{"listas": 1})
+	tr := s.plain()
+	defer tr.Close()
+	resp, err := (&http.Client{Transport: tr}).Get(s.URL("listas", "/feeds/prices?everyMillis=20"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if _, err := resp.Body.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	s.Agents["listas"][0].stubSrv.CloseClientConnections()
+	if _, err := io.ReadAll(resp.Body); err == nil {
+		t.Error("an answer that was broken off ended cleanly")
+	}
+}
