--- /dev/null
+++ b/cmd/bramleyflow/main.go
@@ -0,0 +1,41 @@
+// Command bramleyflow runs the balancer and the agent of datagram flows on the
+// users' platform. It is a program of its own, because small VMs should not
+// load what only the HTTP/3 roles of bramleycourse need.
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/bramleycourse/bramleycourse/internal/node"
+)
+
+type cli struct {
+	Settings string   `help:"Settings file." env:"BRAMLEYCOURSE_NODE_FILE" default:"/etc/bramleycourse/settings.conf" type:"path"`
+	Balancer struct{} `cmd:"" help:"Run a balancer."`
+	Agent    struct{} `cmd:"" help:"Run the agent beside an upstream."`
+}
+
+// logFlush bounds how long the last log lines hold up the end of a process.
+const logFlush = 100 * time.Millisecond
+
+func main() {
+	var c cli
+	k := kong.Parse(&c, kong.Name("bramleyflow"), kong.Description("Balancer and agent of datagram flows."), kong.UsageOnError())
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	out := node.NewOutput(os.Stdout)
+	var err error
+	switch k.Command() {
+	case "balancer":
+		err = runBalancer(c.Settings, out, signals)
+	case "agent":
+		err = runAgent(c.Settings, out, signals)
+	}
+	out.Close(logFlush)
+	k.FatalIfErrorf(err)
+}
--- /dev/null
+++ b/cmd/bramleyflow/roles.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/bramleycourse/bramleycourse/internal/front"
+	"github.com/bramleycourse/bramleycourse/internal/hostd"
+	"github.com/bramleycourse/bramleycourse/internal/node"
+	"github.com/bramleycourse/bramleycourse/internal/plat"
+	"github.com/bramleycourse/bramleycourse/platform"
+)
+
+// storeTimeout bounds one call to the platform's store, which answers in a few
+// milliseconds.
+const storeTimeout = time.Second
+
+func newStore(s platform.Settings, log *logrus.Entry) *plat.Client {
+	c := plat.New(s.Store, storeTimeout, plat.WithWire(platform.Wire), plat.WithTransport(node.Transport()))
+	c.Log = log
+	return c
+}
+
+func runBalancer(path string, out *node.Output, signals <-chan os.Signal) error {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	log := out.NewLog("balancer", s.Name)
+	f, err := front.New(front.Settings{
+		Name: s.Name, Place: s.Place, Hop: s.Hop, Ready: s.Ready, Peer: s.Peer,
+		Seeds: s.Seeds, FlowLifetime: s.FlowLifetime, StopLimit: s.StopLimit,
+	}, platform.Codec, newStore(s, log), front.ConfigObject{Name: platform.ConfigName, Parse: platform.ParseConfig}, log)
+	if err != nil {
+		return err
+	}
+	return f.Run(signals, reloader(path, s.Seeds, log))
+}
+
+func runAgent(path string, out *node.Output, signals <-chan os.Signal) error {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	log := out.NewLog("agent", s.Name)
+	store := newStore(s, log)
+	find := func(ctx context.Context) ([]netip.AddrPort, error) { return front.ListBalancers(ctx, store) }
+	h, err := hostd.New(hostd.Settings{
+		Name: s.Name, Place: s.Place, Service: s.Service, Hop: s.Hop, Outbound: s.Outbound,
+		Upstream: s.Upstream, Reports: s.Reports, Ready: s.Ready, CallerPort: s.Hop.Port(),
+		Seeds: s.Seeds, FlowLifetime: s.FlowLifetime, StopLimit: s.StopLimit,
+	}, platform.Codec, find, log)
+	if err != nil {
+		return err
+	}
+	reports := platform.ReportHandler{
+		Beat:  h.Beat,
+		Leave: h.UpstreamLeft,
+		Refused: func(err error) {
+			log.WithError(err).WithField("event", "badReport").Warn("report refused")
+		},
+	}
+	return h.Run(signals, reports.Handler(), reloader(path, s.Seeds, log))
+}
+
+// reloader returns a function that reads the seeds of the settings file if the
+// file has changed. A file that cannot be read leaves the seeds as they are.
+func reloader(path string, seeds []netip.AddrPort, log *logrus.Entry) func() ([]netip.AddrPort, bool) {
+	var modified time.Time
+	if i, err := os.Stat(path); err == nil {
+		modified = i.ModTime()
+	}
+	return func() ([]netip.AddrPort, bool) {
+		i, err := os.Stat(path)
+		if err != nil || i.ModTime().Equal(modified) {
+			return nil, false
+		}
+		modified = i.ModTime()
+		s, err := platform.LoadSettings(path)
+		if err != nil {
+			log.WithError(err).WithField("event", "badSettings").Error("changed settings ignored")
+			return nil, false
+		}
+		changed := !slices.Equal(s.Seeds, seeds)
+		seeds = s.Seeds
+		return seeds, changed
+	}
+}
--- /dev/null
+++ b/internal/flow/table.go
@@ -0,0 +1,196 @@
+package flow
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Table holds the flows of one upstream and counts the requests in progress.
+// It sees only the headers of packets: a request begins with data from the
+// caller and ends with the first data of the answer.
+type Table struct {
+	entries map[Key]*Entry
+	limit   int
+	// busy counts the entries with a request in progress.
+	busy  int
+	swept time.Duration
+}
+
+// Entry is one flow of the upstream.
+type Entry struct {
+	// Balancer is where packets of the flow last came from.
+	Balancer netip.AddrPort
+	// Seen is when the flow last carried a packet.
+	Seen time.Duration
+	// first is the upstream's first sequence number; valid if answered.
+	first    uint32
+	answered bool
+	// open is set once the caller has acknowledged the upstream's answer.
+	open bool
+	// busy is set while a request is in progress.
+	busy                     bool
+	callerEnded, serverEnded bool
+}
+
+// Open reports whether the flow is established at this upstream.
+func (e *Entry) Open() bool { return e.open }
+
+// Busy reports whether a request is in progress on the flow.
+func (e *Entry) Busy() bool { return e.busy }
+
+// Answered reports whether the upstream has answered the opening packet.
+func (e *Entry) Answered() bool { return e.answered }
+
+const (
+	// openingTime is how long an opening flow is kept: callers give up 1.4 s
+	// after their first opening packet.
+	openingTime = 2 * time.Second
+	// endedTime is how long an ended flow is kept for the last acknowledgements.
+	endedTime = 4 * time.Second
+)
+
+// NewTable returns an empty table of up to limit flows.
+func NewTable(limit int) *Table { return &Table{entries: map[Key]*Entry{}, limit: limit} }
+
+// Get returns the entry of a flow or nil.
+func (t *Table) Get(k Key) *Entry { return t.entries[k] }
+
+// Len returns the number of flows.
+func (t *Table) Len() int { return len(t.entries) }
+
+// Busy returns the number of requests in progress.
+func (t *Table) Busy() int { return t.busy }
+
+// Opening adds a flow whose opening packet goes to the upstream. It returns
+// nil when the table is full.
+func (t *Table) Opening(now time.Duration, k Key, balancer netip.AddrPort) *Entry {
+	if e := t.entries[k]; e != nil {
+		e.Balancer, e.Seen = balancer, now
+		return e
+	}
+	if len(t.entries) >= t.limit {
+		return nil
+	}
+	e := &Entry{Balancer: balancer, Seen: now}
+	t.entries[k] = e
+	// The first request follows within a round trip and needs a slot then.
+	t.setBusy(e, true)
+	return e
+}
+
+// Learn adds a flow that the upstream was seen to hold.
+func (t *Table) Learn(now time.Duration, k Key) *Entry {
+	e := t.Opening(now, k, netip.AddrPort{})
+	if e != nil {
+		e.open = true
+		t.setBusy(e, false)
+	}
+	return e
+}
+
+// FromCaller takes a packet of the flow other than its opening and reports
+// whether the flow is held here. A flow that several upstreams answered
+// belongs to the one whose sequence number the caller acknowledges.
+func (t *Table) FromCaller(now time.Duration, k Key, p *Packet, balancer netip.AddrPort) *Entry {
+	e := t.entries[k]
+	if e == nil {
+		return nil
+	}
+	if !e.open {
+		if !e.answered || p.Acked-e.first > maxFirstAck {
+			return nil
+		}
+		e.open = true
+	}
+	e.Seen, e.Balancer = now, balancer
+	if p.Size > 0 {
+		t.setBusy(e, true)
+	}
+	if p.Fin {
+		e.callerEnded = true
+	}
+	if p.Rst {
+		t.end(e)
+	}
+	return e
+}
+
+// maxFirstAck is how far beyond the upstream's first sequence number a caller's
+// first packet may acknowledge: the handshake and one window of 16 packets.
+const maxFirstAck = 16*1200 + 1
+
+// FromUpstream takes a packet that the upstream sent.
+func (t *Table) FromUpstream(now time.Duration, k Key, p *Packet) *Entry {
+	e := t.entries[k]
+	if e == nil {
+		return nil
+	}
+	e.Seen = now
+	if p.Syn {
+		e.first, e.answered = p.Seq, true
+		return e
+	}
+	if p.Size > 0 {
+		t.setBusy(e, false)
+	}
+	if p.Fin {
+		e.serverEnded = true
+		t.setBusy(e, false)
+	}
+	if p.Rst {
+		t.end(e)
+	}
+	return e
+}
+
+func (t *Table) end(e *Entry) {
+	e.callerEnded, e.serverEnded = true, true
+	t.setBusy(e, false)
+}
+
+// Drop removes a flow.
+func (t *Table) Drop(k Key) {
+	if e := t.entries[k]; e != nil {
+		t.setBusy(e, false)
+		delete(t.entries, k)
+	}
+}
+
+// Clear removes all flows.
+func (t *Table) Clear() {
+	clear(t.entries)
+	t.busy = 0
+}
+
+func (t *Table) setBusy(e *Entry, busy bool) {
+	if e.busy == busy {
+		return
+	}
+	e.busy = busy
+	if busy {
+		t.busy++
+	} else {
+		t.busy--
+	}
+}
+
+// Sweep removes flows that have ended, never opened or have been idle for the
+// given time.
+func (t *Table) Sweep(now, idle time.Duration) {
+	if now-t.swept < sweepInterval {
+		return
+	}
+	t.swept = now
+	for k, e := range t.entries {
+		limit := idle
+		switch {
+		case e.callerEnded && e.serverEnded:
+			limit = endedTime
+		case !e.open:
+			limit = openingTime
+		}
+		if now-e.Seen >= limit {
+			t.Drop(k)
+		}
+	}
+}
--- /dev/null
+++ b/internal/front/core.go
@@ -0,0 +1,294 @@
+// Package front is the balancer of datagram flows. It gives an opening packet
+// to the agents, which decide who takes the flow, and sends later packets to
+// the agent that holds it. It keeps no state that a flow depends on.
+package front
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/bramleycourse/bramleycourse/internal/flow"
+	"github.com/bramleycourse/bramleycourse/internal/frame"
+	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/route"
+	"github.com/bramleycourse/bramleycourse/internal/rules"
+	"github.com/bramleycourse/bramleycourse/internal/view"
+)
+
+const (
+	// maxHints bounds the memory for hints: 64 octets each.
+	maxHints = 1 << 16
+	// hintLinger keeps a hint for the last acknowledgements of a flow: an
+	// upstream repeats its end for up to 3 s.
+	hintLinger = 3 * time.Second
+	// maxOffered is the number of candidates of an opening packet.
+	maxOffered = 6
+	// maxNear is how many of them may be in the balancer's own place.
+	maxNear = 4
+)
+
+// Self describes the balancer.
+type Self struct {
+	Name     string
+	Instance ident.Instance
+	Place    ident.PlaceName
+	// Hop is the address that callers' packets arrive at, Peer the one for
+	// messages of other processes (UDP) and for configurations (TCP).
+	Hop, Peer netip.AddrPort
+	// Seq is the version of the balancer's first entry; it is higher than that
+	// of an earlier run.
+	Seq ident.Seq
+	// FlowLifetime is the longest time that a flow may last.
+	FlowLifetime time.Duration
+	// Seeds are addresses for messages of balancers that may be running.
+	Seeds []netip.AddrPort
+}
+
+// Core decides what the balancer does with each datagram. It is not safe for
+// concurrent use.
+type Core struct {
+	// ToAgent sends a datagram to an agent or to another balancer. The octets
+	// are valid during the call only.
+	ToAgent func(b []byte, to netip.AddrPort)
+	// ToCaller sends a packet to a caller.
+	ToCaller func(b []byte, caller netip.Addr)
+	// Fetch begins to read the configuration of another balancer.
+	Fetch func(from netip.AddrPort)
+	// Log takes changes of what the balancer believes.
+	Log *logrus.Entry
+	// Counts is what happened so far.
+	Counts Counts
+
+	self    Self
+	codec   flow.Codec
+	rules   *rules.Table
+	hints   *flow.Hints
+	members members
+	view    *view.View
+	pending pendings
+	walks   map[flow.Key]time.Duration
+	// started is when the balancer started, by the clock of now.
+	started time.Duration
+	stopped bool
+	// housekeeping is when it is due.
+	housekeeping time.Duration
+	peers        peers
+	out     []byte
+	frame   frame.Frame
+	ids     [route.MaxOrder]ident.EndpointID
+}
+
+// Counts counts events.
+type Counts struct {
+	Opened, Carried, Foreign, NoRoute, NoUpstream, Retried, GivenUp, Refused, Missed, Walked, Lost uint64
+}
+
+// NewCore returns the core of a balancer that starts now.
+func NewCore(now time.Duration, s Self, c flow.Codec) *Core {
+	co := &Core{
+		self:    s,
+		codec:   c,
+		hints:   flow.NewHints(s.FlowLifetime, hintLinger, maxHints),
+		view:    view.New(),
+		pending: pendings{byKey: map[flow.Key]*pending{}},
+		walks:   map[flow.Key]time.Duration{},
+		started: now,
+		out:     make([]byte, 0, frame.MaxSize),
+	}
+	co.members.init()
+	co.peers.init(now, s.Seeds)
+	co.announceSelf(now, view.Serving)
+	return co
+}
+
+// Rules returns the configuration in force; nil before the first one.
+func (c *Core) Rules() *rules.Table { return c.rules }
+
+// SetRules puts a configuration in force unless the one in force is as new.
+func (c *Core) SetRules(t *rules.Table, source string) bool {
+	if t.Generation() <= c.rules.Generation() {
+		return false
+	}
+	c.Log.WithFields(logrus.Fields{
+		"event": "configuration", "generation": t.Generation(), "before": c.rules.Generation(),
+		"routes": t.Len(), "source": source,
+	}).Info("configuration in force")
+	c.rules = t
+	return true
+}
+
+// FromCaller handles a datagram from the network of the callers.
+func (c *Core) FromCaller(now time.Duration, b []byte) {
+	p, ok := c.codec.Decode(b)
+	if !ok || p.Returned {
+		c.Counts.Foreign++
+		return
+	}
+	k := flow.KeyOf(p.From, p.To)
+	if p.Opens() {
+		c.open(now, k, &p, b)
+		return
+	}
+	c.carry(now, k, &p, b)
+}
+
+// carry sends a packet of an open flow to its agent, or to the likeliest one.
+func (c *Core) carry(now time.Duration, k flow.Key, p *flow.Packet, b []byte) {
+	c.Counts.Carried++
+	f := frame.Frame{Kind: frame.Data, Trials: 1, Balancer: c.self.Peer, Payload: b}
+	if agent, ok := c.hints.Get(now, k, p.Fin || p.Rst); ok {
+		f.Hinted = true
+		c.send(&f, agent)
+		return
+	}
+	name, ok := c.rules.Service(k.Route(), k.Hash())
+	if !ok {
+		c.Counts.NoRoute++
+		return
+	}
+	f.Service = frame.IDOf(name)
+	g := c.members.group(f.Service)
+	if n := g.all.Order(k.Hash(), maxNear, c.ids[:1]); n > 0 {
+		c.send(&f, c.ids[0].Addr)
+		return
+	}
+	c.lost(now, k, p)
+}
+
+// missed looks for the agent of a flow after one has said that it does not hold it.
+func (c *Core) missed(now time.Duration, f *frame.Frame, from netip.AddrPort) {
+	p, ok := c.codec.Decode(f.Payload)
+	if !ok {
+		c.Counts.Foreign++
+		return
+	}
+	c.Counts.Missed++
+	k := flow.KeyOf(p.From, p.To)
+	c.hints.Drop(k, from)
+	if len(f.Candidates) > 0 {
+		c.lost(now, k, &p)
+		return
+	}
+	w := frame.Frame{Kind: frame.Walk, Balancer: c.self.Peer, Payload: f.Payload}
+	for _, s := range c.rules.Services(k.Route()) {
+		w.Service = frame.IDOf(s.Service)
+		n := c.members.group(w.Service).all.Order(k.Hash(), route.MaxOrder, c.ids[:])
+		for _, id := range c.ids[:n] {
+			if id.Addr != from && len(w.Candidates) < frame.MaxCandidates {
+				w.Candidates = append(w.Candidates, frame.Candidate{Addr: id.Addr})
+			}
+		}
+	}
+	if len(w.Candidates) == 0 {
+		c.lost(now, k, &p)
+		return
+	}
+	if last, walked := c.walks[k]; !walked || now-last >= walkInterval {
+		// Bounds how many upstreams see packets of a flow that is not theirs.
+		c.walks[k] = now
+		w.Trials = 1
+	}
+	c.Counts.Walked++
+	c.send(&w, w.Candidates[0].Addr)
+}
+
+// walkInterval is the least time between two walks of a flow that agents
+// without a table may pass to their upstreams.
+const walkInterval = 2500 * time.Millisecond
+
+// lost resets a flow that no agent holds. It does so only if every agent of the
+// service was asked: the flow of an agent that is down may still be open.
+func (c *Core) lost(now time.Duration, k flow.Key, p *flow.Packet) {
+	c.Counts.Lost++
+	if p.Rst || now-c.started < settleTime {
+		return
+	}
+	for _, s := range c.rules.Services(k.Route()) {
+		if c.members.group(frame.IDOf(s.Service)).absent > 0 {
+			return
+		}
+	}
+	if len(c.rules.Services(k.Route())) == 0 {
+		return
+	}
+	c.reset(k, p)
+}
+
+// settleTime is after what time a balancer knows the agents: they announce
+// themselves every second.
+const settleTime = 5 * time.Second
+
+func (c *Core) reset(k flow.Key, p *flow.Packet) { c.ToCaller(c.codec.Reset(p), k.Caller().Addr()) }
+
+func (c *Core) send(f *frame.Frame, to netip.AddrPort) {
+	c.out = f.Append(c.out[:0])
+	c.ToAgent(c.out, to)
+}
+
+// FromAgent handles a datagram of another process of the system.
+func (c *Core) FromAgent(now time.Duration, b []byte, from netip.AddrPort) {
+	f := &c.frame
+	if !f.Parse(b) {
+		c.Counts.Foreign++
+		return
+	}
+	c.heard(now, from)
+	switch f.Kind {
+	case frame.Taken:
+		c.taken(now, f, from)
+	case frame.Refused:
+		c.refused(now, f, from)
+	case frame.Missed:
+		c.missed(now, f, from)
+	case frame.Pong:
+	case frame.Ping:
+		c.send(&frame.Frame{Kind: frame.Pong}, from)
+	case frame.Announce, frame.Digest, frame.Entries:
+		c.gossip(now, f, from)
+	default:
+		c.Counts.Foreign++
+	}
+}
+
+func (c *Core) taken(now time.Duration, f *frame.Frame, from netip.AddrPort) {
+	if len(f.Payload) != len(flow.Key{}) {
+		c.Counts.Foreign++
+		return
+	}
+	k := flow.Key(f.Payload)
+	c.hints.Put(now, k, from)
+	c.pending.drop(k)
+}
+
+// Tick does what is due.
+func (c *Core) Tick(now time.Duration) {
+	c.retryDue(now)
+	if c.members.checking > 0 || now >= c.housekeeping {
+		c.members.tick(now, c)
+	}
+	if now < c.housekeeping {
+		return
+	}
+	c.housekeeping = now + tickInterval
+	c.hints.Sweep(now)
+	for k, at := range c.walks {
+		if now-at >= walkInterval {
+			delete(c.walks, k)
+		}
+	}
+	c.exchange(now)
+}
+
+// Due returns the time until Tick has something to do.
+func (c *Core) Due(now time.Duration) time.Duration {
+	d := min(c.pending.next(now), max(0, c.housekeeping-now))
+	if c.members.checking > 0 {
+		d = min(d, pingTimeout/3)
+	}
+	return d
+}
+
+// tickInterval is how often housekeeping is done.
+const tickInterval = 250 * time.Millisecond
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,238 @@
+package front
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/bramleycourse/bramleycourse/internal/drain"
+	"github.com/bramleycourse/bramleycourse/internal/flow"
+	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/node"
+	"github.com/bramleycourse/bramleycourse/internal/plat"
+	"github.com/bramleycourse/bramleycourse/internal/rules"
+)
+
+const (
+	// minStop keeps a stopping balancer until the fabric has noticed: it asks
+	// for readiness twice a second and takes two misses.
+	minStop = 1300 * time.Millisecond
+	// quietStop is the time without a packet of a caller after which it ends.
+	quietStop = 400 * time.Millisecond
+	// stopMargin is kept between the end of a stop and the kill.
+	stopMargin = time.Second
+	stopCheck  = 50 * time.Millisecond
+)
+
+// Settings are the settings of a balancer.
+type Settings struct {
+	Name  string
+	Place ident.PlaceName
+	// Hop is the address for callers' packets, Ready the one for readiness
+	// checks, Peer the one for other processes (UDP, and TCP for configurations).
+	Hop, Ready, Peer netip.AddrPort
+	Seeds            []netip.AddrPort
+	FlowLifetime     time.Duration
+	// StopLimit is the time between the signal to stop and the kill.
+	StopLimit time.Duration
+}
+
+// Front is a running balancer.
+type Front struct {
+	settings Settings
+	core     *Core
+	loop     *node.Loop
+	log      *logrus.Entry
+	store    *plat.Client
+	http     *http.Client
+	config   ConfigObject
+	hop      *node.Socket
+	peer     *node.Socket
+	servers  []*http.Server
+	// ready is set while the balancer has a configuration and does not stop.
+	ready, stopping atomic.Bool
+	// packets counts callers' packets; guarded by the loop.
+	packets uint64
+	done    chan struct{}
+	wg      sync.WaitGroup
+}
+
+// ConfigObject says where the operator's configuration is and how to read it.
+type ConfigObject struct {
+	Name  string
+	Parse func(value []byte) (*rules.Table, error)
+}
+
+// New opens the sockets of a balancer.
+func New(s Settings, c flow.Codec, store *plat.Client, o ConfigObject, log *logrus.Entry) (*Front, error) {
+	f := &Front{
+		settings: s,
+		loop:     node.New(log),
+		log:      log,
+		store:    store,
+		config:   o,
+		http:     &http.Client{Transport: node.Transport()},
+		done:     make(chan struct{}),
+	}
+	var err error
+	if f.hop, err = node.Listen(s.Hop); err != nil {
+		return nil, errors.Annotatef(err, "packets")
+	}
+	if f.peer, err = node.Listen(s.Peer); err != nil {
+		return nil, errors.Annotatef(err, "messages")
+	}
+	f.core = NewCore(f.loop.Now(), Self{
+		Name: s.Name, Instance: ident.NewInstance(), Place: s.Place, Hop: s.Hop, Peer: s.Peer,
+		Seq: ident.Seq(time.Now().UnixMilli()), FlowLifetime: s.FlowLifetime, Seeds: s.Seeds,
+	}, c)
+	f.core.Log = log
+	f.core.ToAgent = f.peer.Send
+	port := s.Hop.Port()
+	f.core.ToCaller = func(b []byte, caller netip.Addr) { f.hop.Send(b, netip.AddrPortFrom(caller, port)) }
+	f.core.Fetch = func(from netip.AddrPort) { go f.fetch(from) }
+	return f, nil
+}
+
+// Run serves until a signal to stop has been handled. Reload is called on a
+// signal to reload and from time to time.
+func (f *Front) Run(signals <-chan os.Signal, reload func() ([]netip.AddrPort, bool)) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ready, err := node.ServeHTTP(f.settings.Ready, f.readiness(), f.log)
+	if err != nil {
+		return err
+	}
+	peers, err := node.ServeHTTP(f.settings.Peer, f.configuration(), f.log)
+	if err != nil {
+		return err
+	}
+	f.servers = []*http.Server{ready, peers}
+	f.loop.Attach(node.Ticker{Tick: f.core.Tick, Due: f.core.Due})
+	f.spawn(func() { f.loop.Serve(f.hop, f.fromCaller) })
+	f.spawn(func() { f.loop.Serve(f.peer, f.core.FromAgent) })
+	f.spawn(func() { f.watch(ctx) })
+	f.spawn(func() { f.register(ctx) })
+	f.log.WithFields(logrus.Fields{
+		"event": "start", "place": f.settings.Place, "hop": f.settings.Hop, "peer": f.settings.Peer, "seeds": f.settings.Seeds,
+	}).Info("balancer started")
+	f.control(signals, reload)
+	cancel()
+	f.loop.Do(f.core.Stop)
+	f.close()
+	f.log.WithField("event", "stop").WithField("counts", f.core.Counts).Info("balancer stopped")
+	return nil
+}
+
+func (f *Front) spawn(run func()) {
+	f.wg.Add(1)
+	go func() {
+		defer f.wg.Done()
+		run()
+	}()
+}
+
+func (f *Front) close() {
+	f.loop.Close()
+	for _, s := range f.servers {
+		// Connections that are still open belong to checks and peers, which try again.
+		_ = s.Close()
+	}
+	_ = f.hop.Close()
+	_ = f.peer.Close()
+	close(f.done)
+	f.wg.Wait()
+}
+
+func (f *Front) fromCaller(now time.Duration, b []byte, _ netip.AddrPort) {
+	f.packets++
+	f.core.FromCaller(now, b)
+}
+
+// reloadInterval is how often the settings file is looked at.
+const reloadInterval = 2 * time.Second
+
+// control handles signals until the balancer may end.
+func (f *Front) control(signals <-chan os.Signal, reload func() ([]netip.AddrPort, bool)) {
+	m := drain.New(drain.Limits{Minimum: minStop, Quiet: quietStop, Limit: max(minStop, f.settings.StopLimit-stopMargin)})
+	check := time.NewTicker(reloadInterval)
+	defer check.Stop()
+	var seen uint64
+	for {
+		select {
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				f.reload(reload)
+				continue
+			}
+			f.log.WithFields(logrus.Fields{"event": "signal", "signal": s.String()}).Info("signal to stop")
+			if m.Signal(time.Now()) == drain.Cut {
+				return
+			}
+			f.stopping.Store(true)
+			f.ready.Store(false)
+			check.Reset(stopCheck)
+		case <-check.C:
+			if !f.stopping.Load() {
+				f.reload(reload)
+				continue
+			}
+			busy := false
+			f.loop.Do(func(time.Duration) { busy, seen = f.packets != seen, f.packets })
+			if m.Check(time.Now(), busy) != drain.None {
+				return
+			}
+		}
+	}
+}
+
+func (f *Front) reload(reload func() ([]netip.AddrPort, bool)) {
+	if seeds, changed := reload(); changed {
+		f.log.WithField("event", "reload").WithField("seeds", seeds).Info("settings changed")
+		f.loop.Do(func(time.Duration) { f.core.SetSeeds(seeds) })
+	}
+}
+
+// readiness answers whether the balancer may get packets.
+func (f *Front) readiness() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !f.ready.Load() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		// A failed write means that the check has hung up; it asks again.
+		_, _ = io.WriteString(w, "ready\n")
+	})
+}
+
+const configPath = "/config"
+
+// configuration serves the configuration in force to other balancers.
+func (f *Front) configuration() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET "+configPath, func(w http.ResponseWriter, _ *http.Request) {
+		var t *rules.Table
+		f.loop.Do(func(time.Duration) { t = f.core.Rules() })
+		if t == nil {
+			http.Error(w, "no configuration", http.StatusNotFound)
+			return
+		}
+		b, err := t.Encode()
+		if err != nil {
+			f.log.WithError(err).Error("configuration not encoded")
+			http.Error(w, "configuration not encoded", http.StatusInternalServerError)
+			return
+		}
+		// A failed write means that the peer has hung up; it asks again.
+		_, _ = w.Write(b)
+	})
+	return m
+}
--- /dev/null
+++ b/internal/front/member.go
@@ -0,0 +1,178 @@
+package front
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/frame"
+	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/route"
+	"github.com/bramleycourse/bramleycourse/internal/view"
+)
+
+const (
+	// pingTimeout is after what time an unanswered Ping marks an agent as down:
+	// twice the offer timeout, so that a busy VM has the time to answer.
+	pingTimeout = 60 * time.Millisecond
+	// downInterval is the time between two Pings to an agent that is down.
+	downInterval = 250 * time.Millisecond
+	// forgetTime is after what time an agent that is down counts as gone: the
+	// longest cut that an agent is expected to come back from.
+	forgetTime = 20 * time.Second
+)
+
+// member is what the balancer knows of an agent from its own traffic.
+type member struct {
+	entry view.Entry
+	// heard is when the agent last sent something.
+	heard time.Duration
+	// pinged is when the oldest unanswered Ping was sent; 0 if there is none.
+	pinged time.Duration
+	// downAt is when the agent was found to be down; 0 if it is not.
+	downAt time.Duration
+	// next is when an agent that is down is pinged again.
+	next time.Duration
+}
+
+// group is the agents of one service.
+type group struct {
+	// usable may get new flows; all may hold flows.
+	usable, all *route.Group
+	// absent counts agents that may hold flows and do not answer.
+	absent int
+}
+
+type members struct {
+	byAddr map[netip.AddrPort]*member
+	groups map[frame.ServiceID]*group
+	// checking counts the members with an unanswered Ping.
+	checking int
+}
+
+var noGroup = group{usable: route.NewGroup(nil), all: route.NewGroup(nil)}
+
+func (m *members) init() {
+	m.byAddr = map[netip.AddrPort]*member{}
+	m.groups = map[frame.ServiceID]*group{}
+}
+
+func (m *members) group(s frame.ServiceID) *group {
+	if g := m.groups[s]; g != nil {
+		return g
+	}
+	return &noGroup
+}
+
+// rebuild derives the members and groups from the view.
+func (c *Core) rebuild() {
+	m := &c.members
+	newest := map[netip.AddrPort]view.Entry{}
+	for _, e := range c.view.Unsorted() {
+		if e.Key.IsBalancer() {
+			continue
+		}
+		if old, ok := newest[e.Key.Hop]; !ok || e.Seq > old.Seq {
+			newest[e.Key.Hop] = e
+		}
+	}
+	for a, e := range newest {
+		if old := m.byAddr[a]; old == nil {
+			m.byAddr[a] = &member{entry: e}
+		} else {
+			old.entry = e
+		}
+	}
+	for a := range m.byAddr {
+		if _, ok := newest[a]; !ok {
+			delete(m.byAddr, a)
+		}
+	}
+	m.regroup(c.self.Place)
+}
+
+// regroup derives the groups from the members.
+func (m *members) regroup(own ident.PlaceName) {
+	type lists struct {
+		usable, all []route.Endpoint
+		absent      int
+	}
+	services := map[frame.ServiceID]*lists{}
+	for a, b := range m.byAddr {
+		id := frame.IDOf(b.entry.Service)
+		l := services[id]
+		if l == nil {
+			l = &lists{}
+			services[id] = l
+		}
+		// The instance is left out, so that the order does not change when an
+		// agent starts again.
+		e := route.Endpoint{ID: ident.EndpointID{Addr: a}, Weight: 1, Remote: b.entry.Place != own}
+		if b.downAt > 0 {
+			l.absent++
+			continue
+		}
+		l.all = append(l.all, e)
+		if b.entry.State == view.Serving {
+			l.usable = append(l.usable, e)
+		}
+	}
+	clear(m.groups)
+	for id, l := range services {
+		m.groups[id] = &group{usable: route.NewGroup(l.usable), all: route.NewGroup(l.all), absent: l.absent}
+	}
+}
+
+// suspect pings an agent that did not answer an offer.
+func (m *members) suspect(now time.Duration, a netip.AddrPort, c *Core) {
+	b := m.byAddr[a]
+	if b == nil || b.downAt > 0 || b.pinged > 0 {
+		return
+	}
+	b.pinged = now
+	m.checking++
+	c.send(&frame.Frame{Kind: frame.Ping}, a)
+}
+
+// heard notes a sign of life.
+func (c *Core) heard(now time.Duration, a netip.AddrPort) {
+	b := c.members.byAddr[a]
+	if b == nil {
+		return
+	}
+	b.heard = now
+	if b.pinged > 0 {
+		b.pinged = 0
+		c.members.checking--
+	}
+	if b.downAt > 0 {
+		c.Log.WithField("event", "agentUp").WithField("agent", a).WithField("downFor", now-b.downAt).Info("agent answers again")
+		b.downAt = 0
+		c.members.regroup(c.self.Place)
+	}
+}
+
+// tick marks agents that do not answer and pings those that are down.
+func (m *members) tick(now time.Duration, c *Core) {
+	changed := false
+	for a, b := range m.byAddr {
+		if b.pinged > 0 && now-b.pinged >= pingTimeout {
+			c.Log.WithField("event", "agentDown").WithField("agent", a).WithField("silentFor", now-b.heard).Warn("agent does not answer")
+			b.pinged, b.downAt, b.next = 0, now, now
+			m.checking--
+			changed = true
+		}
+		if b.downAt > 0 && now >= b.next {
+			b.next = now + downInterval
+			c.send(&frame.Frame{Kind: frame.Ping}, a)
+		}
+		if b.downAt > 0 && now-b.downAt >= forgetTime {
+			e := b.entry
+			e.State = view.Gone
+			c.adopt(now, []view.Item{{Entry: e}})
+			return
+		}
+	}
+	if changed {
+		m.regroup(c.self.Place)
+	}
+}
--- /dev/null
+++ b/internal/front/offer.go
@@ -0,0 +1,171 @@
+package front
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/flow"
+	"github.com/bramleycourse/bramleycourse/internal/frame"
+)
+
+const (
+	// offerTimeout is after what time without an answer an opening packet is
+	// offered to other agents: six hops between places and a handshake take 10 ms.
+	offerTimeout = 30 * time.Millisecond
+	// maxOffers is how often an opening packet is offered before the caller's
+	// own copy, 200 ms after it, has to do.
+	maxOffers = 4
+	// maxPending bounds the opening packets without an answer.
+	maxPending = 4096
+)
+
+// pending is an opening packet that no agent has taken yet.
+type pending struct {
+	key     flow.Key
+	packet  []byte
+	service frame.ServiceID
+	// tried are the agents that did not answer or refused.
+	tried []netip.AddrPort
+	// offered is the list of the last offer.
+	offered []netip.AddrPort
+	offers  int
+	// deadline is when the last offer counts as unanswered.
+	deadline time.Duration
+	done     bool
+}
+
+// pendings holds opening packets in the order of their deadlines. All offers
+// have the same timeout, so a queue is enough.
+type pendings struct {
+	byKey map[flow.Key]*pending
+	queue []*pending
+}
+
+func (p *pendings) push(o *pending) { p.queue = append(p.queue, o) }
+
+func (p *pendings) drop(k flow.Key) {
+	if o := p.byKey[k]; o != nil {
+		o.done = true
+		delete(p.byKey, k)
+	}
+}
+
+// next returns the time until the first deadline.
+func (p *pendings) next(now time.Duration) time.Duration {
+	for len(p.queue) > 0 && p.queue[0].done {
+		p.queue = p.queue[1:]
+	}
+	if len(p.queue) == 0 {
+		p.queue = nil
+		return tickInterval
+	}
+	return max(0, p.queue[0].deadline-now)
+}
+
+// open offers an opening packet to the agents of its service.
+func (c *Core) open(now time.Duration, k flow.Key, p *flow.Packet, b []byte) {
+	c.Counts.Opened++
+	name, ok := c.rules.Service(k.Route(), k.Hash())
+	if !ok {
+		c.Counts.NoRoute++
+		if c.rules != nil {
+			c.reset(k, p)
+		}
+		return
+	}
+	if c.pending.byKey[k] != nil {
+		return
+	}
+	o := &pending{key: k, packet: slices.Clone(b), service: frame.IDOf(name)}
+	if agent, taken := c.hints.Get(now, k, false); taken {
+		if p.Acked < 2 {
+			// The answer of the upstream was lost: the same agent answers again.
+			c.send(&frame.Frame{Kind: frame.Placed, Service: o.service, Balancer: c.self.Peer, Payload: b}, agent)
+			return
+		}
+		o.tried = append(o.tried, agent)
+	}
+	if len(c.pending.byKey) >= maxPending {
+		c.Counts.GivenUp++
+		return
+	}
+	c.pending.byKey[k] = o
+	c.offer(now, o)
+}
+
+// offer sends the packet to the agents that have not been tried yet.
+func (c *Core) offer(now time.Duration, o *pending) {
+	n := c.members.group(o.service).usable.Order(o.key.Hash(), maxNear, c.ids[:maxOffered+len(o.tried)])
+	f := frame.Frame{Kind: frame.Offer, Service: o.service, Balancer: c.self.Peer, Payload: o.packet}
+	o.offered = o.offered[:0]
+	for _, id := range c.ids[:n] {
+		if !slices.Contains(o.tried, id.Addr) && len(f.Candidates) < maxOffered {
+			f.Candidates = append(f.Candidates, frame.Candidate{Addr: id.Addr})
+			o.offered = append(o.offered, id.Addr)
+		}
+	}
+	if len(f.Candidates) == 0 {
+		c.reject(now, o)
+		return
+	}
+	o.offers++
+	o.deadline = now + offerTimeout
+	c.pending.push(o)
+	c.send(&f, o.offered[0])
+}
+
+// reject tells the caller at once that nobody takes the flow. A balancer that
+// has just started may not know the agents yet; the caller's copy comes later.
+func (c *Core) reject(now time.Duration, o *pending) {
+	c.pending.drop(o.key)
+	c.Counts.NoUpstream++
+	if now-c.started < settleTime {
+		return
+	}
+	if p, ok := c.codec.Decode(o.packet); ok {
+		c.reset(o.key, &p)
+	}
+}
+
+// refused offers a packet to the remaining agents after all of a list refused it.
+func (c *Core) refused(now time.Duration, f *frame.Frame, from netip.AddrPort) {
+	c.Counts.Refused++
+	p, ok := c.codec.Decode(f.Payload)
+	if !ok {
+		c.Counts.Foreign++
+		return
+	}
+	o := c.pending.byKey[flow.KeyOf(p.From, p.To)]
+	if o == nil {
+		return
+	}
+	o.done = true
+	again := *o
+	again.done = false
+	again.tried = append(again.tried, again.offered...)
+	if !slices.Contains(again.tried, from) {
+		again.tried = append(again.tried, from)
+	}
+	c.pending.byKey[o.key] = &again
+	c.offer(now, &again)
+}
+
+// retryDue offers packets again whose last offer was not answered in time.
+func (c *Core) retryDue(now time.Duration) {
+	for c.pending.next(now) == 0 {
+		o := c.pending.queue[0]
+		c.pending.queue = c.pending.queue[1:]
+		for _, a := range o.offered {
+			c.members.suspect(now, a, c)
+		}
+		if o.offers >= maxOffers {
+			c.Counts.GivenUp++
+			c.pending.drop(o.key)
+			continue
+		}
+		c.Counts.Retried++
+		o.tried = append(o.tried, o.offered[0])
+		c.offer(now, o)
+	}
+}
--- /dev/null
+++ b/internal/hostd/core.go
@@ -0,0 +1,399 @@
+// Package hostd is the agent of datagram flows. It runs beside one upstream,
+// decides which new flows the upstream takes, and is the authority on which
+// flows the upstream holds.
+package hostd
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/bramleycourse/bramleycourse/internal/flow"
+	"github.com/bramleycourse/bramleycourse/internal/frame"
+	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/place"
+)
+
+const (
+	// maxFlows bounds the flow table: the connections of an upstream and as many
+	// that have ended.
+	maxFlows = 4096
+	// maxTrials bounds the memory of packets passed to the upstream on trial.
+	maxTrials = 1024
+	// openingTimeout is after what time an opening packet counts as unanswered:
+	// an upstream answers within a millisecond.
+	openingTimeout = 300 * time.Millisecond
+	// averageTime is the time constant of the mean load.
+	averageTime = time.Second
+	// tickInterval is how often housekeeping is done.
+	tickInterval = 250 * time.Millisecond
+	// defaultIdle is after what time without a packet a flow is forgotten.
+	defaultIdle = 60 * time.Second
+)
+
+// Self describes the agent.
+type Self struct {
+	Instance ident.Instance
+	Place    ident.PlaceName
+	// Service is the service of the settings; the upstream's own word goes first.
+	Service ident.ServiceName
+	// Hop is the address that other processes send to, Upstream the one of the
+	// upstream on this VM.
+	Hop, Upstream netip.AddrPort
+	// Seq is the version of the first entry; it is higher than that of an
+	// earlier run.
+	Seq ident.Seq
+	// FlowLifetime is the longest time that a flow may last.
+	FlowLifetime time.Duration
+	// Seeds are addresses for messages of balancers that may be running.
+	Seeds []netip.AddrPort
+}
+
+// Core decides what the agent does with each datagram. It is not safe for
+// concurrent use.
+type Core struct {
+	// ToUpstream sends a packet to the upstream, ToCaller to a caller, ToPeer a
+	// datagram to another process. The octets are valid during the call only.
+	ToUpstream func(b []byte)
+	ToCaller   func(b []byte, caller netip.Addr)
+	ToPeer     func(b []byte, to netip.AddrPort)
+	// FindBalancers begins to read the list of balancers from the platform.
+	FindBalancers func()
+	// Log takes changes of what the agent believes.
+	Log *logrus.Entry
+	// Counts is what happened so far.
+	Counts Counts
+
+	self     Self
+	codec    flow.Codec
+	table    *flow.Table
+	upstream upstream
+	// openings are the opening packets that the upstream has not answered yet.
+	openings map[flow.Key]*opening
+	// trials are packets that were passed to the upstream although the table
+	// does not have their flow.
+	trials  map[flow.Key]*trial
+	homes   homes
+	mean    float64
+	meanAt  time.Duration
+	started time.Duration
+	leaving bool
+	// housekeeping is when it is due.
+	housekeeping time.Duration
+	out     []byte
+	frame   frame.Frame
+}
+
+// Counts counts events.
+type Counts struct {
+	Taken, Forwarded, Refused, Foreign, WrongService, Missed, Returned, Recovered, Tried, Reset, Unanswered, Full uint64
+}
+
+// opening is an opening packet at the upstream with the frame that brought it.
+type opening struct {
+	frame frame.Frame
+	at    time.Duration
+}
+
+// trial is a packet at the upstream that may belong to another one.
+type trial struct {
+	frame frame.Frame
+	at    time.Duration
+	// back is set once the upstream has returned the packet.
+	back bool
+}
+
+// NewCore returns the core of an agent that starts now.
+func NewCore(now time.Duration, s Self, c flow.Codec) *Core {
+	co := &Core{
+		self:     s,
+		codec:    c,
+		table:    flow.NewTable(maxFlows),
+		openings: map[flow.Key]*opening{},
+		trials:   map[flow.Key]*trial{},
+		started:  now,
+		meanAt:   now,
+		out:      make([]byte, 0, frame.MaxSize),
+	}
+	co.upstream.service = s.Service
+	co.homes.init(now, s.Seeds)
+	return co
+}
+
+func (c *Core) send(f *frame.Frame, to netip.AddrPort) {
+	c.out = f.Append(c.out[:0])
+	c.ToPeer(c.out, to)
+}
+
+// FromPeer handles a datagram of another process of the system.
+func (c *Core) FromPeer(now time.Duration, b []byte, from netip.AddrPort) {
+	f := &c.frame
+	if !f.Parse(b) {
+		c.Counts.Foreign++
+		return
+	}
+	switch f.Kind {
+	case frame.Offer, frame.Placed:
+		c.offered(now, f)
+	case frame.Data, frame.Walk:
+		c.carry(now, f)
+	case frame.Ping:
+		c.send(&frame.Frame{Kind: frame.Pong}, from)
+	case frame.Entries:
+		c.homes.answered(now, f.Payload, from, c)
+	default:
+		c.Counts.Foreign++
+	}
+}
+
+// Load returns the load of the upstream.
+func (c *Core) Load(now time.Duration) place.Load {
+	busy := c.table.Busy()
+	share := min(1, float64(now-c.meanAt)/float64(averageTime))
+	c.mean += (float64(busy) - c.mean) * share
+	c.meanAt = now
+	return place.Load{
+		Slots:  c.upstream.slots(now),
+		Busy:   busy,
+		Mean:   c.mean,
+		Closed: !c.upstream.accepts() || c.leaving,
+	}
+}
+
+// offered decides on an opening packet.
+func (c *Core) offered(now time.Duration, f *frame.Frame) {
+	p, ok := c.codec.Decode(f.Payload)
+	if !ok {
+		c.Counts.Foreign++
+		return
+	}
+	k := flow.KeyOf(p.From, p.To)
+	if e := c.table.Get(k); e != nil && f.Service == c.upstream.id() {
+		c.repeated(now, k, f)
+		return
+	}
+	l := c.Load(now)
+	if f.Service != c.upstream.id() {
+		c.Counts.WrongService++
+		l.Closed = true
+	}
+	switch place.Decide(l, f) {
+	case place.Take:
+		c.take(now, k, f)
+	case place.Forward:
+		c.Counts.Forwarded++
+		c.send(f, f.Candidates[f.Position].Addr)
+	case place.Refuse:
+		c.refuse(f)
+	}
+}
+
+// repeated passes a copy of an opening packet on to the upstream that got the first one.
+func (c *Core) repeated(now time.Duration, k flow.Key, f *frame.Frame) {
+	if e := c.table.Get(k); e.Answered() {
+		c.tell(k, f.Balancer)
+	} else {
+		c.table.Opening(now, k, f.Balancer)
+	}
+	c.ToUpstream(f.Payload)
+}
+
+func (c *Core) take(now time.Duration, k flow.Key, f *frame.Frame) {
+	if c.table.Opening(now, k, f.Balancer) == nil {
+		c.Counts.Full++
+		c.refuse(f)
+		return
+	}
+	c.Counts.Taken++
+	o := &opening{frame: *f, at: now}
+	o.frame.Candidates, o.frame.Payload = slices.Clone(f.Candidates), nil
+	c.openings[k] = o
+	c.ToUpstream(f.Payload)
+}
+
+func (c *Core) refuse(f *frame.Frame) {
+	c.Counts.Refused++
+	f.Kind = frame.Refused
+	c.send(f, f.Balancer)
+}
+
+// tell tells a balancer that this agent holds a flow.
+func (c *Core) tell(k flow.Key, balancer netip.AddrPort) {
+	if balancer.IsValid() && balancer.Port() != 0 {
+		c.send(&frame.Frame{Kind: frame.Taken, Payload: k[:]}, balancer)
+	}
+}
+
+// carry handles a packet of an open flow.
+func (c *Core) carry(now time.Duration, f *frame.Frame) {
+	p, ok := c.codec.Decode(f.Payload)
+	if !ok {
+		c.Counts.Foreign++
+		return
+	}
+	k := flow.KeyOf(p.From, p.To)
+	if e := c.table.FromCaller(now, k, &p, f.Balancer); e != nil {
+		if !f.Hinted {
+			c.tell(k, f.Balancer)
+		}
+		c.ToUpstream(f.Payload)
+		return
+	}
+	if c.table.Get(k) == nil && (f.Hinted || f.Kind == frame.Walk && f.Trials > 0) && c.try(now, k, f) {
+		return
+	}
+	c.miss(f)
+}
+
+// try passes a packet to the upstream because the agent may have lost the
+// table entry of its flow. Each flow is tried once, and only by an agent that
+// has not run for the longest time that a flow may last.
+func (c *Core) try(now time.Duration, k flow.Key, f *frame.Frame) bool {
+	if now-c.started >= c.self.FlowLifetime || !c.upstream.outlived() {
+		return false
+	}
+	if t := c.trials[k]; t != nil {
+		// Until the answer to the first packet, the next ones wait at the caller.
+		return !t.back && now-t.at < openingTimeout
+	}
+	if len(c.trials) >= maxTrials {
+		return false
+	}
+	c.Counts.Tried++
+	t := &trial{frame: *f, at: now}
+	t.frame.Candidates, t.frame.Payload = slices.Clone(f.Candidates), nil
+	c.trials[k] = t
+	c.ToUpstream(f.Payload)
+	return true
+}
+
+// miss passes a packet on to the next agent of its walk or returns it.
+func (c *Core) miss(f *frame.Frame) {
+	c.Counts.Missed++
+	if f.Kind == frame.Walk && f.Position+1 < len(f.Candidates) {
+		f.Position++
+		c.send(f, f.Candidates[f.Position].Addr)
+		return
+	}
+	if f.Kind == frame.Data {
+		f.Candidates = nil
+	}
+	f.Kind = frame.Missed
+	c.send(f, f.Balancer)
+}
+
+// FromUpstream handles a packet that the upstream sent.
+func (c *Core) FromUpstream(now time.Duration, b []byte) {
+	p, ok := c.codec.Decode(b)
+	if !ok {
+		c.Counts.Foreign++
+		return
+	}
+	if p.Returned {
+		c.returned(now, &p, b)
+		return
+	}
+	c.upstream.heard(now)
+	k := flow.KeyOf(p.To, p.From)
+	e := c.table.FromUpstream(now, k, &p)
+	if e == nil && !p.Rst && !p.Syn {
+		e = c.recover(now, k, &p)
+	}
+	if p.Syn && e != nil && c.openings[k] != nil {
+		delete(c.openings, k)
+		c.tell(k, e.Balancer)
+	}
+	c.ToCaller(b, p.To.Addr())
+}
+
+// recover adds a flow to the table that the upstream turned out to hold.
+func (c *Core) recover(now time.Duration, k flow.Key, p *flow.Packet) *flow.Entry {
+	e := c.table.Learn(now, k)
+	if e == nil {
+		return nil
+	}
+	c.Counts.Recovered++
+	if t := c.trials[k]; t != nil {
+		e.Balancer = t.frame.Balancer
+		delete(c.trials, k)
+		c.tell(k, e.Balancer)
+	}
+	return c.table.FromUpstream(now, k, p)
+}
+
+// returned handles a packet that the upstream did not accept.
+func (c *Core) returned(now time.Duration, p *flow.Packet, b []byte) {
+	c.Counts.Returned++
+	k := flow.KeyOf(p.From, p.To)
+	c.codec.Forget(b)
+	if p.Opens() {
+		c.returnedOpening(k, b)
+		return
+	}
+	if t := c.trials[k]; t != nil && !t.back {
+		t.back = true
+		f := t.frame
+		f.Payload = b
+		f.Trials = 0
+		c.miss(&f)
+		return
+	}
+	if e := c.table.Get(k); e != nil && e.Open() {
+		// The upstream has lost the flow, so nobody holds it.
+		c.table.Drop(k)
+		c.Counts.Reset++
+		c.ToCaller(c.codec.Reset(p), p.From.Addr())
+	}
+}
+
+// returnedOpening offers an opening packet that the upstream has no room for
+// to the other candidates.
+func (c *Core) returnedOpening(k flow.Key, b []byte) {
+	o := c.openings[k]
+	if o == nil {
+		return
+	}
+	delete(c.openings, k)
+	c.table.Drop(k)
+	f := o.frame
+	f.Payload = b
+	if place.Decide(place.Load{Slots: 1, Closed: true}, &f) == place.Forward {
+		c.Counts.Forwarded++
+		c.send(&f, f.Candidates[f.Position].Addr)
+		return
+	}
+	c.refuse(&f)
+}
+
+// Due returns the time until Tick has something to do.
+func (c *Core) Due(now time.Duration) time.Duration { return max(0, c.housekeeping-now) }
+
+// Tick does what is due.
+func (c *Core) Tick(now time.Duration) {
+	if now < c.housekeeping {
+		return
+	}
+	c.housekeeping = now + tickInterval
+	for k, o := range c.openings {
+		if now-o.at >= openingTimeout {
+			delete(c.openings, k)
+			if e := c.table.Get(k); e != nil && !e.Open() {
+				c.table.Drop(k)
+			}
+			c.Counts.Unanswered++
+			c.upstream.unanswered(o.at)
+		}
+	}
+	for k, t := range c.trials {
+		if now-t.at >= c.self.FlowLifetime {
+			delete(c.trials, k)
+		}
+	}
+	c.table.Sweep(now, defaultIdle)
+	if c.upstream.check(now, c.Log) {
+		c.changed(now)
+	}
+	c.homes.tick(now, c)
+}
--- /dev/null
+++ b/internal/hostd/hostd.go
@@ -0,0 +1,200 @@
+package hostd
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/bramleycourse/bramleycourse/internal/drain"
+	"github.com/bramleycourse/bramleycourse/internal/flow"
+	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/node"
+)
+
+const (
+	// minStop lets the word of the stop reach the balancers.
+	minStop = 100 * time.Millisecond
+	// quietStop is the time without a request in progress after which a stop ends.
+	quietStop = 100 * time.Millisecond
+	// stopMargin is kept between the end of a stop and the kill.
+	stopMargin = time.Second
+	stopCheck  = 20 * time.Millisecond
+	// reloadInterval is how often the settings file is looked at.
+	reloadInterval = 2 * time.Second
+	// findTimeout bounds a look at the platform's list of balancers.
+	findTimeout = 3 * time.Second
+)
+
+// Settings are the settings of an agent.
+type Settings struct {
+	Name    string
+	Place   ident.PlaceName
+	Service ident.ServiceName
+	// Hop is the address for other processes, Outbound the one that the upstream
+	// sends to, Upstream the upstream's own, Reports the one for its reports.
+	Hop, Outbound, Upstream, Reports, Ready netip.AddrPort
+	// CallerPort is the port of every caller's VM for packets.
+	CallerPort   uint16
+	Seeds        []netip.AddrPort
+	FlowLifetime time.Duration
+	// StopLimit is the time between the signal to stop and the kill.
+	StopLimit time.Duration
+}
+
+// Host is a running agent.
+type Host struct {
+	settings Settings
+	core     *Core
+	loop     *node.Loop
+	log      *logrus.Entry
+	hop      *node.Socket
+	outbound *node.Socket
+	servers  []*http.Server
+	wg       sync.WaitGroup
+}
+
+// New opens the sockets of an agent. Find reads the platform's list of balancers.
+func New(s Settings, c flow.Codec, find func(context.Context) ([]netip.AddrPort, error), log *logrus.Entry) (*Host, error) {
+	h := &Host{settings: s, loop: node.New(log), log: log}
+	var err error
+	if h.hop, err = node.Listen(s.Hop); err != nil {
+		return nil, errors.Annotatef(err, "packets")
+	}
+	if h.outbound, err = node.Listen(s.Outbound); err != nil {
+		return nil, errors.Annotatef(err, "packets of the upstream")
+	}
+	h.core = NewCore(h.loop.Now(), Self{
+		Instance: ident.NewInstance(), Place: s.Place, Service: s.Service, Hop: s.Hop, Upstream: s.Upstream,
+		Seq: ident.Seq(time.Now().UnixMilli()), FlowLifetime: s.FlowLifetime, Seeds: s.Seeds,
+	}, c)
+	h.core.Log = log
+	h.core.ToPeer = h.hop.Send
+	h.core.ToUpstream = func(b []byte) { h.outbound.Send(b, s.Upstream) }
+	h.core.ToCaller = func(b []byte, caller netip.Addr) { h.hop.Send(b, netip.AddrPortFrom(caller, s.CallerPort)) }
+	h.core.FindBalancers = func() { go h.find(find) }
+	return h, nil
+}
+
+func (h *Host) find(find func(context.Context) ([]netip.AddrPort, error)) {
+	ctx, cancel := context.WithTimeout(context.Background(), findTimeout)
+	defer cancel()
+	as, err := find(ctx)
+	if err != nil {
+		return // The client logs that calls fail; the next look comes later.
+	}
+	h.loop.Do(func(time.Duration) {
+		for _, a := range as {
+			h.core.AddBalancer(a)
+		}
+	})
+}
+
+// Beat takes a report of the upstream.
+func (h *Host) Beat(b Beat) { h.loop.Do(func(now time.Duration) { h.core.OnBeat(now, b) }) }
+
+// UpstreamLeft takes the last word of an upstream.
+func (h *Host) UpstreamLeft(id string, born int64) {
+	h.loop.Do(func(now time.Duration) { h.core.OnLeave(now, id, born) })
+}
+
+// Run serves until a signal to stop has been handled. Reports serves the
+// upstream's reports, reload returns the seeds of a changed settings file.
+func (h *Host) Run(signals <-chan os.Signal, reports http.Handler, reload func() ([]netip.AddrPort, bool)) error {
+	for a, handler := range map[netip.AddrPort]http.Handler{h.settings.Reports: reports, h.settings.Ready: ready} {
+		if !a.IsValid() {
+			continue
+		}
+		s, err := node.ServeHTTP(a, handler, h.log)
+		if err != nil {
+			return err
+		}
+		h.servers = append(h.servers, s)
+	}
+	h.loop.Attach(node.Ticker{Tick: h.core.Tick, Due: h.core.Due})
+	h.spawn(func() { h.loop.Serve(h.hop, h.core.FromPeer) })
+	h.spawn(func() {
+		h.loop.Serve(h.outbound, func(now time.Duration, b []byte, _ netip.AddrPort) { h.core.FromUpstream(now, b) })
+	})
+	h.log.WithFields(logrus.Fields{
+		"event": "start", "place": h.settings.Place, "service": h.settings.Service, "hop": h.settings.Hop, "seeds": h.settings.Seeds,
+	}).Info("agent started")
+	h.control(signals, reload)
+	h.close()
+	h.log.WithField("event", "stop").WithField("counts", h.core.Counts).Info("agent stopped")
+	return nil
+}
+
+// ready answers readiness checks: an agent that runs is ready, and says itself
+// whether it takes new flows.
+var ready = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	// A failed write means that the check has hung up; it asks again.
+	_, _ = io.WriteString(w, "ready\n")
+})
+
+func (h *Host) spawn(run func()) {
+	h.wg.Add(1)
+	go func() {
+		defer h.wg.Done()
+		run()
+	}()
+}
+
+func (h *Host) close() {
+	h.loop.Close()
+	for _, s := range h.servers {
+		// Connections that are still open belong to the upstream, which reports again.
+		_ = s.Close()
+	}
+	_ = h.hop.Close()
+	_ = h.outbound.Close()
+	h.wg.Wait()
+}
+
+// control handles signals until the agent may end.
+func (h *Host) control(signals <-chan os.Signal, reload func() ([]netip.AddrPort, bool)) {
+	m := drain.New(drain.Limits{Minimum: minStop, Quiet: quietStop, Limit: max(minStop, h.settings.StopLimit-stopMargin)})
+	check := time.NewTicker(reloadInterval)
+	defer check.Stop()
+	stopping := false
+	for {
+		select {
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				h.reload(reload)
+				continue
+			}
+			h.log.WithFields(logrus.Fields{"event": "signal", "signal": s.String()}).Info("signal to stop")
+			if m.Signal(time.Now()) == drain.Cut {
+				return
+			}
+			stopping = true
+			h.loop.Do(h.core.Leave)
+			check.Reset(stopCheck)
+		case <-check.C:
+			if !stopping {
+				h.reload(reload)
+				continue
+			}
+			busy := false
+			h.loop.Do(func(time.Duration) { busy = h.core.Busy() > 0 && !h.core.Gone() })
+			if m.Check(time.Now(), busy) != drain.None {
+				return
+			}
+		}
+	}
+}
+
+func (h *Host) reload(reload func() ([]netip.AddrPort, bool)) {
+	if seeds, changed := reload(); changed {
+		h.log.WithField("event", "reload").WithField("seeds", seeds).Info("settings changed")
+		h.loop.Do(func(time.Duration) { h.core.SetSeeds(seeds) })
+	}
+}
--- /dev/null
+++ b/internal/hostd/upstream.go
@@ -0,0 +1,179 @@
+package hostd
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/bramleycourse/bramleycourse/internal/frame"
+	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/view"
+)
+
+// Beat is a report of the upstream about itself.
+type Beat struct {
+	// ID names the upstream; it may be used again by a later start.
+	ID string
+	// Born is the time of the upstream's start in Unix milliseconds. Together
+	// with Seq it orders the reports.
+	Born int64
+	Seq  int64
+	// Service is the service that the upstream serves.
+	Service ident.ServiceName
+	// Addr is the address that the upstream takes packets at.
+	Addr netip.AddrPort
+	// Slots is how many requests it works on at once.
+	Slots int
+	// Leaving is set when the upstream wants no new flows.
+	Leaving bool
+	// Cold is how much longer the upstream is slow after its start.
+	Cold time.Duration
+}
+
+const (
+	// coldFactor is the share of its slots that a cold upstream counts with.
+	coldFactor = 0.6
+	// silentBeats is after how many missing reports an upstream counts as dead.
+	silentBeats = 2.5
+	// silentOpenings is after how many unanswered opening packets in a row it does.
+	silentOpenings = 2
+	// defaultBeat is the interval of reports until two were seen.
+	defaultBeat = time.Second
+)
+
+// upstream is what the agent knows of its upstream.
+type upstream struct {
+	service  ident.ServiceName
+	known    bool
+	gone     bool
+	last     Beat
+	beatAt   time.Duration
+	interval time.Duration
+	coldTill time.Duration
+	// spoke is when the upstream last sent a packet.
+	spoke time.Duration
+	// silent counts opening packets without an answer since then.
+	silent int
+	// down is set while the upstream seems to be dead.
+	down bool
+	// old is set if the first report was not the upstream's first one: it ran
+	// before the agent did.
+	old bool
+}
+
+func (u *upstream) id() frame.ServiceID { return frame.IDOf(u.service) }
+
+func (u *upstream) accepts() bool { return u.known && !u.gone && !u.down && !u.last.Leaving }
+
+// outlived reports whether the upstream may hold flows of an earlier run of the agent.
+func (u *upstream) outlived() bool { return !u.gone && (!u.known || u.old) }
+
+func (u *upstream) slots(now time.Duration) float64 {
+	n := float64(max(1, u.last.Slots))
+	if now < u.coldTill {
+		n *= coldFactor
+	}
+	return n
+}
+
+func (u *upstream) heard(now time.Duration) {
+	u.spoke, u.silent = now, 0
+	u.down = false
+}
+
+func (u *upstream) unanswered(at time.Duration) {
+	if at > u.spoke {
+		u.silent++
+	}
+}
+
+// check finds out whether the upstream still lives and reports a change.
+func (u *upstream) check(now time.Duration, log *logrus.Entry) bool {
+	if !u.known || u.gone || u.down {
+		return false
+	}
+	overdue := float64(now-u.beatAt) > silentBeats*float64(max(u.interval, defaultBeat)) && now-u.spoke > u.interval
+	if u.silent < silentOpenings && !overdue {
+		return false
+	}
+	u.down = true
+	log.WithFields(logrus.Fields{
+		"event": "upstreamDown", "upstream": u.last.ID, "sinceReport": now - u.beatAt,
+		"sincePacket": now - u.spoke, "unansweredOpenings": u.silent,
+	}).Warn("upstream does not answer")
+	return true
+}
+
+func (u *upstream) state() view.State {
+	switch {
+	case u.gone:
+		return view.Gone
+	case u.accepts():
+		return view.Serving
+	}
+	return view.Draining
+}
+
+// older reports whether a report was sent before the last one.
+func (u *upstream) older(b *Beat) bool {
+	if !u.known || b.Born != u.last.Born {
+		return u.known && b.Born < u.last.Born
+	}
+	return b.Seq <= u.last.Seq
+}
+
+// OnBeat takes a report of the upstream. Late reports change nothing.
+func (c *Core) OnBeat(now time.Duration, b Beat) {
+	u := &c.upstream
+	if u.older(&b) {
+		c.Log.WithFields(logrus.Fields{
+			"event": "lateReport", "upstream": b.ID, "born": b.Born, "seq": b.Seq,
+			"knownBorn": u.last.Born, "knownSeq": u.last.Seq,
+		}).Info("late report ignored")
+		return
+	}
+	before, beforeService := u.state(), u.service
+	restarted := u.known && b.Born != u.last.Born
+	if !u.known {
+		u.old = b.Seq > 1
+	}
+	if restarted {
+		// The flows of the earlier start are gone with it.
+		c.table.Clear()
+		clear(c.openings)
+		u.old = false
+	}
+	if u.known && !restarted && u.beatAt > 0 {
+		u.interval = now - u.beatAt
+	}
+	wasKnown := u.known
+	u.known, u.gone, u.down, u.last, u.beatAt, u.service = true, false, false, b, now, b.Service
+	u.silent = 0
+	u.coldTill = now + b.Cold
+	if b.Cold <= 0 {
+		u.coldTill = 0
+	}
+	if !wasKnown || restarted || before != u.state() || beforeService != u.service {
+		c.Log.WithFields(logrus.Fields{
+			"event": "upstream", "upstream": b.ID, "service": b.Service, "state": u.state(), "before": before,
+			"born": b.Born, "seq": b.Seq, "slots": b.Slots, "restarted": restarted, "outlived": u.old,
+		}).Info("upstream reported")
+		c.changed(now)
+	}
+}
+
+// OnLeave takes the word of the upstream with the given name that it is gone.
+func (c *Core) OnLeave(now time.Duration, id string, born int64) {
+	u := &c.upstream
+	if u.known && (u.last.ID != id || born > 0 && born < u.last.Born) {
+		c.Log.WithFields(logrus.Fields{"event": "lateLeave", "upstream": id, "known": u.last.ID}).Info("late sign-off ignored")
+		return
+	}
+	if u.gone {
+		return
+	}
+	u.known, u.gone = true, true
+	c.Log.WithFields(logrus.Fields{"event": "upstreamGone", "upstream": id}).Info("upstream has left")
+	c.changed(now)
+}
--- a/internal/plat/fuzz_test.go
+++ b/internal/plat/fuzz_test.go
@@ -8,8 +8,8 @@
 	f.Add([]byte(`{"version": 3, "objects": [{"name": "a", "version": 2, "value": {}}]}`))
 	f.Add([]byte(`{"version": 1, "objects": [{"name": "a", "version": 2, "deleted": true}]}`))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		var l List
-		if parseList(b, &l) != nil {
+		l, err := parseList(b)
+		if err != nil {
 			if len(l.Objects) != 0 {
 				t.Fatalf("a refused answer left %d objects", len(l.Objects))
 			}
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -9,8 +9,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -98,6 +96,61 @@
 	Reads, Writes, Watches, Failures atomic.Uint64
 }
 
+// Verb says what a call does.
+type Verb uint8
+
+// Verbs of the object API.
+const (
+	GetVerb Verb = iota + 1
+	ListVerb
+	WatchVerb
+	PutVerb
+	DeleteVerb
+)
+
+// Op is one call of the object API.
+type Op struct {
+	Verb Verb
+	Kind Kind
+	// Name is empty for ListVerb and WatchVerb.
+	Name string
+	// Current is the version that a write is conditional on; zero means that the
+	// object must not exist.
+	Current Version
+	// Since and Wait are set for WatchVerb.
+	Since Version
+	Wait  time.Duration
+	// After is the name after which a list continues.
+	After string
+	// Value is the value to write.
+	Value []byte
+}
+
+// Call is an encoded call.
+type Call struct {
+	Method string
+	// Target is the path and the query.
+	Target string
+	Header http.Header
+	Body   []byte
+}
+
+// Answer is the answer to a call as it was received.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Wire is the format of a platform's object API.
+type Wire struct {
+	// Encode returns the call of an operation.
+	Encode func(Op) (Call, error)
+	// Decode returns the content of an answer, or one of the errors of this
+	// package. more is the name after which a list continues.
+	Decode func(op Op, a Answer) (l List, more string, err error)
+}
+
 // Client calls the object API.
 type Client struct {
 	// Calls counts every call, including failed ones.
@@ -109,35 +162,59 @@
 	base    string
 	timeout time.Duration
 	http    *http.Client
+	wire    Wire
 }
 
+// Option changes a client.
+type Option func(*Client)
+
+// WithWire makes the client speak another format than the project's own.
+func WithWire(w Wire) Option { return func(c *Client) { c.wire = w } }
+
+// WithTransport sets how the client connects.
+func WithTransport(t http.RoundTripper) Option { return func(c *Client) { c.http.Transport = t } }
+
 // New returns a client of the API at the base URL.
-func New(base string, timeout time.Duration) *Client {
-	return &Client{base: base, timeout: timeout, http: &http.Client{}}
+func New(base string, timeout time.Duration, options ...Option) *Client {
+	c := &Client{base: base, timeout: timeout, http: &http.Client{}, wire: ownWire}
+	for _, o := range options {
+		o(c)
+	}
+	return c
 }
 
 // Get reads one object.
 func (c *Client) Get(ctx context.Context, k Kind, name string) (Object, error) {
 	c.Calls.Reads.Add(1)
-	var o Object
-	err := c.call(ctx, http.MethodGet, c.path(k, name), nil, nil, &o, c.timeout, k, name)
-	return o, err
+	l, err := c.call(ctx, Op{Verb: GetVerb, Kind: k, Name: name}, c.timeout)
+	return l.first(), err
 }
 
 // List reads all objects of a kind.
 func (c *Client) List(ctx context.Context, k Kind) (List, error) {
-	c.Calls.Reads.Add(1)
-	var l List
-	err := c.call(ctx, http.MethodGet, c.path(k, ""), nil, nil, &l, c.timeout, k, "")
-	return l, err
+	var all List
+	for o := (Op{Verb: ListVerb, Kind: k}); ; {
+		c.Calls.Reads.Add(1)
+		l, more, err := c.page(ctx, o, c.timeout)
+		if err != nil {
+			return List{}, err
+		}
+		// The version of the first page is the one that changes are watched from.
+		if o.After == "" {
+			all.Version = l.Version
+		}
+		all.Objects = append(all.Objects, l.Objects...)
+		if more == "" {
+			return all, nil
+		}
+		o.After = more
+	}
 }
 
 // Watch waits up to the given time for changes after a version.
 func (c *Client) Watch(ctx context.Context, k Kind, since Version, wait time.Duration) (List, error) {
 	c.Calls.Watches.Add(1)
-	var l List
-	path := fmt.Sprintf("%s?watch=1&since=%d&waitMillis=%d", c.path(k, ""), since, wait.Milliseconds())
-	err := c.call(ctx, http.MethodGet, path, nil, nil, &l, wait+c.timeout, k, "")
+	l, err := c.call(ctx, Op{Verb: WatchVerb, Kind: k, Since: since, Wait: wait}, wait+c.timeout)
 	var gone *GoneError
 	if errors.As(err, &gone) {
 		gone.Since = since
@@ -157,102 +234,65 @@
 }
 
 func (c *Client) put(ctx context.Context, k Kind, name string, b []byte, current Version) (Version, error) {
-	var o Object
-	err := c.call(ctx, http.MethodPut, c.path(k, name), condition(current), b, &o, c.timeout, k, name)
+	l, err := c.call(ctx, Op{Verb: PutVerb, Kind: k, Name: name, Value: b, Current: current}, c.timeout)
 	var conflict *ConflictError
 	if errors.As(err, &conflict) {
 		conflict.Expected = current
 	}
-	return o.Version, err
+	return l.first().Version, err
 }
 
 // Delete removes an object if its current version is the given one.
 func (c *Client) Delete(ctx context.Context, k Kind, name string, current Version) error {
 	c.Calls.Writes.Add(1)
-	return c.call(ctx, http.MethodDelete, c.path(k, name), condition(current), nil, nil, c.timeout, k, name)
-}
-
-func (c *Client) path(k Kind, name string) string {
-	p := c.base + "/v1/objects/" + string(k)
-	if name != "" {
-		p += "/" + url.PathEscape(name)
-	}
-	return p
+	_, err := c.call(ctx, Op{Verb: DeleteVerb, Kind: k, Name: name, Current: current}, c.timeout)
+	return err
 }
 
-func condition(v Version) http.Header {
-	h := http.Header{}
-	if v == 0 {
-		h.Set("If-None-Match", "*")
-	} else {
-		h.Set("If-Match", strconv.Quote(strconv.FormatUint(uint64(v), 10)))
+// first returns the only object of an answer that is not a list.
+func (l *List) first() Object {
+	if len(l.Objects) == 0 {
+		return Object{}
 	}
-	return h
+	return l.Objects[0]
 }
 
 // maxAnswer bounds the answer to a list call: 4,500 objects of 500 octets and room.
 const maxAnswer = 16 << 20
 
-func (c *Client) call(ctx context.Context, method, address string, h http.Header, body []byte, out any, timeout time.Duration, k Kind, name string) error {
+func (c *Client) call(ctx context.Context, o Op, timeout time.Duration) (List, error) {
+	l, _, err := c.page(ctx, o, timeout)
+	return l, err
+}
+
+func (c *Client) page(ctx context.Context, o Op, timeout time.Duration) (List, string, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
+	e, err := c.wire.Encode(o)
+	if err != nil {
+		return List{}, "", errors.Trace(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, e.Method, c.base+e.Target, bytes.NewReader(e.Body))
 	if err != nil {
-		return errors.Trace(err)
+		return List{}, "", errors.Trace(err)
 	}
-	for key, v := range h {
+	for key, v := range e.Header {
 		req.Header[key] = v
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return c.failed(errors.Annotatef(err, "platform call"))
+		return List{}, "", c.failed(errors.Annotatef(err, "platform call"))
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
-		return c.failed(errors.Annotatef(err, "platform answer"))
+		return List{}, "", c.failed(errors.Annotatef(err, "platform answer"))
 	}
-	err = c.result(resp, b, out, k, name)
+	l, more, err := c.wire.Decode(o, Answer{resp.StatusCode, resp.Header, b})
 	var status *StatusError
-	if !errors.As(err, &status) {
-		c.report.note(c.Log, time.Now(), nil)
-	}
-	return err
-}
-
-func (c *Client) result(resp *http.Response, b []byte, out any, k Kind, name string) error {
-	switch resp.StatusCode {
-	case http.StatusOK, http.StatusCreated:
-		if l, ok := out.(*List); ok {
-			return parseList(b, l)
-		}
-		return errors.Trace(json.Unmarshal(b, out))
-	case http.StatusNoContent:
-		return nil
-	case http.StatusNotFound:
-		return &NotFoundError{k, name}
-	case http.StatusGone:
-		return &GoneError{}
-	case http.StatusPreconditionFailed:
-		v, _ := strconv.Unquote(resp.Header.Get("ETag"))
-		n, _ := strconv.ParseUint(v, 10, 64)
-		return &ConflictError{Kind: k, Name: name, Current: Version(n)}
-	}
-	return c.failed(&StatusError{resp.StatusCode, k, name})
-}
-
-// parseList decodes the answer to a list or watch call. It refuses objects
-// that could not be told apart or ordered.
-func parseList(b []byte, l *List) error {
-	if err := json.Unmarshal(b, l); err != nil {
-		*l = List{}
-		return errors.Trace(err)
-	}
-	for _, o := range l.Objects {
-		if o.Name == "" || o.Version == 0 || o.Version > l.Version {
-			*l = List{}
-			return errors.Errorf("platform answered with object %q of version %d in a list of version %d", o.Name, o.Version, l.Version)
-		}
+	if errors.As(err, &status) {
+		return List{}, "", c.failed(err)
 	}
-	return nil
+	c.report.note(c.Log, time.Now(), nil)
+	return l, more, err
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -97,28 +97,60 @@
 // ID to h by weighted rendezvous hashing. All balancers with the same view and
 // region compute the same list. Endpoints of other regions only fill the list.
 func (t *Table) Candidates(tag ident.ServiceTag, id []byte, h *encap.Header) {
-	flow := xxhash.Sum64(id)
+	var ids [encap.MaxCandidates]ident.EndpointID
 	s := t.services[tag]
-	h.Position = 0
-	n := rank(flow, s.local, h.Candidates[:])
-	if n < encap.MaxCandidates {
-		n += rank(flow, s.remote, h.Candidates[n:])
+	n := s.order(xxhash.Sum64(id), len(ids), ids[:])
+	for i, e := range ids[:n] {
+		h.Candidates[i] = encap.Candidate{Endpoint: e}
 	}
+	h.Position = 0
 	h.Count = uint8(n)
 }
 
+// order writes the endpoints in the order in which they are preferred for a
+// flow: at most near local ones, then remote ones. It returns their number.
+func (s *service) order(flow uint64, near int, out []ident.EndpointID) int {
+	n := rank(flow, s.local, out[:min(near, len(out))])
+	if n < len(out) {
+		n += rank(flow, s.remote, out[n:])
+	}
+	return n
+}
+
+// Group is the usable endpoints of one service. It is immutable.
+type Group struct{ service }
+
+// NewGroup builds a group and leaves out the same endpoints as NewTable.
+func NewGroup(es []Endpoint) *Group { return &Group{newService(slices.Clone(es))} }
+
+// Len returns the number of usable endpoints.
+func (g *Group) Len() int { return len(g.local) + len(g.remote) }
+
+// Order writes the endpoints to out in the order of preference for the flow
+// with the given hash and returns their number: at most near endpoints that are
+// not remote, then remote ones. It writes at most MaxOrder.
+func (g *Group) Order(flow uint64, near int, out []ident.EndpointID) int {
+	return g.order(flow, near, out[:min(len(out), MaxOrder)])
+}
+
+// MaxOrder is the number of endpoints that an order has at most.
+const MaxOrder = 64
+
 // rank writes the endpoints with the smallest scores to out, best first, and
 // returns their number. A score is an exponential variate with the endpoint's
 // weight as its rate, so the smallest one falls on each endpoint with a
 // probability in proportion to its weight.
-func rank(flow uint64, es []ranked, out []encap.Candidate) int {
-	var best [encap.MaxCandidates]float64
+func rank(flow uint64, es []ranked, out []ident.EndpointID) int {
+	var best [MaxOrder]float64
 	n := 0
 	for i := range es {
 		e := &es[i]
 		u := (float64(mix(flow^e.hash)>>11) + 0.5) / (1 << 53)
 		j := n
 		if n == len(out) {
+			if n == 0 {
+				return 0
+			}
 			j = n - 1
 			// 1-u is a lower bound of -ln u and spares the logarithm of most endpoints.
 			if (1-u)*e.mean >= best[j] {
@@ -134,7 +166,7 @@
 		for ; j > 0 && s < best[j-1]; j-- {
 			best[j], out[j] = best[j-1], out[j-1]
 		}
-		best[j], out[j] = s, encap.Candidate{Endpoint: e.id}
+		best[j], out[j] = s, e.id
 	}
 	return n
 }
