Recover at once after all processes ended; notice configurations behind silent watches

(2) After a restart of everything the agents waited up to 0.8 s for the first report, balancers up to a second for announcements, and opening packets were dropped meanwhile. (3) Flows that nobody held were reset only 5 s after a start. (4) Agents without an upstream, which come back too, swallowed packets that they tried, and walks ended at machines that were taken away.

Change: watch calls of all balancers are spread to one in 0.8 s, and a new generation is told to all peers; the platform keeps a list of agents that a balancer reads at its start; opening packets wait for it; agents presume that their upstream serves until it fails to answer within 50 ms; flows that no agent holds are reset at once where the request may be repeated; lookups that nobody answers lead to Pings; an agent that ends without a word gives its repeatable flows up after 0.6 s.

Ruled out: stale entries of released agents as the reason for unanswered requests at 38 to 43 s (removing them before the exit changed nothing).

--- a/cmd/bramleyflow/roles.go
+++ b/cmd/bramleyflow/roles.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"net/netip"
 	"os"
 	"slices"
@@ -48,13 +47,11 @@
 		return err
 	}
 	log := out.NewLog("agent", s.Name)
-	store := newStore(s, log)
-	find := func(ctx context.Context) ([]netip.AddrPort, error) { return front.ListBalancers(ctx, store) }
 	h, err := hostd.New(hostd.Settings{
 		Name: s.Name, Place: s.Place, Service: s.Service, Hop: s.Hop, Outbound: s.Outbound,
 		Upstream: s.Upstream, Reports: s.Reports, Ready: s.Ready, CallerPort: s.Hop.Port(),
 		Seeds: s.Seeds, FlowLifetime: s.FlowLifetime, StopLimit: s.StopLimit,
-	}, platform.Codec, find, log)
+	}, platform.Codec, newStore(s, log), log)
 	if err != nil {
 		return err
 	}
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -56,6 +56,9 @@
 	ToCaller func(b []byte, caller netip.Addr)
 	// Fetch begins to read the configuration of another balancer.
 	Fetch func(from netip.AddrPort)
+	// Forgotten is called with the address of an agent that has not answered for
+	// so long that it counts as gone.
+	Forgotten func(agent netip.AddrPort)
 	// Log takes changes of what the balancer believes.
 	Log *logrus.Entry
 	// Counts is what happened so far.
@@ -68,21 +71,24 @@
 	members members
 	view    *view.View
 	pending pendings
+	lookups lookups
 	walks   map[flow.Key]time.Duration
 	// started is when the balancer started, by the clock of now.
 	started time.Duration
 	stopped bool
-	// housekeeping is when it is due.
-	housekeeping time.Duration
-	peers        peers
-	out     []byte
-	frame   frame.Frame
-	ids     [route.MaxOrder]ident.EndpointID
+	// listed is set once the platform's list of agents was read.
+	listed bool
+	// housekeeping is when it is due, ticked when Tick was last called.
+	housekeeping, ticked time.Duration
+	peers                peers
+	out                  []byte
+	frame                frame.Frame
+	ids                  [route.MaxOrder]ident.EndpointID
 }
 
 // Counts counts events.
 type Counts struct {
-	Opened, Carried, Foreign, NoRoute, NoUpstream, Retried, GivenUp, Refused, Missed, Walked, Lost uint64
+	Opened, Carried, Foreign, NoRoute, NoUpstream, Retried, GivenUp, Refused, Missed, Walked, Lost, Reset uint64
 }
 
 // NewCore returns the core of a balancer that starts now.
@@ -93,6 +99,7 @@
 		hints:   flow.NewHints(s.FlowLifetime, hintLinger, maxHints),
 		view:    view.New(),
 		pending: pendings{byKey: map[flow.Key]*pending{}},
+		lookups: lookups{byKey: map[flow.Key]*lookup{}},
 		walks:   map[flow.Key]time.Duration{},
 		started: now,
 		out:     make([]byte, 0, frame.MaxSize),
@@ -139,6 +146,10 @@
 	c.Counts.Carried++
 	f := frame.Frame{Kind: frame.Data, Trials: 1, Balancer: c.self.Peer, Payload: b}
 	if agent, ok := c.hints.Get(now, k, p.Fin || p.Rst); ok {
+		if c.members.lost(now, agent) {
+			c.abandon(k, p, agent)
+			return
+		}
 		f.Hinted = true
 		c.send(&f, agent)
 		return
@@ -151,12 +162,26 @@
 	f.Service = frame.IDOf(name)
 	g := c.members.group(f.Service)
 	if n := g.all.Order(k.Hash(), maxNear, c.ids[:1]); n > 0 {
+		c.lookups.begin(now, k, c.ids[0].Addr)
 		c.send(&f, c.ids[0].Addr)
 		return
 	}
 	c.lost(now, k, p)
 }
 
+// abandon resets a flow whose agent has ended without a word. Its caller then
+// sends the request again on another flow, where that is allowed.
+func (c *Core) abandon(k flow.Key, p *flow.Packet, agent netip.AddrPort) {
+	r := c.rules.Route(k.Route())
+	if p.Rst || r == nil || !r.Repeatable {
+		return
+	}
+	c.hints.Drop(k, agent)
+	c.Counts.Reset++
+	c.reset(k, p)
+	c.decision("flowAbandoned", k, "reset").WithFields(logrus.Fields{"agent": agent, "seq": p.Seq}).Warn("agent of the flow does not answer")
+}
+
 // missed looks for the agent of a flow after one has said that it does not hold it.
 func (c *Core) missed(now time.Duration, f *frame.Frame, from netip.AddrPort) {
 	p, ok := c.codec.Decode(f.Payload)
@@ -167,12 +192,18 @@
 	c.Counts.Missed++
 	k := flow.KeyOf(p.From, p.To)
 	c.hints.Drop(k, from)
+	c.lookups.end(k)
 	if len(f.Candidates) > 0 {
 		c.lost(now, k, &p)
 		return
 	}
 	w := frame.Frame{Kind: frame.Walk, Balancer: c.self.Peer, Payload: f.Payload}
-	for _, s := range c.rules.Services(k.Route()) {
+	r := c.rules.Route(k.Route())
+	if r == nil {
+		c.Counts.NoRoute++
+		return
+	}
+	for _, s := range r.Shares {
 		w.Service = frame.IDOf(s.Service)
 		n := c.members.group(w.Service).all.Order(k.Hash(), route.MaxOrder, c.ids[:])
 		for _, id := range c.ids[:n] {
@@ -191,6 +222,11 @@
 		w.Trials = 1
 	}
 	c.Counts.Walked++
+	asked := make([]netip.AddrPort, len(w.Candidates))
+	for i, a := range w.Candidates {
+		asked[i] = a.Addr
+	}
+	c.lookups.begin(now, k, asked...)
 	c.send(&w, w.Candidates[0].Addr)
 }
 
@@ -198,27 +234,60 @@
 // without a table may pass to their upstreams.
 const walkInterval = 2500 * time.Millisecond
 
-// lost resets a flow that no agent holds. It does so only if every agent of the
-// service was asked: the flow of an agent that is down may still be open.
+// lost resets a flow that no agent holds, so that its caller sends the request
+// again on another flow. It does so only if every agent of the service was
+// asked, because the flow of an agent that is down may still be open, and only
+// where the request may be repeated: another one may have run, and its answer
+// may still come.
 func (c *Core) lost(now time.Duration, k flow.Key, p *flow.Packet) {
 	c.Counts.Lost++
-	if p.Rst || now-c.started < settleTime {
+	r := c.rules.Route(k.Route())
+	if p.Rst || r == nil {
 		return
 	}
-	for _, s := range c.rules.Services(k.Route()) {
-		if c.members.group(frame.IDOf(s.Service)).absent > 0 {
-			return
-		}
+	absent := 0
+	for _, s := range r.Shares {
+		absent += c.members.group(frame.IDOf(s.Service)).absent
 	}
-	if len(c.rules.Services(k.Route())) == 0 {
-		return
+	reset := r.Repeatable && c.settled(now) && absent == 0
+	outcome := "dropped"
+	if reset {
+		outcome = "reset"
+		c.Counts.Reset++
+		c.reset(k, p)
 	}
-	c.reset(k, p)
+	c.decision("flowLost", k, outcome).WithFields(logrus.Fields{
+		"seq": p.Seq, "size": p.Size, "repeatable": r.Repeatable, "settled": c.settled(now), "absentAgents": absent,
+	}).Warn("no agent holds the flow")
+}
+
+// decision begins the log line of a decision about a flow.
+func (c *Core) decision(event string, k flow.Key, outcome string) *logrus.Entry {
+	return c.Log.WithFields(logrus.Fields{
+		"event": event, "flow": k, "outcome": outcome, "generation": c.rules.Generation(),
+	})
 }
 
-// settleTime is after what time a balancer knows the agents: they announce
-// themselves every second.
-const settleTime = 5 * time.Second
+// settleTime is after what time a balancer knows the agents if it could not
+// read the platform's list: they announce themselves every second.
+const settleTime = 3 * time.Second
+
+// settled reports whether the balancer knows all agents.
+func (c *Core) settled(now time.Duration) bool { return c.listed || now-c.started >= settleTime }
+
+// Listed makes the agents of the platform's list known. Their own words go
+// first: an entry of the list only stands in until the agent has announced itself.
+func (c *Core) Listed(now time.Duration, agents []view.Entry) {
+	var items []view.Item
+	for _, e := range agents {
+		if b := c.members.byAddr[e.Key.Hop]; b == nil {
+			items = append(items, view.Item{Entry: e})
+		}
+	}
+	c.listed = true
+	c.adopt(now, items)
+	c.retryHeld(now)
+}
 
 func (c *Core) reset(k flow.Key, p *flow.Packet) { c.ToCaller(c.codec.Reset(p), k.Caller().Addr()) }
 
@@ -260,11 +329,14 @@
 	k := flow.Key(f.Payload)
 	c.hints.Put(now, k, from)
 	c.pending.drop(k)
+	c.lookups.end(k)
 }
 
 // Tick does what is due.
 func (c *Core) Tick(now time.Duration) {
+	c.noticePause(now)
 	c.retryDue(now)
+	c.checkLookups(now)
 	if c.members.checking > 0 || now >= c.housekeeping {
 		c.members.tick(now, c)
 	}
@@ -279,11 +351,12 @@
 		}
 	}
 	c.exchange(now)
+	c.fetchAhead(now)
 }
 
 // Due returns the time until Tick has something to do.
 func (c *Core) Due(now time.Duration) time.Duration {
-	d := min(c.pending.next(now), max(0, c.housekeeping-now))
+	d := min(c.pending.next(now), c.lookups.next(now), max(0, c.housekeeping-now))
 	if c.members.checking > 0 {
 		d = min(d, pingTimeout/3)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -60,6 +60,8 @@
 	servers  []*http.Server
 	// ready is set while the balancer has a configuration and does not stop.
 	ready, stopping atomic.Bool
+	// cancelWatch ends the present watch call.
+	cancelWatch atomic.Pointer[context.CancelFunc]
 	// packets counts callers' packets; guarded by the loop.
 	packets uint64
 	done    chan struct{}
@@ -98,6 +100,11 @@
 	f.core.ToAgent = f.peer.Send
 	port := s.Hop.Port()
 	f.core.ToCaller = func(b []byte, caller netip.Addr) { f.hop.Send(b, netip.AddrPortFrom(caller, port)) }
+	f.core.Forgotten = func(agent netip.AddrPort) {
+		if f.core.First() {
+			go f.strike(agent)
+		}
+	}
 	f.core.Fetch = func(from netip.AddrPort) { go f.fetch(from) }
 	return f, nil
 }
--- a/internal/front/member.go
+++ b/internal/front/member.go
@@ -16,6 +16,12 @@
 	pingTimeout = 60 * time.Millisecond
 	// downInterval is the time between two Pings to an agent that is down.
 	downInterval = 250 * time.Millisecond
+	// lostTime is for how long an agent must be down until its flows are given
+	// up: two more Pings have gone unanswered by then, and a processor quota
+	// holds a process up for at most a tenth of a second.
+	lostTime = 600 * time.Millisecond
+	// pauseTime is how late a tick comes if the balancer did not run.
+	pauseTime = 2 * tickInterval
 	// forgetTime is after what time an agent that is down counts as gone: the
 	// longest cut that an agent is expected to come back from.
 	forgetTime = 20 * time.Second
@@ -151,6 +157,32 @@
 	}
 }
 
+// lost reports whether an agent that was serving has not answered for so long
+// that its flows are given up. An agent that said that it stops may come back
+// to them.
+func (m *members) lost(now time.Duration, a netip.AddrPort) bool {
+	b := m.byAddr[a]
+	return b != nil && b.downAt > 0 && now-b.downAt >= lostTime && b.entry.State == view.Serving
+}
+
+// noticePause restarts all waits for an answer after the balancer itself did
+// not run for a while: the answers may lie unread in its sockets.
+func (c *Core) noticePause(now time.Duration) {
+	paused := now-c.ticked >= pauseTime
+	c.ticked = now
+	if !paused {
+		return
+	}
+	for _, b := range c.members.byAddr {
+		if b.pinged > 0 {
+			b.pinged = now
+		}
+		if b.downAt > 0 {
+			b.downAt = now
+		}
+	}
+}
+
 // tick marks agents that do not answer and pings those that are down.
 func (m *members) tick(now time.Duration, c *Core) {
 	changed := false
@@ -169,6 +201,7 @@
 			e := b.entry
 			e.State = view.Gone
 			c.adopt(now, []view.Item{{Entry: e}})
+			c.Forgotten(a)
 			return
 		}
 	}
--- a/internal/front/offer.go
+++ b/internal/front/offer.go
@@ -116,13 +116,15 @@
 }
 
 // reject tells the caller at once that nobody takes the flow. A balancer that
-// has just started may not know the agents yet; the caller's copy comes later.
+// has just started and does not know the agents yet keeps the packet until it does.
 func (c *Core) reject(now time.Duration, o *pending) {
-	c.pending.drop(o.key)
-	c.Counts.NoUpstream++
-	if now-c.started < settleTime {
+	if !c.settled(now) && o.offers == 0 {
+		o.deadline = now + offerTimeout
+		c.pending.push(o)
 		return
 	}
+	c.pending.drop(o.key)
+	c.Counts.NoUpstream++
 	if p, ok := c.codec.Decode(o.packet); ok {
 		c.reset(o.key, &p)
 	}
@@ -151,14 +153,29 @@
 	c.offer(now, &again)
 }
 
+// retryHeld offers the packets that wait for the first agents.
+func (c *Core) retryHeld(now time.Duration) {
+	for _, o := range c.pending.queue {
+		if !o.done && o.offers == 0 {
+			o.deadline = now
+		}
+	}
+	c.retryDue(now)
+}
+
 // retryDue offers packets again whose last offer was not answered in time.
 func (c *Core) retryDue(now time.Duration) {
 	for c.pending.next(now) == 0 {
+		// next removes what is done, so the queue begins with a packet that is due.
 		o := c.pending.queue[0]
 		c.pending.queue = c.pending.queue[1:]
 		for _, a := range o.offered {
 			c.members.suspect(now, a, c)
 		}
+		if o.offers == 0 {
+			c.offer(now, o)
+			continue
+		}
 		if o.offers >= maxOffers {
 			c.Counts.GivenUp++
 			c.pending.drop(o.key)
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"encoding/binary"
 	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
@@ -17,8 +18,11 @@
 const (
 	// exchangeInterval is how often a balancer compares its view with another one.
 	exchangeInterval = time.Second
-	// fetchInterval is the least time between two reads of a peer's configuration.
-	fetchInterval = 300 * time.Millisecond
+	// fetchDelay is how long a newer configuration of a peer is expected from the
+	// platform before it is read from the peer.
+	fetchDelay = 200 * time.Millisecond
+	// aloneRetry is how often the seeds are asked while no balancer is known.
+	aloneRetry = 250 * time.Millisecond
 	// maxItems is the number of entries in a datagram: up to 200 octets each.
 	maxItems = 6
 	// peerForgetTime is after what time a silent balancer counts as gone.
@@ -28,15 +32,18 @@
 // peers schedules the comparison of views among balancers.
 type peers struct {
 	seeds []netip.AddrPort
-	// next is when the next comparison is due, fetched when a configuration was
-	// last read from a peer.
-	next, fetched time.Duration
+	// next is when the next comparison is due.
+	next time.Duration
+	// ahead is a newer generation that source has in force; it is read at fetchAt.
+	ahead   ident.Generation
+	source  netip.AddrPort
+	fetchAt time.Duration
 	// asked is when a balancer was first asked without an answer.
 	asked map[netip.AddrPort]time.Duration
 }
 
 func (p *peers) init(now time.Duration, seeds []netip.AddrPort) {
-	p.seeds, p.next, p.fetched = seeds, now, now-fetchInterval
+	p.seeds, p.next = seeds, now
 	p.asked = map[netip.AddrPort]time.Duration{}
 }
 
@@ -44,7 +51,8 @@
 type digestBody struct {
 	Self       view.Item        `json:"self"`
 	Generation ident.Generation `json:"generation"`
-	Buckets    []uint64         `json:"buckets"`
+	// Buckets are the bucket hashes, eight octets each.
+	Buckets []byte `json:"buckets"`
 	// Answer is set in the answer to a Digest.
 	Answer bool `json:"answer,omitempty"`
 }
@@ -80,6 +88,16 @@
 	return as
 }
 
+// First reports whether the balancer has the lowest address of all.
+func (c *Core) First() bool {
+	for _, a := range c.Peers() {
+		if a.Compare(c.self.Peer) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // AddPeer makes a balancer known whose address was found elsewhere.
 func (c *Core) AddPeer(now time.Duration, a netip.AddrPort) {
 	if a != c.self.Peer {
@@ -98,6 +116,7 @@
 	c.view.Expire(now)
 	known := c.Peers()
 	if len(known) == 0 {
+		p.next = now + aloneRetry
 		for _, a := range p.seeds {
 			c.AddPeer(now, a)
 		}
@@ -126,8 +145,18 @@
 
 func (c *Core) sendDigest(now time.Duration, to netip.AddrPort, answer bool) {
 	self, _ := c.view.Item(now, c.key())
-	d := c.view.Digest()
-	c.sendBody(frame.Digest, digestBody{Self: self, Generation: c.rules.Generation(), Buckets: d[:], Answer: answer}, to)
+	var buckets []byte
+	for _, h := range c.view.Digest() {
+		buckets = binary.BigEndian.AppendUint64(buckets, h)
+	}
+	c.sendBody(frame.Digest, digestBody{Self: self, Generation: c.rules.Generation(), Buckets: buckets, Answer: answer}, to)
+}
+
+// TellGeneration tells the other balancers which configuration is in force.
+func (c *Core) TellGeneration(now time.Duration) {
+	for _, a := range c.Peers() {
+		c.sendDigest(now, a, true)
+	}
 }
 
 func (c *Core) sendBody(k frame.Kind, body any, to netip.AddrPort) {
@@ -193,7 +222,7 @@
 	switch f.Kind {
 	case frame.Digest:
 		var d digestBody
-		if json.Unmarshal(f.Payload, &d) != nil || len(d.Buckets) != view.Buckets {
+		if json.Unmarshal(f.Payload, &d) != nil || len(d.Buckets) != 8*view.Buckets {
 			c.Counts.Foreign++
 			return
 		}
@@ -218,7 +247,11 @@
 func (c *Core) digest(now time.Duration, d *digestBody, from netip.AddrPort) {
 	delete(c.peers.asked, from)
 	c.adopt(now, []view.Item{d.Self})
-	if ns := c.view.Differing([view.Buckets]uint64(d.Buckets)); len(ns) > 0 {
+	var buckets [view.Buckets]uint64
+	for i := range buckets {
+		buckets[i] = binary.BigEndian.Uint64(d.Buckets[8*i:])
+	}
+	if ns := c.view.Differing(buckets); len(ns) > 0 {
 		c.sendItems(c.view.Items(now, ns), from)
 		if !d.Answer {
 			c.sendDigest(now, from, true)
@@ -226,10 +259,25 @@
 	} else if !d.Answer {
 		c.sendDigest(now, from, true)
 	}
-	if d.Generation > c.rules.Generation() && now-c.peers.fetched >= fetchInterval {
-		c.peers.fetched = now
-		c.Fetch(from)
+	if d.Generation > c.rules.Generation() && d.Generation > c.peers.ahead {
+		c.peers.ahead, c.peers.source, c.peers.fetchAt = d.Generation, from, now+fetchDelay
+		if c.rules == nil {
+			c.peers.fetchAt = now
+		}
+	}
+}
+
+// fetchAhead reads a newer configuration from a peer unless it has come from
+// the platform meanwhile.
+func (c *Core) fetchAhead(now time.Duration) {
+	p := &c.peers
+	if p.ahead == 0 || now < p.fetchAt {
+		return
+	}
+	if p.ahead > c.rules.Generation() {
+		c.Fetch(p.source)
 	}
+	p.ahead = 0
 }
 
 // announced handles the entry of an agent that came from itself. Entries of
--- a/internal/front/sync.go
+++ b/internal/front/sync.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -13,13 +12,20 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bramleycourse/bramleycourse/internal/plat"
+	"github.com/bramleycourse/bramleycourse/internal/roster"
 	"github.com/bramleycourse/bramleycourse/internal/rules"
 )
 
 const (
-	// watchWait is how long one watch call waits for a change. Each call has its
-	// price; peers and keep-alive probes find out about a watch that went silent.
-	watchWait = 15 * time.Second
+	// watchShare is the mean time between two watch calls of all balancers
+	// together. A watch may go silent while its connection lives; the next call
+	// of any balancer then finds the change, and its peers learn from it.
+	watchShare = 800 * time.Millisecond
+	// maxWatchWait is the longest that one watch call waits for a change. Each
+	// call has its price.
+	maxWatchWait = 12 * time.Second
+	// watchSlack is how much later than asked for a watch call may be answered.
+	watchSlack = 300 * time.Millisecond
 	// minRetry and maxRetry bound the time between attempts while the platform fails.
 	minRetry = 100 * time.Millisecond
 	maxRetry = time.Second
@@ -63,7 +69,7 @@
 		f.take(o)
 		return o.Version, nil
 	}
-	l, err := f.store.Watch(ctx, plat.KindConfig, since, watchWait)
+	l, err := f.watchOnce(ctx, since)
 	if err != nil {
 		return 0, err
 	}
@@ -75,6 +81,20 @@
 	return max(since, l.Version), nil
 }
 
+// watchOnce waits for a change, or until a peer has a newer configuration: then
+// the watch has missed it.
+func (f *Front) watchOnce(ctx context.Context, since plat.Version) (plat.List, error) {
+	var balancers int
+	f.loop.Do(func(time.Duration) { balancers = 1 + len(f.core.Peers()) })
+	wait := min(time.Duration(balancers)*watchShare, maxWatchWait)
+	// The calls of the balancers spread over time.
+	wait = wait/2 + rand.N(wait)
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	defer cancel()
+	f.cancelWatch.Store(&cancel)
+	return f.store.Watch(ctx, plat.KindConfig, since, wait)
+}
+
 // take puts the operator's configuration in force. One that cannot be read
 // leaves the present one in force.
 func (f *Front) take(o plat.Object) {
@@ -87,7 +107,11 @@
 }
 
 func (f *Front) adopt(t *rules.Table, source string) {
-	f.loop.Do(func(time.Duration) { f.core.SetRules(t, source) })
+	f.loop.Do(func(now time.Duration) {
+		if f.core.SetRules(t, source) {
+			f.core.TellGeneration(now)
+		}
+	})
 	f.ready.CompareAndSwap(false, !f.stopping.Load())
 }
 
@@ -101,6 +125,9 @@
 		return
 	}
 	f.adopt(t, from.String())
+	if cancel := f.cancelWatch.Load(); cancel != nil {
+		(*cancel)()
+	}
 }
 
 func (f *Front) readPeer(ctx context.Context, from netip.AddrPort) (*rules.Table, error) {
@@ -123,23 +150,14 @@
 	return rules.Parse(b)
 }
 
-// balancerObject is a balancer's entry in the platform's list.
-type balancerObject struct {
-	Peer netip.AddrPort `json:"peer"`
-}
-
 // register writes the balancer's address to the platform, where agents and
-// balancers look that no seed leads to another process, and reads the others'
-// while no other balancer is known.
+// balancers look that no seed leads to another process, and reads the agents'.
+// It reads the other balancers' while none is known.
 func (f *Front) register(ctx context.Context) {
-	retry := minRetry
-	for ctx.Err() == nil {
-		if err := f.writeSelf(ctx); err == nil {
-			break
-		}
-		sleep(ctx, retry/2+rand.N(retry))
-		retry = min(2*retry, maxRetry)
-	}
+	f.insist(ctx, f.findAgents)
+	f.insist(ctx, func(ctx context.Context) error {
+		return f.store.Ensure(ctx, plat.KindBalancer, f.settings.Name, roster.Balancer{Peer: f.settings.Peer})
+	})
 	sleep(ctx, alone)
 	for ctx.Err() == nil {
 		n := 0
@@ -151,28 +169,27 @@
 	}
 }
 
-func (f *Front) writeSelf(ctx context.Context) error {
-	own := balancerObject{f.settings.Peer}
-	_, err := f.store.Put(ctx, plat.KindBalancer, f.settings.Name, own, 0)
-	var conflict *plat.ConflictError
-	if !errors.As(err, &conflict) {
-		return err
+// insist repeats a call until it succeeds.
+func (f *Front) insist(ctx context.Context, call func(context.Context) error) {
+	for retry := minRetry; ctx.Err() == nil; retry = min(2*retry, maxRetry) {
+		if call(ctx) == nil {
+			return // The client logs when calls begin to fail.
+		}
+		sleep(ctx, retry/2+rand.N(retry))
 	}
-	// An earlier run wrote the object, usually with the same address.
-	o, err := f.store.Get(ctx, plat.KindBalancer, f.settings.Name)
+}
+
+func (f *Front) findAgents(ctx context.Context) error {
+	agents, err := roster.Agents(ctx, f.store)
 	if err != nil {
 		return err
 	}
-	var held balancerObject
-	if json.Unmarshal(o.Value, &held) == nil && held == own {
-		return nil
-	}
-	_, err = f.store.Put(ctx, plat.KindBalancer, f.settings.Name, own, o.Version)
-	return err
+	f.loop.Do(func(now time.Duration) { f.core.Listed(now, agents) })
+	return nil
 }
 
 func (f *Front) findPeers(ctx context.Context) {
-	as, err := ListBalancers(ctx, f.store)
+	as, err := roster.Balancers(ctx, f.store)
 	if err != nil {
 		return // The client logs that calls fail; the next look comes later.
 	}
@@ -183,22 +200,14 @@
 	})
 }
 
-// ListBalancers reads the addresses of balancers from the platform. Some of
-// them may have ended.
-func ListBalancers(ctx context.Context, store *plat.Client) ([]netip.AddrPort, error) {
-	l, err := store.List(ctx, plat.KindBalancer)
-	if err != nil {
-		return nil, err
-	}
-	var as []netip.AddrPort
-	for _, o := range l.Objects {
-		var b balancerObject
-		// An entry that cannot be read names no balancer; the others hold.
-		if json.Unmarshal(o.Value, &b) == nil && b.Peer.Addr().Is4() {
-			as = append(as, b.Peer)
-		}
+// strike removes the entry of an agent that is gone for good. One balancer does
+// so; the others know the same balancers.
+func (f *Front) strike(agent netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	if err := roster.RemoveAgent(ctx, f.store, agent); err != nil {
+		f.log.WithError(err).WithFields(logrus.Fields{"event": "strikeFailed", "agent": agent}).Warn("entry of an agent not removed")
 	}
-	return as, nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -61,6 +61,9 @@
 	ToPeer     func(b []byte, to netip.AddrPort)
 	// FindBalancers begins to read the list of balancers from the platform.
 	FindBalancers func()
+	// Enlist begins to write the agent's entry to the platform's list of agents,
+	// or to remove it if the service is empty.
+	Enlist func(service ident.ServiceName)
 	// Log takes changes of what the agent believes.
 	Log *logrus.Entry
 	// Counts is what happened so far.
@@ -82,8 +85,8 @@
 	leaving bool
 	// housekeeping is when it is due.
 	housekeeping time.Duration
-	out     []byte
-	frame   frame.Frame
+	out          []byte
+	frame        frame.Frame
 }
 
 // Counts counts events.
@@ -117,7 +120,7 @@
 		meanAt:   now,
 		out:      make([]byte, 0, frame.MaxSize),
 	}
-	co.upstream.service = s.Service
+	co.upstream.service, co.upstream.beatAt = s.Service, now
 	co.homes.init(now, s.Seeds)
 	return co
 }
@@ -158,7 +161,7 @@
 		Slots:  c.upstream.slots(now),
 		Busy:   busy,
 		Mean:   c.mean,
-		Closed: !c.upstream.accepts() || c.leaving,
+		Closed: !c.upstream.accepts() || c.upstream.stalled(now) || c.leaving,
 	}
 }
 
@@ -210,6 +213,7 @@
 	o := &opening{frame: *f, at: now}
 	o.frame.Candidates, o.frame.Payload = slices.Clone(f.Candidates), nil
 	c.openings[k] = o
+	c.upstream.ask(now)
 	c.ToUpstream(f.Payload)
 }
 
@@ -241,7 +245,7 @@
 		c.ToUpstream(f.Payload)
 		return
 	}
-	if c.table.Get(k) == nil && (f.Hinted || f.Kind == frame.Walk && f.Trials > 0) && c.try(now, k, f) {
+	if c.table.Get(k) == nil && (f.Hinted || f.Kind == frame.Walk && f.Trials > 0 && c.upstream.outlived()) && c.try(now, k, f) {
 		return
 	}
 	c.miss(f)
@@ -251,7 +255,7 @@
 // table entry of its flow. Each flow is tried once, and only by an agent that
 // has not run for the longest time that a flow may last.
 func (c *Core) try(now time.Duration, k flow.Key, f *frame.Frame) bool {
-	if now-c.started >= c.self.FlowLifetime || !c.upstream.outlived() {
+	if now-c.started >= c.self.FlowLifetime || c.upstream.known && !c.upstream.outlived() {
 		return false
 	}
 	if t := c.trials[k]; t != nil {
@@ -292,10 +296,13 @@
 		return
 	}
 	if p.Returned {
+		c.upstream.asked = 0
 		c.returned(now, &p, b)
 		return
 	}
-	c.upstream.heard(now)
+	if c.upstream.heard(now) {
+		c.changed(now)
+	}
 	k := flow.KeyOf(p.To, p.From)
 	e := c.table.FromUpstream(now, k, &p)
 	if e == nil && !p.Rst && !p.Syn {
@@ -329,6 +336,11 @@
 	k := flow.KeyOf(p.From, p.To)
 	c.codec.Forget(b)
 	if p.Opens() {
+		if !c.upstream.known && c.upstream.spoke == 0 && !c.upstream.down {
+			// Something refuses flows there and has never served one.
+			c.upstream.down = true
+			c.changed(now)
+		}
 		c.returnedOpening(k, b)
 		return
 	}
@@ -376,6 +388,9 @@
 		return
 	}
 	c.housekeeping = now + tickInterval
+	if c.homes.heard == c.started {
+		c.housekeeping = now + firstInterval
+	}
 	for k, o := range c.openings {
 		if now-o.at >= openingTimeout {
 			delete(c.openings, k)
@@ -383,7 +398,6 @@
 				c.table.Drop(k)
 			}
 			c.Counts.Unanswered++
-			c.upstream.unanswered(o.at)
 		}
 	}
 	for k, t := range c.trials {
--- a/internal/hostd/homes.go
+++ b/internal/hostd/homes.go
@@ -19,6 +19,8 @@
 	homeCount = 2
 	// announceInterval is how often it does so.
 	announceInterval = time.Second
+	// firstInterval is how often it does so until a balancer has answered.
+	firstInterval = 100 * time.Millisecond
 	// answerTimeout is after what time an unanswered announcement is repeated to
 	// other balancers.
 	answerTimeout = 400 * time.Millisecond
@@ -76,8 +78,11 @@
 // changed announces a new version of the own entry at once.
 func (c *Core) changed(now time.Duration) {
 	s := c.upstream.state()
-	if c.leaving && s == view.Serving {
+	if c.leaving {
 		s = view.Draining
+		if !c.upstream.alive() {
+			s = view.Gone
+		}
 	}
 	h := &c.homes
 	if h.seq == 0 {
@@ -112,9 +117,6 @@
 
 func (c *Core) announce(now time.Duration) {
 	h := &c.homes
-	if h.seq == 0 {
-		return
-	}
 	e := view.Entry{
 		Key:   view.Key{Hop: c.self.Hop, Instance: c.self.Instance},
 		State: h.state, Seq: h.seq, Service: c.upstream.service, Place: c.self.Place,
@@ -125,6 +127,9 @@
 		return
 	}
 	h.next = now + announceInterval
+	if h.heard == c.started {
+		h.next = now + firstInterval
+	}
 	for _, a := range h.targets(c.self.Hop) {
 		if _, waits := h.asked[a]; !waits {
 			h.asked[a] = now
@@ -135,6 +140,9 @@
 
 // tick announces what is due and gives up on balancers that do not answer.
 func (h *homes) tick(now time.Duration, c *Core) {
+	if h.seq == 0 && c.upstream.service != "" {
+		c.changed(now)
+	}
 	lost := false
 	for a, at := range h.asked {
 		if now-at >= answerTimeout {
@@ -145,7 +153,7 @@
 			}
 		}
 	}
-	if lost || now >= h.next {
+	if h.seq > 0 && (lost || now >= h.next) {
 		c.announce(now)
 	}
 	if now-h.heard >= findInterval/2 && now-h.found >= findInterval {
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -17,6 +19,9 @@
 	"github.com/bramleycourse/bramleycourse/internal/flow"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/node"
+	"github.com/bramleycourse/bramleycourse/internal/plat"
+	"github.com/bramleycourse/bramleycourse/internal/ring"
+	"github.com/bramleycourse/bramleycourse/internal/roster"
 )
 
 const (
@@ -29,6 +34,11 @@
 	stopCheck  = 20 * time.Millisecond
 	// reloadInterval is how often the settings file is looked at.
 	reloadInterval = 2 * time.Second
+	// maxListings bounds the changes of the entry that wait for the platform.
+	maxListings = 16
+	// minRetry and maxRetry bound the time between attempts to write it.
+	minRetry = 100 * time.Millisecond
+	maxRetry = 2 * time.Second
 	// findTimeout bounds a look at the platform's list of balancers.
 	findTimeout = 3 * time.Second
 )
@@ -57,13 +67,22 @@
 	log      *logrus.Entry
 	hop      *node.Socket
 	outbound *node.Socket
+	store    *plat.Client
+	// listing takes the service of the entry in the platform's list; empty for none.
+	listing *ring.Ring[ident.ServiceName]
+	// unlisted is set while the platform's list does not hold what was last wanted.
+	unlisted atomic.Bool
 	servers  []*http.Server
+	done     chan struct{}
 	wg       sync.WaitGroup
 }
 
-// New opens the sockets of an agent. Find reads the platform's list of balancers.
-func New(s Settings, c flow.Codec, find func(context.Context) ([]netip.AddrPort, error), log *logrus.Entry) (*Host, error) {
-	h := &Host{settings: s, loop: node.New(log), log: log}
+// New opens the sockets of an agent.
+func New(s Settings, c flow.Codec, store *plat.Client, log *logrus.Entry) (*Host, error) {
+	h := &Host{
+		settings: s, loop: node.New(log), log: log, store: store,
+		listing: ring.New[ident.ServiceName](maxListings), done: make(chan struct{}),
+	}
 	var err error
 	if h.hop, err = node.Listen(s.Hop); err != nil {
 		return nil, errors.Annotatef(err, "packets")
@@ -79,14 +98,50 @@
 	h.core.ToPeer = h.hop.Send
 	h.core.ToUpstream = func(b []byte) { h.outbound.Send(b, s.Upstream) }
 	h.core.ToCaller = func(b []byte, caller netip.Addr) { h.hop.Send(b, netip.AddrPortFrom(caller, s.CallerPort)) }
-	h.core.FindBalancers = func() { go h.find(find) }
+	h.core.FindBalancers = func() { go h.find() }
+	h.core.Enlist = func(service ident.ServiceName) {
+		h.unlisted.Store(true)
+		h.listing.Put(service)
+	}
 	return h, nil
 }
 
-func (h *Host) find(find func(context.Context) ([]netip.AddrPort, error)) {
+// enlist keeps the agent's entry in the platform's list as the core wants it.
+func (h *Host) enlist() {
+	var wanted ident.ServiceName
+	pending := false
+	retry := minRetry
+	for {
+		h.unlisted.Store(pending || h.listing.Len() > 0)
+		var again <-chan time.Time
+		if pending {
+			again = time.After(retry/2 + rand.N(retry))
+			retry = min(2*retry, maxRetry)
+		}
+		select {
+		case wanted = <-h.listing.Items():
+			retry = minRetry
+		case <-again:
+		case <-h.done:
+			return
+		}
+		pending = h.list(wanted) != nil
+	}
+}
+
+func (h *Host) list(service ident.ServiceName) error {
 	ctx, cancel := context.WithTimeout(context.Background(), findTimeout)
 	defer cancel()
-	as, err := find(ctx)
+	if service == "" {
+		return roster.RemoveAgent(ctx, h.store, h.settings.Hop)
+	}
+	return roster.AddAgent(ctx, h.store, roster.Agent{Hop: h.settings.Hop, Service: service, Place: h.settings.Place})
+}
+
+func (h *Host) find() {
+	ctx, cancel := context.WithTimeout(context.Background(), findTimeout)
+	defer cancel()
+	as, err := roster.Balancers(ctx, h.store)
 	if err != nil {
 		return // The client logs that calls fail; the next look comes later.
 	}
@@ -123,6 +178,7 @@
 	h.spawn(func() {
 		h.loop.Serve(h.outbound, func(now time.Duration, b []byte, _ netip.AddrPort) { h.core.FromUpstream(now, b) })
 	})
+	h.spawn(h.enlist)
 	h.log.WithFields(logrus.Fields{
 		"event": "start", "place": h.settings.Place, "service": h.settings.Service, "hop": h.settings.Hop, "seeds": h.settings.Seeds,
 	}).Info("agent started")
@@ -155,6 +211,7 @@
 	}
 	_ = h.hop.Close()
 	_ = h.outbound.Close()
+	close(h.done)
 	h.wg.Wait()
 }
 
@@ -184,7 +241,10 @@
 				continue
 			}
 			busy := false
-			h.loop.Do(func(time.Duration) { busy = h.core.Busy() > 0 && !h.core.Gone() })
+			h.loop.Do(func(time.Duration) { busy = h.core.Busy() > 0 })
+			if h.core.Gone() {
+				busy = h.unlisted.Load()
+			}
 			if m.Check(time.Now(), busy) != drain.None {
 				return
 			}
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -36,8 +36,14 @@
 	coldFactor = 0.6
 	// silentBeats is after how many missing reports an upstream counts as dead.
 	silentBeats = 2.5
-	// silentOpenings is after how many unanswered opening packets in a row it does.
-	silentOpenings = 2
+	// stallTime is after what time without an answer to an opening packet an
+	// upstream gets no more of them: it answers within a millisecond, busy or not.
+	stallTime = 50 * time.Millisecond
+	// silentTime is after what time without an answer it counts as dead.
+	silentTime = 300 * time.Millisecond
+	// presumedSlots is the number of slots before the first report: that of the
+	// smallest upstreams.
+	presumedSlots = 2
 	// defaultBeat is the interval of reports until two were seen.
 	defaultBeat = time.Second
 )
@@ -51,10 +57,11 @@
 	beatAt   time.Duration
 	interval time.Duration
 	coldTill time.Duration
-	// spoke is when the upstream last sent a packet.
+	// spoke is when the upstream last sent a packet; 0 if it has not.
 	spoke time.Duration
-	// silent counts opening packets without an answer since then.
-	silent int
+	// asked is when the upstream got an opening packet after which it has sent
+	// nothing; 0 if there is none.
+	asked time.Duration
 	// down is set while the upstream seems to be dead.
 	down bool
 	// old is set if the first report was not the upstream's first one: it ran
@@ -64,50 +71,74 @@
 
 func (u *upstream) id() frame.ServiceID { return frame.IDOf(u.service) }
 
-func (u *upstream) accepts() bool { return u.known && !u.gone && !u.down && !u.last.Leaving }
+// accepts reports whether the upstream takes new flows. Until its first report
+// it is presumed to: most agents start beside an upstream that runs already, and
+// an opening packet that stays unanswered goes to another agent.
+func (u *upstream) accepts() bool { return u.service != "" && !u.gone && !u.down && !u.last.Leaving }
 
-// outlived reports whether the upstream may hold flows of an earlier run of the agent.
-func (u *upstream) outlived() bool { return !u.gone && (!u.known || u.old) }
+// alive reports whether the upstream has shown that it runs.
+func (u *upstream) alive() bool { return !u.gone && !u.down && (u.known || u.spoke > 0) }
+
+// outlived reports whether the upstream lives and may hold flows of an earlier
+// run of the agent.
+func (u *upstream) outlived() bool {
+	if u.gone || u.down {
+		return false
+	}
+	return u.old || !u.known && u.spoke > 0
+}
+
+// stalled reports whether the upstream does not answer opening packets.
+func (u *upstream) stalled(now time.Duration) bool { return u.asked > 0 && now-u.asked >= stallTime }
+
+// ask notes that the upstream gets an opening packet.
+func (u *upstream) ask(now time.Duration) {
+	if u.asked == 0 {
+		u.asked = now
+	}
+}
 
 func (u *upstream) slots(now time.Duration) float64 {
-	n := float64(max(1, u.last.Slots))
+	n := float64(u.last.Slots)
+	if !u.known {
+		n = presumedSlots
+	}
 	if now < u.coldTill {
 		n *= coldFactor
 	}
 	return n
 }
 
-func (u *upstream) heard(now time.Duration) {
-	u.spoke, u.silent = now, 0
-	u.down = false
-}
-
-func (u *upstream) unanswered(at time.Duration) {
-	if at > u.spoke {
-		u.silent++
-	}
+// heard notes a packet of the upstream and reports whether it seemed dead before.
+func (u *upstream) heard(now time.Duration) bool {
+	wasDown := u.down
+	u.spoke, u.asked, u.down = now, 0, false
+	return wasDown
 }
 
 // check finds out whether the upstream still lives and reports a change.
 func (u *upstream) check(now time.Duration, log *logrus.Entry) bool {
-	if !u.known || u.gone || u.down {
+	if u.gone || u.down {
 		return false
 	}
 	overdue := float64(now-u.beatAt) > silentBeats*float64(max(u.interval, defaultBeat)) && now-u.spoke > u.interval
-	if u.silent < silentOpenings && !overdue {
+	silent := u.asked > 0 && now-u.asked >= silentTime
+	if !silent && !overdue {
 		return false
 	}
 	u.down = true
 	log.WithFields(logrus.Fields{
 		"event": "upstreamDown", "upstream": u.last.ID, "sinceReport": now - u.beatAt,
-		"sincePacket": now - u.spoke, "unansweredOpenings": u.silent,
+		"sincePacket": now - u.spoke, "unansweredOpening": silent,
 	}).Warn("upstream does not answer")
 	return true
 }
 
+// state returns the state for the view. An upstream that never showed itself and
+// does not answer holds no flows, so its agent counts as gone.
 func (u *upstream) state() view.State {
 	switch {
-	case u.gone:
+	case u.gone, u.down && !u.known && u.spoke == 0:
 		return view.Gone
 	case u.accepts():
 		return view.Serving
@@ -149,11 +180,14 @@
 	}
 	wasKnown := u.known
 	u.known, u.gone, u.down, u.last, u.beatAt, u.service = true, false, false, b, now, b.Service
-	u.silent = 0
+	u.asked = 0
 	u.coldTill = now + b.Cold
 	if b.Cold <= 0 {
 		u.coldTill = 0
 	}
+	if beforeService != u.service || !wasKnown {
+		c.Enlist(u.service)
+	}
 	if !wasKnown || restarted || before != u.state() || beforeService != u.service {
 		c.Log.WithFields(logrus.Fields{
 			"event": "upstream", "upstream": b.ID, "service": b.Service, "state": u.state(), "before": before,
@@ -174,6 +208,7 @@
 		return
 	}
 	u.known, u.gone = true, true
+	c.Enlist("")
 	c.Log.WithFields(logrus.Fields{"event": "upstreamGone", "upstream": id}).Info("upstream has left")
 	c.changed(now)
 }
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -242,6 +242,17 @@
 	return l.first().Version, err
 }
 
+// Ensure makes an object of one owner hold a value, with one call if there is
+// none yet and two if there is.
+func (c *Client) Ensure(ctx context.Context, k Kind, name string, value any) error {
+	_, err := c.Put(ctx, k, name, value, 0)
+	var conflict *ConflictError
+	if errors.As(err, &conflict) && conflict.Current != 0 {
+		_, err = c.Put(ctx, k, name, value, conflict.Current)
+	}
+	return err
+}
+
 // Delete removes an object if its current version is the given one.
 func (c *Client) Delete(ctx context.Context, k Kind, name string, current Version) error {
 	c.Calls.Writes.Add(1)
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -3,10 +3,8 @@
 package rules
 
 import (
-	"cmp"
 	"encoding/json"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -25,6 +23,9 @@
 type Route struct {
 	Name string         `json:"name"`
 	Addr netip.AddrPort `json:"addr"`
+	// Repeatable is set if callers may send a request of this route again after
+	// its flow broke.
+	Repeatable bool `json:"repeatable,omitempty"`
 	// Shares is not empty; its order is the order of the configuration.
 	Shares []Share `json:"shares"`
 }
@@ -103,10 +104,7 @@
 // Service returns the service that a new flow to an address belongs to. Flows
 // are shared by their hash, so copies of an opening packet go to one service.
 func (t *Table) Service(addr netip.AddrPort, flow uint64) (ident.ServiceName, bool) {
-	if t == nil {
-		return "", false
-	}
-	r := t.routes[addr]
+	r := t.Route(addr)
 	if r == nil {
 		return "", false
 	}
@@ -130,25 +128,10 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
-// Services returns the services of the route of an address.
-func (t *Table) Services(addr netip.AddrPort) []Share {
-	if t == nil || t.routes[addr] == nil {
-		return nil
-	}
-	return t.routes[addr].Shares
-}
-
-// AllServices returns the names of all services with a route, sorted.
-func (t *Table) AllServices() []ident.ServiceName {
-	var names []ident.ServiceName
+// Route returns the route of an address or nil.
+func (t *Table) Route(addr netip.AddrPort) *Route {
 	if t == nil {
 		return nil
 	}
-	for _, r := range t.content.Routes {
-		for _, s := range r.Shares {
-			names = append(names, s.Service)
-		}
-	}
-	slices.SortFunc(names, cmp.Compare[ident.ServiceName])
-	return slices.Compact(names)
+	return t.routes[addr]
 }
