Hold opening packets at a busy agent and order them by objective

Cause: after a restart of everything the callers' repeats meet cold upstreams.

The agent now keeps opening packets while its upstream has no free slot and gives the slots to those that can still meet their objective first, by priority, oldest first; it rejects at once what cannot meet its deadline.

A flow now counts as busy for 40 ms without a request.

--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -12,10 +12,20 @@
 	entries map[Key]*Entry
 	limit   int
 	// busy counts the entries with a request in progress.
-	busy  int
+	busy int
+	// expected are the flows whose first request is about to come, oldest first.
+	expected []expected
+	// work is a moving average of the time from a request to its answer.
+	work  time.Duration
 	swept time.Duration
 }
 
+// expected is a flow that counts as busy although it has no request yet.
+type expected struct {
+	key Key
+	at  time.Duration
+}
+
 // Entry is one flow of the upstream.
 type Entry struct {
 	// Balancer is where packets of the flow last came from.
@@ -27,8 +37,10 @@
 	answered bool
 	// open is set once the caller has acknowledged the upstream's answer.
 	open bool
-	// busy is set while a request is in progress.
+	// busy is set while a request is in progress or about to come, since is when
+	// its first data came; 0 if it has not.
 	busy                     bool
+	since                    time.Duration
 	callerEnded, serverEnded bool
 }
 
@@ -42,6 +54,10 @@
 func (e *Entry) Answered() bool { return e.answered }
 
 const (
+	// firstWork is the average before the first answer.
+	firstWork = 40 * time.Millisecond
+	// workSamples is the number of requests that the average reaches back.
+	workSamples = 16
 	// openingTime is how long an opening flow is kept: callers give up 1.4 s
 	// after their first opening packet.
 	openingTime = 2 * time.Second
@@ -50,7 +66,9 @@
 )
 
 // NewTable returns an empty table of up to limit flows.
-func NewTable(limit int) *Table { return &Table{entries: map[Key]*Entry{}, limit: limit} }
+func NewTable(limit int) *Table {
+	return &Table{entries: map[Key]*Entry{}, limit: limit, work: firstWork}
+}
 
 // Get returns the entry of a flow or nil.
 func (t *Table) Get(k Key) *Entry { return t.entries[k] }
@@ -58,8 +76,27 @@
 // Len returns the number of flows.
 func (t *Table) Len() int { return len(t.entries) }
 
-// Busy returns the number of requests in progress.
-func (t *Table) Busy() int { return t.busy }
+// Busy returns the number of requests in progress and of flows whose first
+// request is about to come. A caller that has given up meanwhile sends none.
+func (t *Table) Busy(now time.Duration) int {
+	for len(t.expected) > 0 && now-t.expected[0].at >= expectTime {
+		if e := t.entries[t.expected[0].key]; e != nil && e.since == 0 {
+			t.setBusy(e, false)
+		}
+		t.expected = t.expected[1:]
+	}
+	if len(t.expected) == 0 {
+		t.expected = nil
+	}
+	return t.busy
+}
+
+// expectTime is how long the first request of a flow is expected: a handshake
+// takes up to 10 ms.
+const expectTime = 40 * time.Millisecond
+
+// Work returns the mean time from a request to its answer.
+func (t *Table) Work() time.Duration { return t.work }
 
 // Opening adds a flow whose opening packet goes to the upstream. It returns
 // nil when the table is full.
@@ -75,6 +112,7 @@
 	t.entries[k] = e
 	// The first request follows within a round trip and needs a slot then.
 	t.setBusy(e, true)
+	t.expected = append(t.expected, expected{k, now})
 	return e
 }
 
@@ -105,6 +143,9 @@
 	e.Seen, e.Balancer = now, balancer
 	if p.Size > 0 {
 		t.setBusy(e, true)
+		if e.since == 0 {
+			e.since = now
+		}
 	}
 	if p.Fin {
 		e.callerEnded = true
@@ -131,6 +172,10 @@
 		return e
 	}
 	if p.Size > 0 {
+		if e.busy && e.since > 0 {
+			t.work += (now - e.since - t.work) / workSamples
+		}
+		e.since = 0
 		t.setBusy(e, false)
 	}
 	if p.Fin {
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -74,8 +74,8 @@
 const (
 	version = 0xB1
 	// headSize is the length of the fixed part: version, kind, position, count,
-	// trials, flags, service and balancer.
-	headSize      = 4 + 2 + 4 + 6
+	// trials, flags, service, balancer, objective, timeout and priority.
+	headSize      = 4 + 2 + 4 + 6 + 2 + 2 + 1
 	candidateSize = 4 + 2 + 2
 	// MaxCandidates is the number of agents in the longest list.
 	MaxCandidates = 64
@@ -98,9 +98,14 @@
 	Hinted  bool
 	Service ServiceID
 	// Balancer is the address that outcomes are sent to.
-	Balancer   netip.AddrPort
-	Candidates []Candidate
-	Payload    []byte
+	Balancer netip.AddrPort
+	// ObjectiveMillis and TimeoutMillis are the latency objective and the timeout
+	// of the requests of the flow; zero if unknown. Priority is their urgency; 0
+	// is the highest.
+	ObjectiveMillis, TimeoutMillis uint16
+	Priority                       uint8
+	Candidates                     []Candidate
+	Payload                        []byte
 }
 
 // Append appends the encoded datagram to b. Addresses that are not IPv4 are
@@ -113,6 +118,9 @@
 	b = append(b, version, byte(f.Kind), byte(f.Position), byte(len(f.Candidates)), f.Trials, flags)
 	b = binary.BigEndian.AppendUint32(b, uint32(f.Service))
 	b = appendAddr(b, f.Balancer)
+	b = binary.BigEndian.AppendUint16(b, f.ObjectiveMillis)
+	b = binary.BigEndian.AppendUint16(b, f.TimeoutMillis)
+	b = append(b, f.Priority)
 	for _, c := range f.Candidates {
 		b = appendAddr(b, c.Addr)
 		b = binary.BigEndian.AppendUint16(b, uint16(c.Depth))
@@ -133,6 +141,8 @@
 	f.Kind, f.Position, f.Trials, f.Hinted = Kind(b[1]), int(b[2]), b[4], b[5]&1 != 0
 	f.Service = ServiceID(binary.BigEndian.Uint32(b[6:]))
 	f.Balancer = addrOf(b[10:])
+	f.ObjectiveMillis, f.TimeoutMillis = binary.BigEndian.Uint16(b[16:]), binary.BigEndian.Uint16(b[18:])
+	f.Priority = b[20]
 	f.Candidates = f.Candidates[:0]
 	b = b[headSize:]
 	for range n {
--- a/internal/front/offer.go
+++ b/internal/front/offer.go
@@ -1,12 +1,14 @@
 package front
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/bramleycourse/bramleycourse/internal/flow"
 	"github.com/bramleycourse/bramleycourse/internal/frame"
+	"github.com/bramleycourse/bramleycourse/internal/rules"
 )
 
 const (
@@ -25,6 +27,7 @@
 	key     flow.Key
 	packet  []byte
 	service frame.ServiceID
+	route   *rules.Route
 	// tried are the agents that did not answer or refused.
 	tried []netip.AddrPort
 	// offered is the list of the last offer.
@@ -66,8 +69,8 @@
 // open offers an opening packet to the agents of its service.
 func (c *Core) open(now time.Duration, k flow.Key, p *flow.Packet, b []byte) {
 	c.Counts.Opened++
-	name, ok := c.rules.Service(k.Route(), k.Hash())
-	if !ok {
+	r := c.rules.Route(k.Route())
+	if r == nil {
 		c.Counts.NoRoute++
 		if c.rules != nil {
 			c.reset(k, p)
@@ -77,11 +80,12 @@
 	if c.pending.byKey[k] != nil {
 		return
 	}
-	o := &pending{key: k, packet: slices.Clone(b), service: frame.IDOf(name)}
+	o := &pending{key: k, packet: slices.Clone(b), service: frame.IDOf(r.Service(k.Hash())), route: r}
 	if agent, taken := c.hints.Get(now, k, false); taken {
 		if p.Acked < 2 {
 			// The answer of the upstream was lost: the same agent answers again.
-			c.send(&frame.Frame{Kind: frame.Placed, Service: o.service, Balancer: c.self.Peer, Payload: b}, agent)
+			f := c.opening(frame.Placed, o)
+			c.send(&f, agent)
 			return
 		}
 		o.tried = append(o.tried, agent)
@@ -94,10 +98,21 @@
 	c.offer(now, o)
 }
 
+// opening returns a frame with an opening packet.
+func (c *Core) opening(k frame.Kind, o *pending) frame.Frame {
+	return frame.Frame{
+		Kind: k, Service: o.service, Balancer: c.self.Peer, Payload: o.packet,
+		ObjectiveMillis: millis(o.route.ObjectiveMillis), TimeoutMillis: millis(o.route.TimeoutMillis), Priority: o.route.Priority,
+	}
+}
+
+// millis fits a time into a frame; a longer one counts as the longest.
+func millis(n int) uint16 { return uint16(min(max(n, 0), math.MaxUint16)) }
+
 // offer sends the packet to the agents that have not been tried yet.
 func (c *Core) offer(now time.Duration, o *pending) {
 	n := c.members.group(o.service).usable.Order(o.key.Hash(), maxNear, c.ids[:maxOffered+len(o.tried)])
-	f := frame.Frame{Kind: frame.Offer, Service: o.service, Balancer: c.self.Peer, Payload: o.packet}
+	f := c.opening(frame.Offer, o)
 	o.offered = o.offered[:0]
 	for _, id := range c.ids[:n] {
 		if !slices.Contains(o.tried, id.Addr) && len(f.Candidates) < maxOffered {
@@ -138,19 +153,20 @@
 		c.Counts.Foreign++
 		return
 	}
-	o := c.pending.byKey[flow.KeyOf(p.From, p.To)]
-	if o == nil {
+	k := flow.KeyOf(p.From, p.To)
+	r := c.rules.Route(k.Route())
+	if r == nil {
 		return
 	}
-	o.done = true
-	again := *o
-	again.done = false
-	again.tried = append(again.tried, again.offered...)
-	if !slices.Contains(again.tried, from) {
-		again.tried = append(again.tried, from)
+	again := &pending{key: k, packet: slices.Clone(f.Payload), service: f.Service, route: r, tried: []netip.AddrPort{from}}
+	if o := c.pending.byKey[k]; o != nil {
+		again.offers = o.offers
+		again.tried = append(append(again.tried, o.tried...), o.offered...)
 	}
-	c.pending.byKey[o.key] = &again
-	c.offer(now, &again)
+	c.pending.drop(k)
+	c.hints.Drop(k, from)
+	c.pending.byKey[k] = again
+	c.offer(now, again)
 }
 
 // retryHeld offers the packets that wait for the first agents.
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -14,12 +14,16 @@
 	"github.com/bramleycourse/bramleycourse/internal/frame"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/place"
+	"github.com/bramleycourse/bramleycourse/internal/queue"
 )
 
 const (
 	// maxFlows bounds the flow table: the connections of an upstream and as many
 	// that have ended.
 	maxFlows = 4096
+	// maxWaiting bounds the opening packets that wait for a slot: 16 were the
+	// upstream's own queue, and the deadline bounds them first.
+	maxWaiting = 64
 	// maxTrials bounds the memory of packets passed to the upstream on trial.
 	maxTrials = 1024
 	// openingTimeout is after what time an opening packet counts as unanswered:
@@ -75,6 +79,10 @@
 	upstream upstream
 	// openings are the opening packets that the upstream has not answered yet.
 	openings map[flow.Key]*opening
+	// waiting are the opening packets that wait for a slot of the upstream;
+	// frames are the frames that brought them.
+	waiting *queue.Queue
+	frames  map[flow.Key]*opening
 	// trials are packets that were passed to the upstream although the table
 	// does not have their flow.
 	trials  map[flow.Key]*trial
@@ -91,7 +99,7 @@
 
 // Counts counts events.
 type Counts struct {
-	Taken, Forwarded, Refused, Foreign, WrongService, Missed, Returned, Recovered, Tried, Reset, Unanswered, Full uint64
+	Taken, Forwarded, Refused, Foreign, WrongService, Missed, Returned, Recovered, Tried, Reset, Unanswered, Full, Held uint64
 }
 
 // opening is an opening packet at the upstream with the frame that brought it.
@@ -115,6 +123,8 @@
 		codec:    c,
 		table:    flow.NewTable(maxFlows),
 		openings: map[flow.Key]*opening{},
+		waiting:  queue.New(maxWaiting),
+		frames:   map[flow.Key]*opening{},
 		trials:   map[flow.Key]*trial{},
 		started:  now,
 		meanAt:   now,
@@ -153,7 +163,7 @@
 
 // Load returns the load of the upstream.
 func (c *Core) Load(now time.Duration) place.Load {
-	busy := c.table.Busy()
+	busy := c.table.Busy(now) + c.waiting.Len()
 	share := min(1, float64(now-c.meanAt)/float64(averageTime))
 	c.mean += (float64(busy) - c.mean) * share
 	c.meanAt = now
@@ -177,6 +187,10 @@
 		c.repeated(now, k, f)
 		return
 	}
+	if c.frames[k] != nil {
+		c.tell(k, f.Balancer)
+		return
+	}
 	l := c.Load(now)
 	if f.Service != c.upstream.id() {
 		c.Counts.WrongService++
@@ -184,7 +198,7 @@
 	}
 	switch place.Decide(l, f) {
 	case place.Take:
-		c.take(now, k, f)
+		c.take(now, k, &p, f)
 	case place.Forward:
 		c.Counts.Forwarded++
 		c.send(f, f.Candidates[f.Position].Addr)
@@ -203,18 +217,103 @@
 	c.ToUpstream(f.Payload)
 }
 
-func (c *Core) take(now time.Duration, k flow.Key, f *frame.Frame) {
-	if c.table.Opening(now, k, f.Balancer) == nil {
+// take passes an opening packet to the upstream, or keeps it until a slot is free.
+func (c *Core) take(now time.Duration, k flow.Key, p *flow.Packet, f *frame.Frame) {
+	o := &opening{frame: *f, at: now}
+	o.frame.Candidates, o.frame.Payload = slices.Clone(f.Candidates), nil
+	if c.free(now) {
+		c.admit(now, k, o, f.Payload)
+		return
+	}
+	item := queue.Item{
+		Key: k, Began: now - copyAge(p), Priority: f.Priority, Packet: slices.Clone(f.Payload),
+		Objective: time.Duration(f.ObjectiveMillis) * time.Millisecond,
+		Deadline:  time.Duration(f.TimeoutMillis) * time.Millisecond,
+	}
+	if !c.waiting.Put(now, &item, c.table.Work(), c.upstream.slots(now)) {
 		c.Counts.Full++
+		c.decision("openingRefused", k, "refused", now).Info("no slot before the deadline")
 		c.refuse(f)
 		return
 	}
+	c.Counts.Held++
+	c.frames[k] = o
+	c.tell(k, f.Balancer)
+}
+
+// copyAges are the times after which a caller repeats its opening packet.
+var copyAges = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+
+// copyAge returns how old the attempt is that an opening packet belongs to.
+func copyAge(p *flow.Packet) time.Duration { return copyAges[min(int(p.Acked), len(copyAges)-1)] }
+
+// spareOpenings is how many flows more than it has slots an upstream gets, so
+// that the next request is there when a slot becomes free: a handshake takes a
+// round trip to the caller.
+const spareOpenings = 1
+
+// free reports whether the upstream may get another flow.
+func (c *Core) free(now time.Duration) bool {
+	return c.table.Busy(now) < max(1, c.upstream.concurrency())+spareOpenings
+}
+
+// admit passes an opening packet to the upstream.
+func (c *Core) admit(now time.Duration, k flow.Key, o *opening, packet []byte) {
+	if c.table.Opening(now, k, o.frame.Balancer) == nil {
+		c.Counts.Full++
+		c.returnOpening(o, packet)
+		return
+	}
 	c.Counts.Taken++
-	o := &opening{frame: *f, at: now}
-	o.frame.Candidates, o.frame.Payload = slices.Clone(f.Candidates), nil
+	o.at = now
 	c.openings[k] = o
 	c.upstream.ask(now)
-	c.ToUpstream(f.Payload)
+	c.ToUpstream(packet)
+}
+
+// returnOpening gives an opening packet back to its balancer.
+func (c *Core) returnOpening(o *opening, packet []byte) {
+	f := o.frame
+	f.Payload = packet
+	c.refuse(&f)
+}
+
+// grant passes waiting packets on as far as there is room.
+func (c *Core) grant(now time.Duration) {
+	if c.waiting.Len() == 0 {
+		return
+	}
+	if !c.upstream.accepts() || c.leaving || c.upstream.stalled(now) {
+		c.giveBack(c.waiting.Clear())
+		return
+	}
+	for c.free(now) {
+		i := c.waiting.Next(now, c.table.Work())
+		if i == nil {
+			return
+		}
+		o := c.frames[i.Key]
+		delete(c.frames, i.Key)
+		c.admit(now, i.Key, o, i.Packet)
+	}
+	c.giveBack(c.waiting.Expired(now, c.table.Work()))
+}
+
+// giveBack gives packets that waited in vain back to their balancers.
+func (c *Core) giveBack(items []*queue.Item) {
+	for _, i := range items {
+		o := c.frames[i.Key]
+		delete(c.frames, i.Key)
+		c.returnOpening(o, i.Packet)
+	}
+}
+
+// decision begins the log line of a decision about a flow.
+func (c *Core) decision(event string, k flow.Key, outcome string, now time.Duration) *logrus.Entry {
+	return c.Log.WithFields(logrus.Fields{
+		"event": event, "flow": k, "outcome": outcome, "busy": c.table.Busy(now), "waiting": c.waiting.Len(),
+		"work": c.table.Work(), "reportAge": now - c.upstream.beatAt,
+	})
 }
 
 func (c *Core) refuse(f *frame.Frame) {
@@ -313,6 +412,7 @@
 		c.tell(k, e.Balancer)
 	}
 	c.ToCaller(b, p.To.Addr())
+	c.grant(now)
 }
 
 // recover adds a flow to the table that the upstream turned out to hold.
@@ -406,6 +506,7 @@
 		}
 	}
 	c.table.Sweep(now, defaultIdle)
+	c.grant(now)
 	if c.upstream.check(now, c.Log) {
 		c.changed(now)
 	}
--- a/internal/hostd/homes.go
+++ b/internal/hostd/homes.go
@@ -70,7 +70,7 @@
 }
 
 // Busy returns the number of requests in progress.
-func (c *Core) Busy() int { return c.table.Busy() }
+func (c *Core) Busy(now time.Duration) int { return c.table.Busy(now) }
 
 // Gone reports whether the upstream has left.
 func (c *Core) Gone() bool { return c.upstream.gone }
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -241,7 +241,7 @@
 				continue
 			}
 			busy := false
-			h.loop.Do(func(time.Duration) { busy = h.core.Busy() > 0 })
+			h.loop.Do(func(now time.Duration) { busy = h.core.Busy(now) > 0 })
 			if h.core.Gone() {
 				busy = h.unlisted.Load()
 			}
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -98,11 +98,17 @@
 	}
 }
 
-func (u *upstream) slots(now time.Duration) float64 {
-	n := float64(u.last.Slots)
+// concurrency returns how many requests the upstream works on at once.
+func (u *upstream) concurrency() int {
 	if !u.known {
-		n = presumedSlots
+		return presumedSlots
 	}
+	return u.last.Slots
+}
+
+// slots returns the same as a measure of its speed: a cold upstream counts less.
+func (u *upstream) slots(now time.Duration) float64 {
+	n := float64(u.concurrency())
 	if now < u.coldTill {
 		n *= coldFactor
 	}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -26,6 +26,12 @@
 	// Repeatable is set if callers may send a request of this route again after
 	// its flow broke.
 	Repeatable bool `json:"repeatable,omitempty"`
+	// ObjectiveMillis and TimeoutMillis are the latency objective and the timeout
+	// of a request; zero if unknown.
+	ObjectiveMillis int `json:"objectiveMillis,omitempty"`
+	TimeoutMillis   int `json:"timeoutMillis,omitempty"`
+	// Priority is the urgency of the requests; 0 is the highest.
+	Priority uint8 `json:"priority,omitempty"`
 	// Shares is not empty; its order is the order of the configuration.
 	Shares []Share `json:"shares"`
 }
@@ -108,13 +114,11 @@
 	if r == nil {
 		return "", false
 	}
-	if len(r.Shares) == 1 {
-		return r.Shares[0].Service, true
-	}
-	return r.share(flow), true
+	return r.Service(flow), true
 }
 
-func (r *Route) share(flow uint64) ident.ServiceName {
+// Service returns the service that a new flow with the given hash belongs to.
+func (r *Route) Service(flow uint64) ident.ServiceName {
 	total := 0.0
 	for _, s := range r.Shares {
 		total += s.Weight
