Serve the newest first in overload; bound offers after unanswered ones

Offers without an answer within 30 ms were repeated up to four times, packets that one agent had no room for were offered to six more, and each reset made its caller try twice more; the smallest balancers (0.061 cores) then dropped packets. Oldest first brought each request to its upstream just too late.

Change: the newest goes first while packets miss their objective; a full queue gives back what would be served last; a list of loaded agents is not followed by another one; repeated offers have a budget; a flow that was granted counts as busy for three handshakes without a request; lines about single flows are sampled before they are formatted.

Conclusion: open is the window after eleven balancers were killed at once.

--- a/cmd/bramleyflow/roles.go
+++ b/cmd/bramleyflow/roles.go
@@ -34,7 +34,7 @@
 	f, err := front.New(front.Settings{
 		Name: s.Name, Place: s.Place, Hop: s.Hop, Ready: s.Ready, Peer: s.Peer,
 		Seeds: s.Seeds, FlowLifetime: s.FlowLifetime, StopLimit: s.StopLimit,
-	}, platform.Codec, newStore(s, log), front.ConfigObject{Name: platform.ConfigName, Parse: platform.ParseConfig}, log)
+	}, platform.Codec, newStore(s, log), front.ConfigObject{Name: platform.ConfigName, Parse: platform.ParseConfig}, log, out.Sample)
 	if err != nil {
 		return err
 	}
@@ -51,7 +51,7 @@
 		Name: s.Name, Place: s.Place, Service: s.Service, Hop: s.Hop, Outbound: s.Outbound,
 		Upstream: s.Upstream, Reports: s.Reports, Ready: s.Ready, CallerPort: s.Hop.Port(),
 		Seeds: s.Seeds, FlowLifetime: s.FlowLifetime, StopLimit: s.StopLimit,
-	}, platform.Codec, newStore(s, log), log)
+	}, platform.Codec, newStore(s, log), log, out.Sample)
 	if err != nil {
 		return err
 	}
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -15,6 +15,9 @@
 	busy int
 	// expected are the flows whose first request is about to come, oldest first.
 	expected []expected
+	// handshake is a moving average of the time from the opening of a flow to its
+	// first request.
+	handshake time.Duration
 	// work is a moving average of the time from a request to its answer.
 	work  time.Duration
 	swept time.Duration
@@ -37,6 +40,8 @@
 	answered bool
 	// open is set once the caller has acknowledged the upstream's answer.
 	open bool
+	// opened is when the opening packet went to the upstream; 0 after the first request.
+	opened time.Duration
 	// busy is set while a request is in progress or about to come, since is when
 	// its first data came; 0 if it has not.
 	busy                     bool
@@ -56,6 +61,8 @@
 const (
 	// firstWork is the average before the first answer.
 	firstWork = 40 * time.Millisecond
+	// firstHandshake is the average before the first flow.
+	firstHandshake = 8 * time.Millisecond
 	// workSamples is the number of requests that the average reaches back.
 	workSamples = 16
 	// openingTime is how long an opening flow is kept: callers give up 1.4 s
@@ -67,7 +74,7 @@
 
 // NewTable returns an empty table of up to limit flows.
 func NewTable(limit int) *Table {
-	return &Table{entries: map[Key]*Entry{}, limit: limit, work: firstWork}
+	return &Table{entries: map[Key]*Entry{}, limit: limit, work: firstWork, handshake: firstHandshake}
 }
 
 // Get returns the entry of a flow or nil.
@@ -79,7 +86,7 @@
 // Busy returns the number of requests in progress and of flows whose first
 // request is about to come. A caller that has given up meanwhile sends none.
 func (t *Table) Busy(now time.Duration) int {
-	for len(t.expected) > 0 && now-t.expected[0].at >= expectTime {
+	for len(t.expected) > 0 && now-t.expected[0].at >= min(expectFactor*t.handshake, expectTime) {
 		if e := t.entries[t.expected[0].key]; e != nil && e.since == 0 {
 			t.setBusy(e, false)
 		}
@@ -91,13 +98,19 @@
 	return t.busy
 }
 
-// expectTime is how long the first request of a flow is expected: a handshake
-// takes up to 10 ms.
-const expectTime = 40 * time.Millisecond
+const (
+	// expectTime bounds how long the first request of a flow is expected.
+	expectTime = 40 * time.Millisecond
+	// expectFactor is how many mean handshakes that is.
+	expectFactor = 3
+)
 
 // Work returns the mean time from a request to its answer.
 func (t *Table) Work() time.Duration { return t.work }
 
+// Handshake returns the mean time from the opening of a flow to its first request.
+func (t *Table) Handshake() time.Duration { return t.handshake }
+
 // Opening adds a flow whose opening packet goes to the upstream. It returns
 // nil when the table is full.
 func (t *Table) Opening(now time.Duration, k Key, balancer netip.AddrPort) *Entry {
@@ -108,7 +121,7 @@
 	if len(t.entries) >= t.limit {
 		return nil
 	}
-	e := &Entry{Balancer: balancer, Seen: now}
+	e := &Entry{Balancer: balancer, Seen: now, opened: now}
 	t.entries[k] = e
 	// The first request follows within a round trip and needs a slot then.
 	t.setBusy(e, true)
@@ -120,7 +133,7 @@
 func (t *Table) Learn(now time.Duration, k Key) *Entry {
 	e := t.Opening(now, k, netip.AddrPort{})
 	if e != nil {
-		e.open = true
+		e.open, e.opened = true, 0
 		t.setBusy(e, false)
 	}
 	return e
@@ -146,6 +159,10 @@
 		if e.since == 0 {
 			e.since = now
 		}
+		if e.opened > 0 {
+			t.handshake += (now - e.opened - t.handshake) / workSamples
+			e.opened = 0
+		}
 	}
 	if p.Fin {
 		e.callerEnded = true
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/bramleycourse/bramleycourse/internal/budget"
 	"github.com/bramleycourse/bramleycourse/internal/flow"
 	"github.com/bramleycourse/bramleycourse/internal/frame"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
@@ -59,8 +60,10 @@
 	// Forgotten is called with the address of an agent that has not answered for
 	// so long that it counts as gone.
 	Forgotten func(agent netip.AddrPort)
-	// Log takes changes of what the balancer believes.
-	Log *logrus.Entry
+	// Log takes changes of what the balancer believes. Sample reports whether one
+	// more line about a single flow fits into the budget.
+	Log    *logrus.Entry
+	Sample func() bool
 	// Counts is what happened so far.
 	Counts Counts
 
@@ -71,6 +74,8 @@
 	members members
 	view    *view.View
 	pending pendings
+	// retries bounds the offers that follow an unanswered one.
+	retries *budget.Budget
 	lookups lookups
 	walks   map[flow.Key]time.Duration
 	// started is when the balancer started, by the clock of now.
@@ -104,6 +109,7 @@
 		started: now,
 		out:     make([]byte, 0, frame.MaxSize),
 	}
+	co.retries = budget.New(retryBudget, clockOf(now))
 	co.members.init()
 	co.peers.init(now, s.Seeds)
 	co.announceSelf(now, view.Serving)
@@ -179,7 +185,9 @@
 	c.hints.Drop(k, agent)
 	c.Counts.Reset++
 	c.reset(k, p)
-	c.decision("flowAbandoned", k, "reset").WithFields(logrus.Fields{"agent": agent, "seq": p.Seq}).Warn("agent of the flow does not answer")
+	if c.Sample() {
+		c.decision("flowAbandoned", k, "reset").WithFields(logrus.Fields{"agent": agent, "seq": p.Seq}).Info("agent of the flow does not answer")
+	}
 }
 
 // missed looks for the agent of a flow after one has said that it does not hold it.
@@ -256,9 +264,11 @@
 		c.Counts.Reset++
 		c.reset(k, p)
 	}
-	c.decision("flowLost", k, outcome).WithFields(logrus.Fields{
-		"seq": p.Seq, "size": p.Size, "repeatable": r.Repeatable, "settled": c.settled(now), "absentAgents": absent,
-	}).Warn("no agent holds the flow")
+	if c.Sample() {
+		c.decision("flowLost", k, outcome).WithFields(logrus.Fields{
+			"seq": p.Seq, "size": p.Size, "repeatable": r.Repeatable, "settled": c.settled(now), "absentAgents": absent,
+		}).Info("no agent holds the flow")
+	}
 }
 
 // decision begins the log line of a decision about a flow.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -75,7 +75,7 @@
 }
 
 // New opens the sockets of a balancer.
-func New(s Settings, c flow.Codec, store *plat.Client, o ConfigObject, log *logrus.Entry) (*Front, error) {
+func New(s Settings, c flow.Codec, store *plat.Client, o ConfigObject, log *logrus.Entry, sample func() bool) (*Front, error) {
 	f := &Front{
 		settings: s,
 		loop:     node.New(log),
@@ -96,7 +96,7 @@
 		Name: s.Name, Instance: ident.NewInstance(), Place: s.Place, Hop: s.Hop, Peer: s.Peer,
 		Seq: ident.Seq(time.Now().UnixMilli()), FlowLifetime: s.FlowLifetime, Seeds: s.Seeds,
 	}, c)
-	f.core.Log = log
+	f.core.Log, f.core.Sample = log, sample
 	f.core.ToAgent = f.peer.Send
 	port := s.Hop.Port()
 	f.core.ToCaller = func(b []byte, caller netip.Addr) { f.hop.Send(b, netip.AddrPortFrom(caller, port)) }
--- a/internal/front/offer.go
+++ b/internal/front/offer.go
@@ -6,6 +6,9 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"github.com/bramleycourse/bramleycourse/internal/budget"
 	"github.com/bramleycourse/bramleycourse/internal/flow"
 	"github.com/bramleycourse/bramleycourse/internal/frame"
 	"github.com/bramleycourse/bramleycourse/internal/rules"
@@ -22,6 +25,14 @@
 	maxPending = 4096
 )
 
+// retryBudget bounds the offers after an unanswered one. When everything is
+// slow, more offers would only add to the load. The floor and the burst cover
+// the loss of one agent.
+var retryBudget = budget.Config{Ratio: 0.1, FloorPerSecond: 10, Burst: 40}
+
+// clockOf turns the time since the start into the time that a budget takes.
+func clockOf(now time.Duration) time.Time { return time.Time{}.Add(now) }
+
 // pending is an opening packet that no agent has taken yet.
 type pending struct {
 	key     flow.Key
@@ -95,6 +106,7 @@
 		return
 	}
 	c.pending.byKey[k] = o
+	c.retries.Request(clockOf(now))
 	c.offer(now, o)
 }
 
@@ -140,6 +152,11 @@
 	}
 	c.pending.drop(o.key)
 	c.Counts.NoUpstream++
+	if c.Sample() {
+		c.decision("openingRejected", o.key, "reset").WithFields(logrus.Fields{
+			"tried": o.tried, "offers": o.offers, "usable": c.members.group(o.service).usable.Len(),
+		}).Info("no upstream for a new flow")
+	}
 	if p, ok := c.codec.Decode(o.packet); ok {
 		c.reset(o.key, &p)
 	}
@@ -165,10 +182,26 @@
 	}
 	c.pending.drop(k)
 	c.hints.Drop(k, from)
+	if !allClosed(f) {
+		// The agent was the least loaded one that was asked.
+		c.reject(now, again)
+		return
+	}
 	c.pending.byKey[k] = again
 	c.offer(now, again)
 }
 
+// allClosed reports whether no agent of a list takes flows for another reason
+// than its load.
+func allClosed(f *frame.Frame) bool {
+	for _, a := range f.Candidates {
+		if a.Depth != frame.NoDepth {
+			return false
+		}
+	}
+	return true
+}
+
 // retryHeld offers the packets that wait for the first agents.
 func (c *Core) retryHeld(now time.Duration) {
 	for _, o := range c.pending.queue {
@@ -192,7 +225,7 @@
 			c.offer(now, o)
 			continue
 		}
-		if o.offers >= maxOffers {
+		if o.offers >= maxOffers || !c.retries.Retry(clockOf(now)) {
 			c.Counts.GivenUp++
 			c.pending.drop(o.key)
 			continue
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -68,8 +68,10 @@
 	// Enlist begins to write the agent's entry to the platform's list of agents,
 	// or to remove it if the service is empty.
 	Enlist func(service ident.ServiceName)
-	// Log takes changes of what the agent believes.
-	Log *logrus.Entry
+	// Log takes changes of what the agent believes. Sample reports whether one
+	// more line about a single flow fits into the budget.
+	Log    *logrus.Entry
+	Sample func() bool
 	// Counts is what happened so far.
 	Counts Counts
 
@@ -230,15 +232,17 @@
 		Objective: time.Duration(f.ObjectiveMillis) * time.Millisecond,
 		Deadline:  time.Duration(f.TimeoutMillis) * time.Millisecond,
 	}
-	if !c.waiting.Put(now, &item, c.table.Work(), c.upstream.slots(now)) {
-		c.Counts.Full++
-		c.decision("openingRefused", k, "refused", now).Info("no slot before the deadline")
-		c.refuse(f)
-		return
-	}
 	c.Counts.Held++
 	c.frames[k] = o
 	c.tell(k, f.Balancer)
+	if evicted := c.waiting.Put(now, &item, c.pace()); evicted != nil {
+		c.giveBack(now, "queueFull", []*queue.Item{evicted})
+	}
+}
+
+// pace returns how fast the upstream serves at present.
+func (c *Core) pace() queue.Pace {
+	return queue.Pace{Work: c.table.Work(), Handshake: c.table.Handshake()}
 }
 
 // copyAges are the times after which a caller repeats its opening packet.
@@ -284,11 +288,11 @@
 		return
 	}
 	if !c.upstream.accepts() || c.leaving || c.upstream.stalled(now) {
-		c.giveBack(c.waiting.Clear())
+		c.giveBack(now, "upstreamClosed", c.waiting.Clear())
 		return
 	}
 	for c.free(now) {
-		i := c.waiting.Next(now, c.table.Work())
+		i := c.waiting.Next(now, c.pace())
 		if i == nil {
 			return
 		}
@@ -296,12 +300,15 @@
 		delete(c.frames, i.Key)
 		c.admit(now, i.Key, o, i.Packet)
 	}
-	c.giveBack(c.waiting.Expired(now, c.table.Work()))
+	c.giveBack(now, "deadline", c.waiting.Expired(now, c.pace()))
 }
 
 // giveBack gives packets that waited in vain back to their balancers.
-func (c *Core) giveBack(items []*queue.Item) {
+func (c *Core) giveBack(now time.Duration, reason string, items []*queue.Item) {
 	for _, i := range items {
+		if c.Sample() {
+			c.decision("openingGivenBack", i.Key, reason, now).WithField("age", now-i.Began).Info("opening packet waited in vain")
+		}
 		o := c.frames[i.Key]
 		delete(c.frames, i.Key)
 		c.returnOpening(o, i.Packet)
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -78,7 +78,7 @@
 }
 
 // New opens the sockets of an agent.
-func New(s Settings, c flow.Codec, store *plat.Client, log *logrus.Entry) (*Host, error) {
+func New(s Settings, c flow.Codec, store *plat.Client, log *logrus.Entry, sample func() bool) (*Host, error) {
 	h := &Host{
 		settings: s, loop: node.New(log), log: log, store: store,
 		listing: ring.New[ident.ServiceName](maxListings), done: make(chan struct{}),
@@ -94,7 +94,7 @@
 		Instance: ident.NewInstance(), Place: s.Place, Service: s.Service, Hop: s.Hop, Upstream: s.Upstream,
 		Seq: ident.Seq(time.Now().UnixMilli()), FlowLifetime: s.FlowLifetime, Seeds: s.Seeds,
 	}, c)
-	h.core.Log = log
+	h.core.Log, h.core.Sample = log, sample
 	h.core.ToPeer = h.hop.Send
 	h.core.ToUpstream = func(b []byte) { h.outbound.Send(b, s.Upstream) }
 	h.core.ToCaller = func(b []byte, caller netip.Addr) { h.hop.Send(b, netip.AddrPortFrom(caller, s.CallerPort)) }
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,9 @@
 	queuedLines = 512
 	// linesPerSecond bounds the volume; 200 octets a line make 40 KB/s.
 	linesPerSecond = 200
+	// samplesPerSecond bounds the lines about single flows. A line takes about
+	// 20 µs; the smallest VMs have 60 ms of processor time a second.
+	samplesPerSecond = 20
 	// summaryInterval is how often dropped lines are reported.
 	summaryInterval = time.Second
 )
@@ -29,7 +33,11 @@
 	// by the mutex of the logger.
 	second  int64
 	written int
-	done    chan struct{}
+	mu      sync.Mutex
+	// sampleSecond and sampled are the budget of lines about single flows.
+	sampleSecond int64
+	sampled      int
+	done         chan struct{}
 }
 
 // NewOutput returns an output that writes to w until it is closed.
@@ -47,6 +55,22 @@
 	return l.WithFields(logrus.Fields{"role": role, "node": name})
 }
 
+// Sample reports whether one more line about a single flow fits into the budget.
+// Lines that do not fit are not even formatted; they are counted as dropped.
+func (o *Output) Sample() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if s := time.Now().Unix(); s != o.sampleSecond {
+		o.sampleSecond, o.sampled = s, 0
+	}
+	o.sampled++
+	if o.sampled > samplesPerSecond {
+		o.dropped.Add(1)
+		return false
+	}
+	return true
+}
+
 // Write queues a line.
 func (o *Output) Write(b []byte) (int, error) {
 	if s := time.Now().Unix(); s != o.second {
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -22,6 +22,8 @@
 	Priority uint8
 	// Packet is the packet itself.
 	Packet []byte
+	// late is set once the request can no longer meet its objective.
+	late bool
 }
 
 const (
@@ -30,12 +32,36 @@
 	// spread is how much longer than the mean a request is expected to take when
 	// its objective is at stake: work times vary by half of their mean.
 	spread = 1.5
+	// overloadTime is for how long after a packet missed its objective the queue
+	// counts as overloaded.
+	overloadTime = 500 * time.Millisecond
 )
 
+// Pace is how fast the upstream serves at present.
+type Pace struct {
+	// Work is the mean time of a request, Handshake the time from the opening of
+	// a flow to its request.
+	Work, Handshake time.Duration
+}
+
+// need is how long before its objective a request must get to the upstream.
+func (p Pace) need() time.Duration { return time.Duration(spread*float64(p.Work)) + 2*p.Handshake }
+
+// least is how long a request takes at least.
+func (p Pace) least() time.Duration { return p.Work/2 + p.Handshake }
+
 // Queue holds the packets that wait for one upstream, oldest first.
+//
+// While all of them can meet their objective, the oldest goes first. Once one
+// has missed it, more callers wait than can be served in time. The newest goes
+// first then: it still meets its objective, while oldest first would bring
+// every request to the upstream just too late.
 type Queue struct {
 	items []*Item
 	limit int
+	// missed is when a packet last missed its objective; valid if any has.
+	missed    time.Duration
+	anyMissed bool
 }
 
 // New returns an empty queue of up to limit packets.
@@ -44,40 +70,14 @@
 // Len returns the number of packets.
 func (q *Queue) Len() int { return len(q.items) }
 
-// Holds reports whether the packet of a flow waits.
-func (q *Queue) Holds(k flow.Key) bool {
-	for _, i := range q.items {
-		if i.Key == k {
-			return true
-		}
-	}
-	return false
-}
-
-// Put appends a packet. It reports false if the queue is full, or if the packet
-// would wait beyond its deadline: work is the mean time of a request and slots
-// is how many are worked on at once.
-func (q *Queue) Put(now time.Duration, i *Item, work time.Duration, slots float64) bool {
-	if len(q.items) >= q.limit {
-		return false
-	}
-	wait := time.Duration(float64(q.ahead(i)+1) * float64(work) / max(1, slots))
-	if now+wait+work > i.end() {
-		return false
-	}
+// Put appends a packet. If the queue is full, it returns the packet that has to
+// leave: the one that would be served last.
+func (q *Queue) Put(now time.Duration, i *Item, p Pace) (evicted *Item) {
 	q.items = append(q.items, i)
-	return true
-}
-
-// ahead returns how many packets are at least as urgent.
-func (q *Queue) ahead(i *Item) int {
-	n := 0
-	for _, o := range q.items {
-		if o.Priority <= i.Priority {
-			n++
-		}
+	if len(q.items) <= q.limit {
+		return nil
 	}
-	return n
+	return q.remove(q.last(now, p))
 }
 
 // end returns when the packet is of no use any more.
@@ -89,45 +89,83 @@
 	return end
 }
 
-// Next removes and returns the packet that the upstream gets next: the oldest
-// of the most urgent ones that can still meet their objective, or else the
-// oldest of the others. It returns nil if none waits.
-func (q *Queue) Next(now, work time.Duration) *Item {
-	best := -1
-	for n, i := range q.items {
-		if best < 0 || q.before(now, work, i, q.items[best]) {
+// Next removes and returns the packet that the upstream gets next, or nil if
+// none waits.
+func (q *Queue) Next(now time.Duration, p Pace) *Item {
+	if len(q.items) == 0 {
+		return nil
+	}
+	q.note(now, p)
+	best := 0
+	for n := range q.items {
+		if q.before(now, p, n, best) {
 			best = n
 		}
 	}
-	if best < 0 {
-		return nil
+	return q.remove(best)
+}
+
+// last returns the index of the packet that would be served last.
+func (q *Queue) last(now time.Duration, p Pace) int {
+	q.note(now, p)
+	last := 0
+	for n := range q.items {
+		if q.before(now, p, last, n) {
+			last = n
+		}
 	}
-	i := q.items[best]
-	q.items = append(q.items[:best], q.items[best+1:]...)
+	return last
+}
+
+func (q *Queue) remove(n int) *Item {
+	i := q.items[n]
+	q.items = append(q.items[:n], q.items[n+1:]...)
 	return i
 }
 
-// before reports whether a goes before b, which is older.
-func (q *Queue) before(now, work time.Duration, a, b *Item) bool {
-	inTime, otherInTime := a.inTime(now, work), b.inTime(now, work)
-	if inTime != otherInTime {
-		return inTime
+// note notices packets that have missed their objective while they waited.
+func (q *Queue) note(now time.Duration, p Pace) {
+	for _, i := range q.items {
+		if !i.late && !i.inTime(now, p) {
+			i.late = true
+			q.missed, q.anyMissed = now, true
+		}
+	}
+}
+
+// Overloaded reports whether packets have missed their objective of late.
+func (q *Queue) Overloaded(now time.Duration) bool {
+	return q.anyMissed && now-q.missed < overloadTime
+}
+
+// before reports whether packet a goes before packet b: those that can meet
+// their objective first, then the more urgent ones, then by age. Of those that
+// are late already the oldest that can still meet its deadline goes first.
+func (q *Queue) before(now time.Duration, p Pace, a, b int) bool {
+	x, y := q.items[a], q.items[b]
+	if x.late != y.late {
+		return !x.late
+	}
+	if x.Priority != y.Priority {
+		return x.Priority < y.Priority
+	}
+	if !x.late && q.Overloaded(now) {
+		return a > b
 	}
-	return a.Priority < b.Priority
+	return a < b
 }
 
-func (i *Item) inTime(now, work time.Duration) bool {
-	need := time.Duration(spread * float64(work))
-	return i.Objective == 0 || now+need <= i.Began+i.Objective
+func (i *Item) inTime(now time.Duration, p Pace) bool {
+	return i.Objective == 0 || now+p.need() <= i.Began+i.Objective
 }
 
 // Expired removes and returns the packets whose requests cannot be served any
 // more, so that they are rejected at once.
-func (q *Queue) Expired(now, work time.Duration) []*Item {
+func (q *Queue) Expired(now time.Duration, p Pace) []*Item {
 	var gone []*Item
 	kept := q.items[:0]
 	for _, i := range q.items {
-		if now+work > i.end() {
+		if now+p.least() > i.end() {
 			gone = append(gone, i)
 		} else {
 			kept = append(kept, i)
