Adapt the timeouts of offers to a busy link; tell generations in a few octets

Answers came after 100 ms, so it took up to all agents for dead and rejected flows; and each change of a configuration storm sent a digest of 1 KB to 18 peers, 15 times a second.

Change: the timeout follows the mean answer time, 30 to 200 ms; if more than half of a service's agents seem to be down, all stay in use; a new generation is told in 8 octets.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -42,8 +42,11 @@
 	Digest
 	// Entries carries entries of a view.
 	Entries
+	// Generation tells which configuration a balancer has in force; the payload
+	// is eight octets.
+	Generation
 
-	lastKind = Entries
+	lastKind = Generation
 )
 
 // ServiceID identifies a service in datagrams.
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -324,7 +324,7 @@
 	case frame.Pong:
 	case frame.Ping:
 		c.send(&frame.Frame{Kind: frame.Pong}, from)
-	case frame.Announce, frame.Digest, frame.Entries:
+	case frame.Announce, frame.Digest, frame.Entries, frame.Generation:
 		c.gossip(now, f, from)
 	default:
 		c.Counts.Foreign++
@@ -337,6 +337,9 @@
 		return
 	}
 	k := flow.Key(f.Payload)
+	if o := c.pending.byKey[k]; o != nil && o.offers > 0 {
+		c.pending.sample(now - o.began)
+	}
 	c.hints.Put(now, k, from)
 	c.pending.drop(k)
 	c.lookups.end(k)
@@ -368,7 +371,7 @@
 func (c *Core) Due(now time.Duration) time.Duration {
 	d := min(c.pending.next(now), c.lookups.next(now), max(0, c.housekeeping-now))
 	if c.members.checking > 0 {
-		d = min(d, pingTimeout/3)
+		d = min(d, minOfferTimeout)
 	}
 	return d
 }
--- a/internal/front/member.go
+++ b/internal/front/member.go
@@ -11,9 +11,12 @@
 )
 
 const (
-	// pingTimeout is after what time an unanswered Ping marks an agent as down:
-	// twice the offer timeout, so that a busy VM has the time to answer.
-	pingTimeout = 60 * time.Millisecond
+	// pingFactor is after how many offer timeouts an unanswered Ping marks an
+	// agent as down: a busy VM has the time to answer.
+	pingFactor = 2
+	// minUsable is the share of a service's agents that answer, below which the
+	// balancer takes its own link to be the reason.
+	minUsable = 0.5
 	// downInterval is the time between two Pings to an agent that is down.
 	downInterval = 250 * time.Millisecond
 	// lostTime is for how long an agent must be down until its flows are given
@@ -100,7 +103,9 @@
 func (m *members) regroup(own ident.PlaceName) {
 	type lists struct {
 		usable, all []route.Endpoint
-		absent      int
+		// serving are all agents that serve, whether they answer or not.
+		serving []route.Endpoint
+		absent  int
 	}
 	services := map[frame.ServiceID]*lists{}
 	for a, b := range m.byAddr {
@@ -113,6 +118,9 @@
 		// The instance is left out, so that the order does not change when an
 		// agent starts again.
 		e := route.Endpoint{ID: ident.EndpointID{Addr: a}, Weight: 1, Remote: b.entry.Place != own}
+		if b.entry.State == view.Serving {
+			l.serving = append(l.serving, e)
+		}
 		if b.downAt > 0 {
 			l.absent++
 			continue
@@ -124,6 +132,9 @@
 	}
 	clear(m.groups)
 	for id, l := range services {
+		if float64(len(l.usable)) < minUsable*float64(len(l.serving)) {
+			l.usable = l.serving
+		}
 		m.groups[id] = &group{usable: route.NewGroup(l.usable), all: route.NewGroup(l.all), absent: l.absent}
 	}
 }
@@ -162,7 +173,11 @@
 // to them.
 func (m *members) lost(now time.Duration, a netip.AddrPort) bool {
 	b := m.byAddr[a]
-	return b != nil && b.downAt > 0 && now-b.downAt >= lostTime && b.entry.State == view.Serving
+	if b == nil || b.downAt == 0 || now-b.downAt < lostTime || b.entry.State != view.Serving {
+		return false
+	}
+	g := m.group(frame.IDOf(b.entry.Service))
+	return float64(g.absent) < minUsable*float64(g.absent+g.all.Len())
 }
 
 // noticePause restarts all waits for an answer after the balancer itself did
@@ -187,7 +202,7 @@
 func (m *members) tick(now time.Duration, c *Core) {
 	changed := false
 	for a, b := range m.byAddr {
-		if b.pinged > 0 && now-b.pinged >= pingTimeout {
+		if b.pinged > 0 && now-b.pinged >= pingFactor*c.pending.timeout() {
 			c.Log.WithField("event", "agentDown").WithField("agent", a).WithField("silentFor", now-b.heard).Warn("agent does not answer")
 			b.pinged, b.downAt, b.next = 0, now, now
 			m.checking--
--- a/internal/front/offer.go
+++ b/internal/front/offer.go
@@ -15,9 +15,16 @@
 )
 
 const (
-	// offerTimeout is after what time without an answer an opening packet is
+	// minOfferTimeout is after what time without an answer an opening packet is
 	// offered to other agents: six hops between places and a handshake take 10 ms.
-	offerTimeout = 30 * time.Millisecond
+	minOfferTimeout = 30 * time.Millisecond
+	// maxOfferTimeout is the same when answers are slow, because the balancer's
+	// link or processor is busy: the caller's own copy comes after 200 ms.
+	maxOfferTimeout = 200 * time.Millisecond
+	// answerFactor is how many mean answer times the timeout is in between.
+	answerFactor = 3
+	// answerSamples is the number of offers that the mean reaches back.
+	answerSamples = 16
 	// maxOffers is how often an opening packet is offered before the caller's
 	// own copy, 200 ms after it, has to do.
 	maxOffers = 4
@@ -44,16 +51,27 @@
 	// offered is the list of the last offer.
 	offered []netip.AddrPort
 	offers  int
+	// began is when the packet was first offered.
+	began time.Duration
 	// deadline is when the last offer counts as unanswered.
 	deadline time.Duration
 	done     bool
 }
 
-// pendings holds opening packets in the order of their deadlines. All offers
-// have the same timeout, so a queue is enough.
+// pendings holds opening packets in the order of their offers. The timeout
+// changes slowly, so a queue is enough.
 type pendings struct {
 	byKey map[flow.Key]*pending
 	queue []*pending
+	// answer is a moving average of the time from an offer to its answer.
+	answer time.Duration
+}
+
+func (p *pendings) sample(d time.Duration) { p.answer += (d - p.answer) / answerSamples }
+
+// timeout returns after what time an offer counts as unanswered.
+func (p *pendings) timeout() time.Duration {
+	return min(max(answerFactor*p.answer, minOfferTimeout), maxOfferTimeout)
 }
 
 func (p *pendings) push(o *pending) { p.queue = append(p.queue, o) }
@@ -136,8 +154,11 @@
 		c.reject(now, o)
 		return
 	}
+	if o.offers == 0 {
+		o.began = now
+	}
 	o.offers++
-	o.deadline = now + offerTimeout
+	o.deadline = now + c.pending.timeout()
 	c.pending.push(o)
 	c.send(&f, o.offered[0])
 }
@@ -146,7 +167,7 @@
 // has just started and does not know the agents yet keeps the packet until it does.
 func (c *Core) reject(now time.Duration, o *pending) {
 	if !c.settled(now) && o.offers == 0 {
-		o.deadline = now + offerTimeout
+		o.deadline = now + minOfferTimeout
 		c.pending.push(o)
 		return
 	}
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -153,9 +153,10 @@
 }
 
 // TellGeneration tells the other balancers which configuration is in force.
-func (c *Core) TellGeneration(now time.Duration) {
+func (c *Core) TellGeneration() {
+	b := binary.BigEndian.AppendUint64(nil, uint64(c.rules.Generation()))
 	for _, a := range c.Peers() {
-		c.sendDigest(now, a, true)
+		c.send(&frame.Frame{Kind: frame.Generation, Balancer: c.self.Peer, Payload: b}, a)
 	}
 }
 
@@ -220,6 +221,12 @@
 // gossip handles messages about the view.
 func (c *Core) gossip(now time.Duration, f *frame.Frame, from netip.AddrPort) {
 	switch f.Kind {
+	case frame.Generation:
+		if len(f.Payload) != 8 {
+			c.Counts.Foreign++
+			return
+		}
+		c.learnGeneration(now, ident.Generation(binary.BigEndian.Uint64(f.Payload)), from)
 	case frame.Digest:
 		var d digestBody
 		if json.Unmarshal(f.Payload, &d) != nil || len(d.Buckets) != 8*view.Buckets {
@@ -259,12 +266,22 @@
 	} else if !d.Answer {
 		c.sendDigest(now, from, true)
 	}
-	if d.Generation > c.rules.Generation() && d.Generation > c.peers.ahead {
-		c.peers.ahead, c.peers.source, c.peers.fetchAt = d.Generation, from, now+fetchDelay
+	c.learnGeneration(now, d.Generation, from)
+}
+
+// learnGeneration plans to read a newer configuration from a peer.
+func (c *Core) learnGeneration(now time.Duration, g ident.Generation, from netip.AddrPort) {
+	p := &c.peers
+	if g <= c.rules.Generation() || g <= p.ahead {
+		return
+	}
+	if p.ahead == 0 {
+		p.fetchAt = now + fetchDelay
 		if c.rules == nil {
-			c.peers.fetchAt = now
+			p.fetchAt = now
 		}
 	}
+	p.ahead, p.source = g, from
 }
 
 // fetchAhead reads a newer configuration from a peer unless it has come from
--- a/internal/front/sync.go
+++ b/internal/front/sync.go
@@ -107,9 +107,9 @@
 }
 
 func (f *Front) adopt(t *rules.Table, source string) {
-	f.loop.Do(func(now time.Duration) {
+	f.loop.Do(func(time.Duration) {
 		if f.core.SetRules(t, source) {
-			f.core.TellGeneration(now)
+			f.core.TellGeneration()
 		}
 	})
 	f.ready.CompareAndSwap(false, !f.stopping.Load())
