Let a retry inherit the age of the request that was reset

Cause: in overload a reset caller opens its next flow at once.

Balancers remember a reset for 100 ms by the caller's VM and the route, tell the balancers of their place, and give the age of the request with the offer.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -45,8 +45,11 @@
 	// Generation tells which configuration a balancer has in force; the payload
 	// is eight octets.
 	Generation
+	// Rejected tells that the opening of a flow was reset; the payload is its key
+	// and the age of the request in milliseconds.
+	Rejected
 
-	lastKind = Generation
+	lastKind = Rejected
 )
 
 // ServiceID identifies a service in datagrams.
@@ -77,8 +80,8 @@
 const (
 	version = 0xB1
 	// headSize is the length of the fixed part: version, kind, position, count,
-	// trials, flags, service, balancer, objective, timeout and priority.
-	headSize      = 4 + 2 + 4 + 6 + 2 + 2 + 1
+	// trials, flags, service, balancer, objective, timeout, age and priority.
+	headSize      = 4 + 2 + 4 + 6 + 2 + 2 + 2 + 1
 	candidateSize = 4 + 2 + 2
 	// MaxCandidates is the number of agents in the longest list.
 	MaxCandidates = 64
@@ -106,9 +109,11 @@
 	// of the requests of the flow; zero if unknown. Priority is their urgency; 0
 	// is the highest.
 	ObjectiveMillis, TimeoutMillis uint16
-	Priority                       uint8
-	Candidates                     []Candidate
-	Payload                        []byte
+	// AgeMillis is how long before this attempt the request began.
+	AgeMillis  uint16
+	Priority   uint8
+	Candidates []Candidate
+	Payload    []byte
 }
 
 // Append appends the encoded datagram to b. Addresses that are not IPv4 are
@@ -123,6 +128,7 @@
 	b = appendAddr(b, f.Balancer)
 	b = binary.BigEndian.AppendUint16(b, f.ObjectiveMillis)
 	b = binary.BigEndian.AppendUint16(b, f.TimeoutMillis)
+	b = binary.BigEndian.AppendUint16(b, f.AgeMillis)
 	b = append(b, f.Priority)
 	for _, c := range f.Candidates {
 		b = appendAddr(b, c.Addr)
@@ -145,7 +151,7 @@
 	f.Service = ServiceID(binary.BigEndian.Uint32(b[6:]))
 	f.Balancer = addrOf(b[10:])
 	f.ObjectiveMillis, f.TimeoutMillis = binary.BigEndian.Uint16(b[16:]), binary.BigEndian.Uint16(b[18:])
-	f.Priority = b[20]
+	f.AgeMillis, f.Priority = binary.BigEndian.Uint16(b[20:]), b[22]
 	f.Candidates = f.Candidates[:0]
 	b = b[headSize:]
 	for range n {
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -75,9 +75,10 @@
 	view    *view.View
 	pending pendings
 	// retries bounds the offers that follow an unanswered one.
-	retries *budget.Budget
-	lookups lookups
-	walks   map[flow.Key]time.Duration
+	retries    *budget.Budget
+	rejections rejections
+	lookups    lookups
+	walks      map[flow.Key]time.Duration
 	// started is when the balancer started, by the clock of now.
 	started time.Duration
 	stopped bool
@@ -324,6 +325,8 @@
 	case frame.Pong:
 	case frame.Ping:
 		c.send(&frame.Frame{Kind: frame.Pong}, from)
+	case frame.Rejected:
+		c.heardRejected(now, f)
 	case frame.Announce, frame.Digest, frame.Entries, frame.Generation:
 		c.gossip(now, f, from)
 	default:
--- a/internal/front/offer.go
+++ b/internal/front/offer.go
@@ -51,8 +51,8 @@
 	// offered is the list of the last offer.
 	offered []netip.AddrPort
 	offers  int
-	// began is when the packet was first offered.
-	began time.Duration
+	// began is when the packet was first offered, age how old its request was then.
+	began, age time.Duration
 	// deadline is when the last offer counts as unanswered.
 	deadline time.Duration
 	done     bool
@@ -124,6 +124,7 @@
 		return
 	}
 	c.pending.byKey[k] = o
+	o.age = now - c.rejections.take(now, requesterOf(k))
 	c.retries.Request(clockOf(now))
 	c.offer(now, o)
 }
@@ -132,6 +133,7 @@
 func (c *Core) opening(k frame.Kind, o *pending) frame.Frame {
 	return frame.Frame{
 		Kind: k, Service: o.service, Balancer: c.self.Peer, Payload: o.packet,
+		AgeMillis:       millis(int(o.age / time.Millisecond)),
 		ObjectiveMillis: millis(o.route.ObjectiveMillis), TimeoutMillis: millis(o.route.TimeoutMillis), Priority: o.route.Priority,
 	}
 }
@@ -180,6 +182,7 @@
 	}
 	if p, ok := c.codec.Decode(o.packet); ok {
 		c.reset(o.key, &p)
+		c.rejected(now, now-o.age, o.key)
 	}
 }
 
@@ -196,7 +199,10 @@
 	if r == nil {
 		return
 	}
-	again := &pending{key: k, packet: slices.Clone(f.Payload), service: f.Service, route: r, tried: []netip.AddrPort{from}}
+	again := &pending{
+		key: k, packet: slices.Clone(f.Payload), service: f.Service, route: r,
+		tried: []netip.AddrPort{from}, age: time.Duration(f.AgeMillis) * time.Millisecond,
+	}
 	if o := c.pending.byKey[k]; o != nil {
 		again.offers = o.offers
 		again.tried = append(append(again.tried, o.tried...), o.offered...)
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -4,6 +4,7 @@
 package hostd
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -228,10 +229,11 @@
 		return
 	}
 	item := queue.Item{
-		Key: k, Began: now - copyAge(p), Priority: f.Priority, Packet: slices.Clone(f.Payload),
+		Key: k, Attempt: now - copyAge(p), Priority: f.Priority, Packet: slices.Clone(f.Payload),
 		Objective: time.Duration(f.ObjectiveMillis) * time.Millisecond,
 		Deadline:  time.Duration(f.TimeoutMillis) * time.Millisecond,
 	}
+	item.Began = item.Attempt - time.Duration(f.AgeMillis)*time.Millisecond
 	c.Counts.Held++
 	c.frames[k] = o
 	c.tell(k, f.Balancer)
@@ -311,6 +313,7 @@
 		}
 		o := c.frames[i.Key]
 		delete(c.frames, i.Key)
+		o.frame.AgeMillis = uint16(min((now-i.Began)/time.Millisecond, math.MaxUint16))
 		c.returnOpening(o, i.Packet)
 	}
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -13,8 +13,9 @@
 // Item is an opening packet that waits.
 type Item struct {
 	Key flow.Key
-	// Began is when the caller's attempt began, by the clock of now.
-	Began time.Duration
+	// Began is when the request began, Attempt when its present attempt did, by
+	// the clock of now.
+	Began, Attempt time.Duration
 	// Objective and Deadline are the latency objective and the timeout of the
 	// request, counted from Began; zero if unknown.
 	Objective, Deadline time.Duration
@@ -82,7 +83,7 @@
 
 // end returns when the packet is of no use any more.
 func (i *Item) end() time.Duration {
-	end := i.Began + attemptTime
+	end := i.Attempt + attemptTime
 	if i.Deadline > 0 {
 		end = min(end, i.Began+i.Deadline)
 	}
