Bound trials of agents by their use; never reset while an agent is unsure

Cause, found by new tests of the cores in simulated time: (1) a trial passed a packet to an upstream of another service at an address that had changed hands; (2) a walk that came back from an agent which had just started beside a running upstream led to a reset of a living flow; (3) the first agent in the order, the likeliest holder, was never tried.

Hints carry the service; an agent that may hold a flow says that it is unsure; lookups allow two trials in 2.5 s and take back those that nobody used.

--- a/internal/flow/hints.go
+++ b/internal/flow/hints.go
@@ -17,8 +17,14 @@
 	swept time.Duration
 }
 
+// Hint names the agent that holds a flow, and the agent's service.
+type Hint struct {
+	Agent   netip.AddrPort
+	Service uint32
+}
+
 type hint struct {
-	agent netip.AddrPort
+	Hint
 	// until is when the hint expires.
 	until time.Duration
 }
@@ -31,32 +37,32 @@
 }
 
 // Put remembers the agent of a flow.
-func (h *Hints) Put(now time.Duration, k Key, agent netip.AddrPort) {
+func (h *Hints) Put(now time.Duration, k Key, agent Hint) {
 	if _, known := h.entries[k]; !known && len(h.entries) >= h.limit {
 		h.sweep(now)
 		if len(h.entries) >= h.limit {
 			return
 		}
 	}
-	h.entries[k] = hint{agent: agent, until: now + h.lifetime}
+	h.entries[k] = hint{Hint: agent, until: now + h.lifetime}
 }
 
 // Get returns the agent of a flow. The end of the flow shortens the hint.
-func (h *Hints) Get(now time.Duration, k Key, ends bool) (netip.AddrPort, bool) {
+func (h *Hints) Get(now time.Duration, k Key, ends bool) (Hint, bool) {
 	e, ok := h.entries[k]
 	if !ok || now >= e.until {
-		return netip.AddrPort{}, false
+		return Hint{}, false
 	}
 	if ends {
 		e.until = now + h.linger
 		h.entries[k] = e
 	}
-	return e.agent, true
+	return e.Hint, true
 }
 
 // Drop forgets a flow if its hint names the given agent.
 func (h *Hints) Drop(k Key, agent netip.AddrPort) {
-	if e, ok := h.entries[k]; ok && e.agent == agent {
+	if e, ok := h.entries[k]; ok && e.Agent == agent {
 		delete(h.entries, k)
 	}
 }
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -78,6 +78,9 @@
 }
 
 const (
+	flagHinted = 1
+	flagUnsure = 2
+
 	version = 0xB1
 	// headSize is the length of the fixed part: version, kind, position, count,
 	// trials, flags, service, balancer, objective, timeout, age and priority.
@@ -101,7 +104,9 @@
 	// their upstream, because they may have lost their table.
 	Trials uint8
 	// Hinted is set on Data if the balancer was told that the agent holds the flow.
-	Hinted  bool
+	Hinted bool
+	// Unsure is set by an agent that may hold the flow without knowing.
+	Unsure  bool
 	Service ServiceID
 	// Balancer is the address that outcomes are sent to.
 	Balancer netip.AddrPort
@@ -121,7 +126,10 @@
 func (f *Frame) Append(b []byte) []byte {
 	var flags byte
 	if f.Hinted {
-		flags = 1
+		flags |= flagHinted
+	}
+	if f.Unsure {
+		flags |= flagUnsure
 	}
 	b = append(b, version, byte(f.Kind), byte(f.Position), byte(len(f.Candidates)), f.Trials, flags)
 	b = binary.BigEndian.AppendUint32(b, uint32(f.Service))
@@ -147,7 +155,8 @@
 	if n > MaxCandidates || len(b) < headSize+n*candidateSize || n > 0 && int(b[2]) >= n {
 		return false
 	}
-	f.Kind, f.Position, f.Trials, f.Hinted = Kind(b[1]), int(b[2]), b[4], b[5]&1 != 0
+	f.Kind, f.Position, f.Trials, f.Hinted = Kind(b[1]), int(b[2]), b[4], b[5]&flagHinted != 0
+	f.Unsure = b[5]&flagUnsure != 0
 	f.Service = ServiceID(binary.BigEndian.Uint32(b[6:]))
 	f.Balancer = addrOf(b[10:])
 	f.ObjectiveMillis, f.TimeoutMillis = binary.BigEndian.Uint16(b[16:]), binary.BigEndian.Uint16(b[18:])
--- /dev/null
+++ b/internal/frame/frame_test.go
@@ -0,0 +1,83 @@
+package frame
+
+import (
+	"net/netip"
+	"reflect"
+	"testing"
+)
+
+func addr(s string) netip.AddrPort { return netip.MustParseAddrPort(s) }
+
+// TestFrame guards against fields that get lost or mixed up on the way.
+func TestFrame(t *testing.T) {
+	for _, want := range []Frame{
+		{Kind: Ping, Balancer: addr("0.0.0.0:0")},
+		{Kind: Taken, Balancer: addr("10.0.0.1:7000"), Payload: make([]byte, 12)},
+		{
+			Kind: Offer, Position: 1, Service: 0xdeadbeef, Balancer: addr("10.0.0.1:7000"),
+			ObjectiveMillis: 250, TimeoutMillis: 1500, AgeMillis: 700, Priority: 3,
+			Candidates: []Candidate{{addr("10.0.0.2:8000"), 17}, {addr("10.0.0.3:8000"), NoDepth}},
+			Payload:    []byte("packet"),
+		},
+		{Kind: Data, Hinted: true, Trials: 2, Balancer: addr("10.0.0.1:7000"), Payload: []byte("packet")},
+	} {
+		var have Frame
+		if !have.Parse(want.Append(nil)) {
+			t.Errorf("%+v: not parsed", want)
+			continue
+		}
+		if len(have.Candidates) == 0 {
+			have.Candidates = nil
+		}
+		if len(have.Payload) == 0 {
+			have.Payload = nil
+		}
+		if !reflect.DeepEqual(want, have) {
+			t.Errorf("want %+v, have %+v", want, have)
+		}
+	}
+}
+
+// TestParseRefuses guards against datagrams of others that are taken for frames.
+func TestParseRefuses(t *testing.T) {
+	good := (&Frame{Kind: Offer, Candidates: []Candidate{{Addr: addr("10.0.0.2:8000")}}}).Append(nil)
+	for name, change := range map[string]func(b []byte) []byte{
+		"empty":         func([]byte) []byte { return nil },
+		"short":         func(b []byte) []byte { return b[:headSize-1] },
+		"other version": func(b []byte) []byte { b[0]++; return b },
+		"no kind":       func(b []byte) []byte { b[1] = 0; return b },
+		"unknown kind":  func(b []byte) []byte { b[1] = byte(lastKind) + 1; return b },
+		"position":      func(b []byte) []byte { b[2] = 1; return b },
+		"cut list":      func(b []byte) []byte { return b[:len(b)-1] },
+		"long list":     func(b []byte) []byte { b[3] = MaxCandidates + 1; return b },
+	} {
+		var f Frame
+		if f.Parse(change(append([]byte(nil), good...))) {
+			t.Errorf("%s: want it refused, have %+v", name, f)
+		}
+	}
+}
+
+// TestAllocations guards the packet path against allocations.
+func TestAllocations(t *testing.T) {
+	f := Frame{Kind: Data, Payload: make([]byte, 1232)}
+	b := make([]byte, 0, MaxSize)
+	var parsed Frame
+	if n := testing.AllocsPerRun(100, func() {
+		b = f.Append(b[:0])
+		parsed.Parse(b)
+	}); n > 0 {
+		t.Errorf("want no allocations, have %v", n)
+	}
+}
+
+// FuzzParse guards against datagrams that end the process.
+func FuzzParse(f *testing.F) {
+	f.Add((&Frame{Kind: Offer, Candidates: []Candidate{{Addr: addr("10.0.0.2:8000")}}, Payload: []byte("p")}).Append(nil))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var p Frame
+		if p.Parse(b) && len(p.Candidates) > 0 && p.Position >= len(p.Candidates) {
+			t.Fatalf("position %d of %d", p.Position, len(p.Candidates))
+		}
+	})
+}
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -78,7 +78,7 @@
 	retries    *budget.Budget
 	rejections rejections
 	lookups    lookups
-	walks      map[flow.Key]time.Duration
+	trials     trials
 	// started is when the balancer started, by the clock of now.
 	started time.Duration
 	stopped bool
@@ -106,7 +106,7 @@
 		view:    view.New(),
 		pending: pendings{byKey: map[flow.Key]*pending{}},
 		lookups: lookups{byKey: map[flow.Key]*lookup{}},
-		walks:   map[flow.Key]time.Duration{},
+		trials:  trials{},
 		started: now,
 		out:     make([]byte, 0, frame.MaxSize),
 	}
@@ -151,14 +151,14 @@
 // carry sends a packet of an open flow to its agent, or to the likeliest one.
 func (c *Core) carry(now time.Duration, k flow.Key, p *flow.Packet, b []byte) {
 	c.Counts.Carried++
-	f := frame.Frame{Kind: frame.Data, Trials: 1, Balancer: c.self.Peer, Payload: b}
-	if agent, ok := c.hints.Get(now, k, p.Fin || p.Rst); ok {
-		if c.members.lost(now, agent) {
-			c.abandon(k, p, agent)
+	f := frame.Frame{Kind: frame.Data, Balancer: c.self.Peer, Payload: b}
+	if h, ok := c.hints.Get(now, k, p.Fin || p.Rst); ok {
+		if c.members.lost(now, h.Agent) {
+			c.abandon(k, p, h.Agent)
 			return
 		}
-		f.Hinted = true
-		c.send(&f, agent)
+		f.Hinted, f.Trials, f.Service = true, 1, frame.ServiceID(h.Service)
+		c.send(&f, h.Agent)
 		return
 	}
 	name, ok := c.rules.Service(k.Route(), k.Hash())
@@ -170,10 +170,13 @@
 	g := c.members.group(f.Service)
 	if n := g.all.Order(k.Hash(), maxNear, c.ids[:1]); n > 0 {
 		c.lookups.begin(now, k, c.ids[0].Addr)
+		if c.trials.allow(now, k) {
+			f.Trials = 1
+		}
 		c.send(&f, c.ids[0].Addr)
 		return
 	}
-	c.lost(now, k, p)
+	c.lost(now, k, p, false)
 }
 
 // abandon resets a flow whose agent has ended without a word. Its caller then
@@ -202,11 +205,14 @@
 	k := flow.KeyOf(p.From, p.To)
 	c.hints.Drop(k, from)
 	c.lookups.end(k)
+	if f.Trials > 0 && !f.Hinted {
+		c.trials.refund(k)
+	}
 	if len(f.Candidates) > 0 {
-		c.lost(now, k, &p)
+		c.lost(now, k, &p, f.Unsure)
 		return
 	}
-	w := frame.Frame{Kind: frame.Walk, Balancer: c.self.Peer, Payload: f.Payload}
+	w := frame.Frame{Kind: frame.Walk, Balancer: c.self.Peer, Unsure: f.Unsure, Payload: f.Payload}
 	r := c.rules.Route(k.Route())
 	if r == nil {
 		c.Counts.NoRoute++
@@ -222,12 +228,10 @@
 		}
 	}
 	if len(w.Candidates) == 0 {
-		c.lost(now, k, &p)
+		c.lost(now, k, &p, f.Unsure)
 		return
 	}
-	if last, walked := c.walks[k]; !walked || now-last >= walkInterval {
-		// Bounds how many upstreams see packets of a flow that is not theirs.
-		c.walks[k] = now
+	if c.trials.allow(now, k) {
 		w.Trials = 1
 	}
 	c.Counts.Walked++
@@ -239,16 +243,12 @@
 	c.send(&w, w.Candidates[0].Addr)
 }
 
-// walkInterval is the least time between two walks of a flow that agents
-// without a table may pass to their upstreams.
-const walkInterval = 2500 * time.Millisecond
-
 // lost resets a flow that no agent holds, so that its caller sends the request
 // again on another flow. It does so only if every agent of the service was
 // asked, because the flow of an agent that is down may still be open, and only
 // where the request may be repeated: another one may have run, and its answer
-// may still come.
-func (c *Core) lost(now time.Duration, k flow.Key, p *flow.Packet) {
+// may still come. An agent that has started beside a running upstream is unsure.
+func (c *Core) lost(now time.Duration, k flow.Key, p *flow.Packet, unsure bool) {
 	c.Counts.Lost++
 	r := c.rules.Route(k.Route())
 	if p.Rst || r == nil {
@@ -258,7 +258,7 @@
 	for _, s := range r.Shares {
 		absent += c.members.group(frame.IDOf(s.Service)).absent
 	}
-	reset := r.Repeatable && c.settled(now) && absent == 0
+	reset := r.Repeatable && c.settled(now) && absent == 0 && !unsure
 	outcome := "dropped"
 	if reset {
 		outcome = "reset"
@@ -267,7 +267,7 @@
 	}
 	if c.Sample() {
 		c.decision("flowLost", k, outcome).WithFields(logrus.Fields{
-			"seq": p.Seq, "size": p.Size, "repeatable": r.Repeatable, "settled": c.settled(now), "absentAgents": absent,
+			"seq": p.Seq, "size": p.Size, "repeatable": r.Repeatable, "settled": c.settled(now), "absentAgents": absent, "unsure": unsure,
 		}).Info("no agent holds the flow")
 	}
 }
@@ -343,7 +343,7 @@
 	if o := c.pending.byKey[k]; o != nil && o.offers > 0 {
 		c.pending.sample(now - o.began)
 	}
-	c.hints.Put(now, k, from)
+	c.hints.Put(now, k, flow.Hint{Agent: from, Service: uint32(f.Service)})
 	c.pending.drop(k)
 	c.lookups.end(k)
 }
@@ -361,11 +361,7 @@
 	}
 	c.housekeeping = now + tickInterval
 	c.hints.Sweep(now)
-	for k, at := range c.walks {
-		if now-at >= walkInterval {
-			delete(c.walks, k)
-		}
-	}
+	c.trials.expire(now)
 	c.exchange(now)
 	c.fetchAhead(now)
 }
--- a/internal/front/lookup.go
+++ b/internal/front/lookup.go
@@ -66,6 +66,8 @@
 	for c.lookups.next(now) == 0 {
 		o := c.lookups.queue[0]
 		c.lookups.end(o.key)
+		// An agent that does not answer has not passed the packet on.
+		c.trials.refund(o.key)
 		for _, a := range o.agents {
 			c.members.suspect(now, a, c)
 		}
--- a/internal/front/offer.go
+++ b/internal/front/offer.go
@@ -110,14 +110,14 @@
 		return
 	}
 	o := &pending{key: k, packet: slices.Clone(b), service: frame.IDOf(r.Service(k.Hash())), route: r}
-	if agent, taken := c.hints.Get(now, k, false); taken {
+	if hint, taken := c.hints.Get(now, k, false); taken {
 		if p.Acked < 2 {
 			// The answer of the upstream was lost: the same agent answers again.
 			f := c.opening(frame.Placed, o)
-			c.send(&f, agent)
+			c.send(&f, hint.Agent)
 			return
 		}
-		o.tried = append(o.tried, agent)
+		o.tried = append(o.tried, hint.Agent)
 	}
 	if len(c.pending.byKey) >= maxPending {
 		c.Counts.GivenUp++
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -206,6 +206,7 @@
 	}
 	if len(news) > 0 {
 		c.rebuild()
+		c.retryHeld(now)
 	}
 	return news
 }
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -117,6 +117,8 @@
 	at    time.Duration
 	// back is set once the upstream has returned the packet.
 	back bool
+	// unsure is set if an agent before this one may hold the flow.
+	unsure bool
 }
 
 // NewCore returns the core of an agent that starts now.
@@ -335,7 +337,7 @@
 // tell tells a balancer that this agent holds a flow.
 func (c *Core) tell(k flow.Key, balancer netip.AddrPort) {
 	if balancer.IsValid() && balancer.Port() != 0 {
-		c.send(&frame.Frame{Kind: frame.Taken, Payload: k[:]}, balancer)
+		c.send(&frame.Frame{Kind: frame.Taken, Service: c.upstream.id(), Payload: k[:]}, balancer)
 	}
 }
 
@@ -354,28 +356,39 @@
 		c.ToUpstream(f.Payload)
 		return
 	}
-	if c.table.Get(k) == nil && (f.Hinted || f.Kind == frame.Walk && f.Trials > 0 && c.upstream.outlived()) && c.try(now, k, f) {
+	before := f.Unsure
+	if c.table.Get(k) == nil && c.mayHold(now, k, f) && c.try(now, k, f, before) {
 		return
 	}
 	c.miss(f)
 }
 
-// try passes a packet to the upstream because the agent may have lost the
-// table entry of its flow. Each flow is tried once, and only by an agent that
-// has not run for the longest time that a flow may last.
-func (c *Core) try(now time.Duration, k flow.Key, f *frame.Frame) bool {
-	if now-c.started >= c.self.FlowLifetime || c.upstream.known && !c.upstream.outlived() {
+// mayHold reports whether the upstream may hold a flow that is not in the table:
+// it ran before the agent did, and has not returned a packet of the flow yet.
+func (c *Core) mayHold(now time.Duration, k flow.Key, f *frame.Frame) bool {
+	if now-c.started >= c.self.FlowLifetime || f.Service != c.upstream.id() || c.upstream.fresh() {
 		return false
 	}
+	t := c.trials[k]
+	if t == nil || !t.back {
+		f.Unsure = true
+		return true
+	}
+	return false
+}
+
+// try passes a packet to the upstream because the agent may have lost the
+// table entry of its flow. Each flow is tried once.
+func (c *Core) try(now time.Duration, k flow.Key, f *frame.Frame, unsure bool) bool {
 	if t := c.trials[k]; t != nil {
 		// Until the answer to the first packet, the next ones wait at the caller.
-		return !t.back && now-t.at < openingTimeout
+		return now-t.at < openingTimeout
 	}
-	if len(c.trials) >= maxTrials {
+	if f.Trials == 0 || len(c.trials) >= maxTrials || !f.Hinted && !c.upstream.outlived() {
 		return false
 	}
 	c.Counts.Tried++
-	t := &trial{frame: *f, at: now}
+	t := &trial{frame: *f, at: now, unsure: unsure}
 	t.frame.Candidates, t.frame.Payload = slices.Clone(f.Candidates), nil
 	c.trials[k] = t
 	c.ToUpstream(f.Payload)
@@ -457,8 +470,7 @@
 	if t := c.trials[k]; t != nil && !t.back {
 		t.back = true
 		f := t.frame
-		f.Payload = b
-		f.Trials = 0
+		f.Payload, f.Trials, f.Unsure = b, 0, t.unsure
 		c.miss(&f)
 		return
 	}
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -88,6 +88,10 @@
 	return u.old || !u.known && u.spoke > 0
 }
 
+// fresh reports whether the upstream holds no flows of an earlier run of the
+// agent for certain.
+func (u *upstream) fresh() bool { return u.gone || u.known && !u.old }
+
 // stalled reports whether the upstream does not answer opening packets.
 func (u *upstream) stalled(now time.Duration) bool { return u.asked > 0 && now-u.asked >= stallTime }
 
--- /dev/null
+++ b/internal/place/place_test.go
@@ -0,0 +1,90 @@
+package place
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+
+	"github.com/bramleycourse/bramleycourse/internal/frame"
+)
+
+func offer(n int) *frame.Frame {
+	f := frame.Frame{Kind: frame.Offer}
+	for i := range n {
+		f.Candidates = append(f.Candidates, frame.Candidate{Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 8000)})
+	}
+	return &f
+}
+
+// walk plays the walk of an opening packet along the candidates and returns who
+// took it, -1 for nobody, and the number of hops.
+func walk(t *testing.T, f *frame.Frame, loads []Load) (taker, hops int) {
+	for hops = range 2 * len(loads) {
+		at := f.Position
+		switch Decide(loads[at], f) {
+		case Take:
+			return at, hops
+		case Refuse:
+			return -1, hops
+		case Forward:
+		}
+	}
+	t.Fatal("the walk does not end")
+	return
+}
+
+// TestDecide guards the choice of the agent that takes a flow.
+func TestDecide(t *testing.T) {
+	idle, half, busy, queued := Load{Slots: 4}, Load{Slots: 4, Busy: 3, Mean: 3}, Load{Slots: 4, Busy: 4, Mean: 4}, Load{Slots: 4, Busy: 6, Mean: 4}
+	closed := Load{Slots: 4, Closed: true}
+	for _, c := range []struct {
+		name  string
+		loads []Load
+		taker int
+	}{
+		{"first is idle", []Load{idle, idle}, 0},
+		{"first is busy", []Load{busy, idle}, 1},
+		{"all busy: least loaded", []Load{queued, half, busy}, 1},
+		{"a leaving upstream gets nothing, also as the last one", []Load{queued, closed}, 0},
+		{"all leave", []Load{closed, closed}, -1},
+		{"only one, busy", []Load{queued}, 0},
+		{"mean load counts: open flows bring it again", []Load{{Slots: 4, Busy: 2, Mean: 4}, idle}, 1},
+	} {
+		if have, _ := walk(t, offer(len(c.loads)), c.loads); have != c.taker {
+			t.Errorf("%s: want %d, have %d", c.name, c.taker, have)
+		}
+	}
+}
+
+// TestPlaced guards against packets that go round in circles.
+func TestPlaced(t *testing.T) {
+	f := offer(2)
+	f.Kind = frame.Placed
+	if have := Decide(Load{Slots: 1, Busy: 9}, f); have != Take {
+		t.Errorf("want take, have %s", have)
+	}
+	if have := Decide(Load{Slots: 1, Closed: true}, f); have != Refuse {
+		t.Errorf("want refuse, have %s", have)
+	}
+}
+
+// TestWalkEnds guards against walks that are longer than the list, or that end
+// at an upstream which takes nothing while another one would.
+func TestWalkEnds(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	for range 2000 {
+		loads := make([]Load, 1+r.IntN(6))
+		open := false
+		for i := range loads {
+			loads[i] = Load{Slots: 1 + float64(r.IntN(5)), Busy: r.IntN(9), Mean: 6 * r.Float64(), Closed: r.IntN(3) == 0}
+			open = open || !loads[i].Closed
+		}
+		taker, hops := walk(t, offer(len(loads)), loads)
+		if hops > len(loads) {
+			t.Fatalf("%+v: %d hops", loads, hops)
+		}
+		if open != (taker >= 0) || taker >= 0 && loads[taker].Closed {
+			t.Fatalf("%+v: taken by %d", loads, taker)
+		}
+	}
+}
