Trace two flaky tests; test settings, store, reports and packets of the adapter

TestHopAllocations: a profile of each allocation of a failing run shows 201 failed writes (os.NewSyscallError). The forwarding goroutine of the harness sent the replies to a caller that cannot be reached, 192.0.2.1, and its errors counted if it was scheduled during the measurement. The caller is a socket now.

TestWatchBurst counted the calls of all three watches with one allowance for the other two, but the watch of balancers calls again after its own entry appears: five calls are in order.

--- a/internal/agent/hop_test.go
+++ b/internal/agent/hop_test.go
@@ -139,7 +139,9 @@
 	a := &Agent{keys: func() *connid.Set { return b.keys }, tag: 7, refusals: newReasons(quietLog(), tally.NoopScope)}
 	a.self = ident.EndpointID{Addr: addrOf(udp), Instance: 9}
 	a.hop = newHopConn(a, udp, 0)
-	h := encap.Header{Kind: encap.Established, Service: 7, Instance: 9, Caller: netip.MustParseAddrPort("192.0.2.1:1234")}
+	// The reply goes on to a socket: a caller that cannot be reached would make
+	// the forwarding goroutine allocate an error for each packet.
+	h := encap.Header{Kind: encap.Established, Service: 7, Instance: 9, Caller: addrOf(listenUDP(t))}
 	packet := make([]byte, h.Size()+1200)
 	packet[h.Size()] = 0x40
 	h.Put(b.keys.Current, packet)
--- a/internal/relay/control_test.go
+++ b/internal/relay/control_test.go
@@ -217,16 +217,16 @@
 	}
 	announce(0)
 	s.eventually(5*time.Second, "first object known", func() bool { return objects() == 1 })
-	before, begin := s.store.Counts()["watch"], time.Now()
+	before, begin := s.store.WatchCalls(string(plat.KindEndpoint)), time.Now()
 	for i := 1; i < burst; i++ {
 		announce(i)
 		time.Sleep(10 * time.Millisecond)
 	}
 	s.eventually(5*time.Second, "all objects known", func() bool { return objects() == burst })
-	calls, took := s.store.Counts()["watch"]-before, time.Since(begin)
+	calls, took := s.store.WatchCalls(string(plat.KindEndpoint))-before, time.Since(begin)
 	t.Logf("%d announcements in %v: %d watch calls", burst, took, calls)
-	// The other two watches may each call once more.
-	if limit := int(took/watchInterval) + 3; calls > limit {
+	// A call may be due at the beginning.
+	if limit := int(took/watchInterval) + 1; calls > limit {
 		t.Errorf("want at most %d watch calls in %v, have %d", limit, took, calls)
 	}
 }
--- a/internal/store/faults.go
+++ b/internal/store/faults.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"path"
 	"time"
 
 	"github.com/bramleycourse/bramleycourse/internal/plat"
@@ -44,6 +45,13 @@
 	return c
 }
 
+// WatchCalls returns the number of watch calls for one kind of objects.
+func (s *Store) WatchCalls(kind string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watches[kind]
+}
+
 func (s *Store) serveFaults(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodGet {
 		writeJSON(w, s.Counts())
@@ -67,6 +75,9 @@
 	}
 	s.mu.Lock()
 	s.counts[kind]++
+	if kind == "watch" {
+		s.watches[path.Base(r.URL.Path)]++
+	}
 	s.mu.Unlock()
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -39,6 +39,8 @@
 	// outage is closed while an outage lasts and replaced when it ends.
 	outage chan struct{}
 	counts map[string]int
+	// watches counts the watch calls by kind of objects.
+	watches map[string]int
 
 	// AfterLost, when set, is called after a write took effect and before its
 	// answer is lost, without locks. It must be set before the first call.
@@ -52,6 +54,7 @@
 		changed: make(chan struct{}),
 		outage:  make(chan struct{}),
 		counts:  map[string]int{},
+		watches: map[string]int{},
 	}
 }
 
