Add a fault soak of the real programs with stand-ins of store, upstreams and callers

Processes run separately on loopback. The soak kills, stops, pauses and restarts them by signals, harms the store and the connections to it, crashes and replaces upstreams, changes the configuration, and loses or sprays packets; faults overlap. It checks from outside: whole answers, unchanged packets, service, at most once, new flows of leaving upstreams, resets of living flows, own ends, stops in time, memory, and service after the faults.

--- /dev/null
+++ b/cmd/bramleysoak/main.go
@@ -0,0 +1,68 @@
+// Command bramleysoak plays random faults against the real programs on loopback.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/bramleycourse/bramleycourse/platform/soak"
+)
+
+type cli struct {
+	Seed      uint64        `help:"First seed." default:"1"`
+	Count     int           `help:"Number of seeds." default:"1"`
+	Duration  time.Duration `help:"Time with faults of each run." default:"20s"`
+	Balancers int           `help:"Number of balancers." default:"3"`
+	Agents    int           `help:"Number of agents." default:"7"`
+	Loads     int           `help:"Number of callers." default:"40"`
+	Binary    string        `help:"Path of the program." default:"target/bramleyflow" type:"existingfile"`
+	Dir       string        `help:"Folder for settings and logs; a run that fails keeps them." default:"" type:"path"`
+	Plot      bool          `help:"Print the service over time."`
+}
+
+func main() {
+	var c cli
+	k := kong.Parse(&c, kong.Name("bramleysoak"), kong.Description("Random faults against the real programs."), kong.UsageOnError())
+	failed, err := c.run()
+	k.FatalIfErrorf(err)
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+func (c *cli) run() (failed int, err error) {
+	dir := c.Dir
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "soak"); err != nil {
+			return 0, err
+		}
+	}
+	for n := range c.Count {
+		seed := c.Seed + uint64(n)
+		at := filepath.Join(dir, fmt.Sprintf("seed%d", seed))
+		r, err := soak.Run(soak.Config{
+			Seed: seed, Duration: c.Duration, Balancers: c.Balancers, Agents: c.Agents,
+			Binary: c.Binary, Dir: at, Loads: c.Loads,
+		})
+		if err != nil {
+			return failed, err
+		}
+		fmt.Print(r)
+		if c.Plot || len(r.Failures) > 0 {
+			fmt.Print(r.Plot())
+		}
+		if len(r.Failures) > 0 {
+			failed++
+			fmt.Println("  logs:", at)
+			continue
+		}
+		if err := os.RemoveAll(at); err != nil {
+			return failed, err
+		}
+	}
+	return failed, nil
+}
