Find out at the start whether an agent has an upstream

One connection to the upstream's address at the start tells; it is refused there.

Ruled out: the reset budget (there is none), stale entries of the list.

--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -179,6 +180,7 @@
 		h.loop.Serve(h.outbound, func(now time.Duration, b []byte, _ netip.AddrPort) { h.core.FromUpstream(now, b) })
 	})
 	h.spawn(h.enlist)
+	go h.checkUpstream()
 	h.log.WithFields(logrus.Fields{
 		"event": "start", "place": h.settings.Place, "service": h.settings.Service, "hop": h.settings.Hop, "seeds": h.settings.Seeds,
 	}).Info("agent started")
@@ -188,6 +190,22 @@
 	return nil
 }
 
+// checkTimeout bounds the look for an upstream at the start.
+const checkTimeout = 500 * time.Millisecond
+
+// checkUpstream finds out whether anything listens at the upstream's address. An
+// upstream that starts later reports itself.
+func (h *Host) checkUpstream() {
+	c, err := net.DialTimeout("tcp4", h.settings.Upstream.String(), checkTimeout)
+	if err == nil {
+		_ = c.Close()
+		return
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		h.loop.Do(h.core.NoUpstream)
+	}
+}
+
 // ready answers readiness checks: an agent that runs is ready, and says itself
 // whether it takes new flows.
 var ready = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -207,6 +207,17 @@
 	}
 }
 
+// NoUpstream takes the finding that nothing listens at the upstream's address.
+func (c *Core) NoUpstream(now time.Duration) {
+	u := &c.upstream
+	if u.known || u.spoke > 0 || u.down {
+		return
+	}
+	u.down = true
+	c.Log.WithField("event", "noUpstream").Info("no upstream beside the agent")
+	c.changed(now)
+}
+
 // OnLeave takes the word of the upstream with the given name that it is gone.
 func (c *Core) OnLeave(now time.Duration, id string, born int64) {
 	u := &c.upstream
