Serve metrics of the flow roles; log a sample of successes

The roles had logs only. Counters, gauges and two latency histograms (the answer to an offer, the wait for a slot) go through a tally scope to a text page on a port from the command line; the prometheus exporter of the other roles is left out, because it costs megabytes. Failures keep 20 lines a second, successes 3, slow ones count as failures. An earlier run of a balancer that was killed counts as gone once the next one is known.

--- a/cmd/bramleyflow/main.go
+++ b/cmd/bramleyflow/main.go
@@ -15,9 +15,11 @@
 )
 
 type cli struct {
-	Settings string   `help:"Settings file." env:"BRAMLEYCOURSE_NODE_FILE" default:"/etc/bramleycourse/settings.conf" type:"path"`
-	Balancer struct{} `cmd:"" help:"Run a balancer."`
-	Agent    struct{} `cmd:"" help:"Run the agent beside an upstream."`
+	Settings string `help:"Settings file." env:"BRAMLEYCOURSE_NODE_FILE" default:"/etc/bramleycourse/settings.conf" type:"path"`
+	// The page is served at the VM's own address.
+	MetricsPort uint16   `help:"Port of the metrics page; 0 for none." default:"0"`
+	Balancer    struct{} `cmd:"" help:"Run a balancer."`
+	Agent       struct{} `cmd:"" help:"Run the agent beside an upstream."`
 }
 
 // logFlush bounds how long the last log lines hold up the end of a process.
@@ -32,9 +34,9 @@
 	var err error
 	switch k.Command() {
 	case "balancer":
-		err = runBalancer(c.Settings, out, signals)
+		err = runBalancer(&c, out, signals)
 	case "agent":
-		err = runAgent(c.Settings, out, signals)
+		err = runAgent(&c, out, signals)
 	}
 	out.Close(logFlush)
 	k.FatalIfErrorf(err)
--- a/cmd/bramleyflow/roles.go
+++ b/cmd/bramleyflow/roles.go
@@ -19,37 +19,45 @@
 // milliseconds.
 const storeTimeout = time.Second
 
+// metrics returns the address of the metrics page.
+func (c *cli) metrics(s *platform.Settings) netip.AddrPort {
+	if c.MetricsPort == 0 {
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(s.Hop.Addr(), c.MetricsPort)
+}
+
 func newStore(s platform.Settings, log *logrus.Entry) *plat.Client {
 	c := plat.New(s.Store, storeTimeout, plat.WithWire(platform.Wire), plat.WithTransport(node.Transport()))
 	c.Log = log
 	return c
 }
 
-func runBalancer(path string, out *node.Output, signals <-chan os.Signal) error {
-	s, err := platform.LoadSettings(path)
+func runBalancer(c *cli, out *node.Output, signals <-chan os.Signal) error {
+	s, err := platform.LoadSettings(c.Settings)
 	if err != nil {
 		return err
 	}
 	log := out.NewLog("balancer", s.Name)
 	f, err := front.New(front.Settings{
-		Name: s.Name, Place: s.Place, Hop: s.Hop, Ready: s.Ready, Peer: s.Peer,
+		Name: s.Name, Place: s.Place, Hop: s.Hop, Ready: s.Ready, Peer: s.Peer, Metrics: c.metrics(&s),
 		Seeds: s.Seeds, FlowLifetime: s.FlowLifetime, StopLimit: s.StopLimit,
 	}, platform.Codec, newStore(s, log), front.ConfigObject{Name: platform.ConfigName, Parse: platform.ParseConfig}, log, out.Sample)
 	if err != nil {
 		return err
 	}
-	return f.Run(signals, reloader(path, s.Seeds, log))
+	return f.Run(signals, reloader(c.Settings, s.Seeds, log))
 }
 
-func runAgent(path string, out *node.Output, signals <-chan os.Signal) error {
-	s, err := platform.LoadSettings(path)
+func runAgent(c *cli, out *node.Output, signals <-chan os.Signal) error {
+	s, err := platform.LoadSettings(c.Settings)
 	if err != nil {
 		return err
 	}
 	log := out.NewLog("agent", s.Name)
 	h, err := hostd.New(hostd.Settings{
 		Name: s.Name, Place: s.Place, Service: s.Service, Hop: s.Hop, Outbound: s.Outbound,
-		Upstream: s.Upstream, Reports: s.Reports, Ready: s.Ready, CallerPort: s.Hop.Port(),
+		Upstream: s.Upstream, Reports: s.Reports, Ready: s.Ready, CallerPort: s.Hop.Port(), Metrics: c.metrics(&s),
 		Seeds: s.Seeds, FlowLifetime: s.FlowLifetime, StopLimit: s.StopLimit,
 	}, platform.Codec, newStore(s, log), log, out.Sample)
 	if err != nil {
@@ -62,7 +70,7 @@
 			log.WithError(err).WithField("event", "badReport").Warn("report refused")
 		},
 	}
-	return h.Run(signals, reports.Handler(), reloader(path, s.Seeds, log))
+	return h.Run(signals, reports.Handler(), reloader(c.Settings, s.Seeds, log))
 }
 
 // reloader returns a function that reads the seeds of the settings file if the
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -60,10 +60,12 @@
 	// Forgotten is called with the address of an agent that has not answered for
 	// so long that it counts as gone.
 	Forgotten func(agent netip.AddrPort)
+	// Answer takes the time from the first offer of a flow to its answer.
+	Answer func(time.Duration)
 	// Log takes changes of what the balancer believes. Sample reports whether one
-	// more line about a single flow fits into the budget.
+	// more line about a single flow fits into the budget of failures or successes.
 	Log    *logrus.Entry
-	Sample func() bool
+	Sample func(failure bool) bool
 	// Counts is what happened so far.
 	Counts Counts
 
@@ -189,7 +191,7 @@
 	c.hints.Drop(k, agent)
 	c.Counts.Reset++
 	c.reset(k, p)
-	if c.Sample() {
+	if c.Sample(true) {
 		c.decision("flowAbandoned", k, "reset").WithFields(logrus.Fields{"agent": agent, "seq": p.Seq}).Info("agent of the flow does not answer")
 	}
 }
@@ -265,7 +267,7 @@
 		c.Counts.Reset++
 		c.reset(k, p)
 	}
-	if c.Sample() {
+	if c.Sample(true) {
 		c.decision("flowLost", k, outcome).WithFields(logrus.Fields{
 			"seq": p.Seq, "size": p.Size, "repeatable": r.Repeatable, "settled": c.settled(now), "absentAgents": absent, "unsure": unsure,
 		}).Info("no agent holds the flow")
@@ -342,6 +344,12 @@
 	k := flow.Key(f.Payload)
 	if o := c.pending.byKey[k]; o != nil && o.offers > 0 {
 		c.pending.sample(now - o.began)
+		c.Answer(now - o.began)
+		if slow := o.offers > 1; c.Sample(slow) {
+			c.decision("flowOpened", k, "taken").WithFields(logrus.Fields{
+				"agent": from, "offers": o.offers, "took": now - o.began, "age": o.age, "tried": o.tried,
+			}).Info("an agent has taken the flow")
+		}
 	}
 	c.hints.Put(now, k, flow.Hint{Agent: from, Service: uint32(f.Service)})
 	c.pending.drop(k)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -40,8 +40,10 @@
 	// Hop is the address for callers' packets, Ready the one for readiness
 	// checks, Peer the one for other processes (UDP, and TCP for configurations).
 	Hop, Ready, Peer netip.AddrPort
-	Seeds            []netip.AddrPort
-	FlowLifetime     time.Duration
+	// Metrics is the address of the metrics page; none if it is not valid.
+	Metrics      netip.AddrPort
+	Seeds        []netip.AddrPort
+	FlowLifetime time.Duration
 	// StopLimit is the time between the signal to stop and the kill.
 	StopLimit time.Duration
 }
@@ -57,6 +59,7 @@
 	config   ConfigObject
 	hop      *node.Socket
 	peer     *node.Socket
+	metrics  *node.Metrics
 	servers  []*http.Server
 	// ready is set while the balancer has a configuration and does not stop.
 	ready, stopping atomic.Bool
@@ -75,7 +78,7 @@
 }
 
 // New opens the sockets of a balancer.
-func New(s Settings, c flow.Codec, store *plat.Client, o ConfigObject, log *logrus.Entry, sample func() bool) (*Front, error) {
+func New(s Settings, c flow.Codec, store *plat.Client, o ConfigObject, log *logrus.Entry, sample func(failure bool) bool) (*Front, error) {
 	f := &Front{
 		settings: s,
 		loop:     node.New(log),
@@ -97,6 +100,8 @@
 		Seq: ident.Seq(time.Now().UnixMilli()), FlowLifetime: s.FlowLifetime, Seeds: s.Seeds,
 	}, c)
 	f.core.Log, f.core.Sample = log, sample
+	f.metrics = node.NewMetrics("balancer", f.collect)
+	f.core.Answer = f.metrics.Histogram("offerAnswer")
 	f.core.ToAgent = f.peer.Send
 	port := s.Hop.Port()
 	f.core.ToCaller = func(b []byte, caller netip.Addr) { f.hop.Send(b, netip.AddrPortFrom(caller, port)) }
@@ -123,6 +128,13 @@
 		return err
 	}
 	f.servers = []*http.Server{ready, peers}
+	if f.settings.Metrics.IsValid() {
+		page, err := f.metrics.Serve(f.settings.Metrics, f.log)
+		if err != nil {
+			return err
+		}
+		f.servers = append(f.servers, page)
+	}
 	f.loop.Attach(node.Ticker{Tick: f.core.Tick, Due: f.core.Due})
 	f.spawn(func() { f.loop.Serve(f.hop, f.fromCaller) })
 	f.spawn(func() { f.loop.Serve(f.peer, f.core.FromAgent) })
@@ -139,6 +151,24 @@
 	return nil
 }
 
+// collect updates the metrics.
+func (f *Front) collect(m *node.Metrics) {
+	var c Counts
+	f.loop.Do(func(time.Duration) {
+		c = f.core.Counts
+		m.Counter("packetsFromCallers", f.packets)
+		m.Counter("sendFailures", f.hop.Failed+f.peer.Failed)
+		m.Gauge("generation", float64(f.core.Rules().Generation()))
+		m.Gauge("balancers", float64(1+len(f.core.Peers())))
+		m.Gauge("hints", float64(f.core.hints.Len()))
+		m.Gauge("agents", float64(len(f.core.members.byAddr)))
+		m.Gauge("agentsDown", float64(f.core.members.down()))
+		m.Gauge("openingsPending", float64(len(f.core.pending.byKey)))
+	})
+	m.Counters(c)
+	node.StoreCalls(m, f.store)
+}
+
 func (f *Front) spawn(run func()) {
 	f.wg.Add(1)
 	go func() {
@@ -153,6 +183,9 @@
 		// Connections that are still open belong to checks and peers, which try again.
 		_ = s.Close()
 	}
+	if err := f.metrics.Close(); err != nil {
+		f.log.WithError(err).WithField("event", "metricsFailed").Warn("metrics not closed")
+	}
 	_ = f.hop.Close()
 	_ = f.peer.Close()
 	close(f.done)
--- a/internal/front/member.go
+++ b/internal/front/member.go
@@ -168,6 +168,17 @@
 	}
 }
 
+// down returns the number of agents that do not answer.
+func (m *members) down() int {
+	n := 0
+	for _, b := range m.byAddr {
+		if b.downAt > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // lost reports whether an agent that was serving has not answered for so long
 // that its flows are given up. An agent that said that it stops may come back
 // to them.
--- a/internal/front/offer.go
+++ b/internal/front/offer.go
@@ -175,7 +175,7 @@
 	}
 	c.pending.drop(o.key)
 	c.Counts.NoUpstream++
-	if c.Sample() {
+	if c.Sample(true) {
 		c.decision("openingRejected", o.key, "reset").WithFields(logrus.Fields{
 			"tried": o.tried, "offers": o.offers, "usable": c.members.group(o.service).usable.Len(),
 		}).Info("no upstream for a new flow")
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -197,6 +197,9 @@
 			continue
 		}
 		news = append(news, i)
+		if i.Key.IsBalancer() && i.State == view.Serving {
+			news = append(news, c.retireOlder(now, &i.Entry)...)
+		}
 		if before.State != i.State {
 			c.Log.WithFields(logrus.Fields{
 				"event": "member", "member": i.Key, "service": i.Service, "place": i.Place,
@@ -211,6 +214,22 @@
 	return news
 }
 
+// retireOlder marks earlier runs of a balancer as gone: one that was killed said
+// nothing.
+func (c *Core) retireOlder(now time.Duration, e *view.Entry) []view.Item {
+	var news []view.Item
+	for _, o := range c.view.Balancers() {
+		if o.Key.Name == e.Key.Name && o.Key.Instance != e.Key.Instance && o.Seq < e.Seq {
+			o.State = view.Gone
+			i := view.Item{Entry: o}
+			if c.view.Merge(now, i) {
+				news = append(news, i)
+			}
+		}
+	}
+	return news
+}
+
 // defend raises the version of the own entry when others hold it to be gone.
 func (c *Core) defend(now time.Duration, i view.Item) {
 	if i.Seq >= c.self.Seq && i.State != view.Serving && !c.stopped {
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -32,6 +32,8 @@
 	openingTimeout = 300 * time.Millisecond
 	// averageTime is the time constant of the mean load.
 	averageTime = time.Second
+	// slowWait is from what wait on the admission of a flow is logged like a failure.
+	slowWait = 100 * time.Millisecond
 	// tickInterval is how often housekeeping is done.
 	tickInterval = 250 * time.Millisecond
 	// defaultIdle is after what time without a packet a flow is forgotten.
@@ -69,10 +71,12 @@
 	// Enlist begins to write the agent's entry to the platform's list of agents,
 	// or to remove it if the service is empty.
 	Enlist func(service ident.ServiceName)
+	// Wait takes how long an opening packet waited for a slot.
+	Wait func(time.Duration)
 	// Log takes changes of what the agent believes. Sample reports whether one
-	// more line about a single flow fits into the budget.
+	// more line about a single flow fits into the budget of failures or successes.
 	Log    *logrus.Entry
-	Sample func() bool
+	Sample func(failure bool) bool
 	// Counts is what happened so far.
 	Counts Counts
 
@@ -273,6 +277,13 @@
 		return
 	}
 	c.Counts.Taken++
+	waited := now - o.at
+	c.Wait(waited)
+	if c.Sample(waited >= slowWait) {
+		c.decision("flowAdmitted", k, "admitted", now).WithFields(logrus.Fields{
+			"waited": waited, "priority": o.frame.Priority, "balancer": o.frame.Balancer,
+		}).Info("the upstream gets the flow")
+	}
 	o.at = now
 	c.openings[k] = o
 	c.upstream.ask(now)
@@ -310,7 +321,7 @@
 // giveBack gives packets that waited in vain back to their balancers.
 func (c *Core) giveBack(now time.Duration, reason string, items []*queue.Item) {
 	for _, i := range items {
-		if c.Sample() {
+		if c.Sample(true) {
 			c.decision("openingGivenBack", i.Key, reason, now).WithField("age", now-i.Began).Info("opening packet waited in vain")
 		}
 		o := c.frames[i.Key]
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -52,6 +52,8 @@
 	// Hop is the address for other processes, Outbound the one that the upstream
 	// sends to, Upstream the upstream's own, Reports the one for its reports.
 	Hop, Outbound, Upstream, Reports, Ready netip.AddrPort
+	// Metrics is the address of the metrics page; none if it is not valid.
+	Metrics netip.AddrPort
 	// CallerPort is the port of every caller's VM for packets.
 	CallerPort   uint16
 	Seeds        []netip.AddrPort
@@ -69,6 +71,7 @@
 	hop      *node.Socket
 	outbound *node.Socket
 	store    *plat.Client
+	metrics  *node.Metrics
 	// listing takes the service of the entry in the platform's list; empty for none.
 	listing *ring.Ring[ident.ServiceName]
 	// unlisted is set while the platform's list does not hold what was last wanted.
@@ -79,7 +82,7 @@
 }
 
 // New opens the sockets of an agent.
-func New(s Settings, c flow.Codec, store *plat.Client, log *logrus.Entry, sample func() bool) (*Host, error) {
+func New(s Settings, c flow.Codec, store *plat.Client, log *logrus.Entry, sample func(failure bool) bool) (*Host, error) {
 	h := &Host{
 		settings: s, loop: node.New(log), log: log, store: store,
 		listing: ring.New[ident.ServiceName](maxListings), done: make(chan struct{}),
@@ -96,6 +99,8 @@
 		Seq: ident.Seq(time.Now().UnixMilli()), FlowLifetime: s.FlowLifetime, Seeds: s.Seeds,
 	}, c)
 	h.core.Log, h.core.Sample = log, sample
+	h.metrics = node.NewMetrics("agent", h.collect)
+	h.core.Wait = h.metrics.Histogram("openingWait")
 	h.core.ToPeer = h.hop.Send
 	h.core.ToUpstream = func(b []byte) { h.outbound.Send(b, s.Upstream) }
 	h.core.ToCaller = func(b []byte, caller netip.Addr) { h.hop.Send(b, netip.AddrPortFrom(caller, s.CallerPort)) }
@@ -174,6 +179,13 @@
 		}
 		h.servers = append(h.servers, s)
 	}
+	if h.settings.Metrics.IsValid() {
+		page, err := h.metrics.Serve(h.settings.Metrics, h.log)
+		if err != nil {
+			return err
+		}
+		h.servers = append(h.servers, page)
+	}
 	h.loop.Attach(node.Ticker{Tick: h.core.Tick, Due: h.core.Due})
 	h.spawn(func() { h.loop.Serve(h.hop, h.core.FromPeer) })
 	h.spawn(func() {
@@ -213,6 +225,26 @@
 	_, _ = io.WriteString(w, "ready\n")
 })
 
+// collect updates the metrics.
+func (h *Host) collect(m *node.Metrics) {
+	var c Counts
+	h.loop.Do(func(now time.Duration) {
+		c = h.core.Counts
+		l := h.core.Load(now)
+		m.Counter("sendFailures", h.hop.Failed+h.outbound.Failed)
+		m.Gauge("flows", float64(h.core.table.Len()))
+		m.Gauge("busy", float64(l.Busy))
+		m.Gauge("waiting", float64(h.core.waiting.Len()))
+		m.Gauge("slots", l.Slots)
+		m.Gauge("depth", float64(l.Depth()))
+		m.Gauge("workSeconds", h.core.table.Work().Seconds())
+		m.Gauge("balancersKnown", float64(len(h.core.homes.known)))
+		m.Gauge("reportAgeSeconds", (now - h.core.upstream.beatAt).Seconds())
+	})
+	m.Counters(c)
+	node.StoreCalls(m, h.store)
+}
+
 func (h *Host) spawn(run func()) {
 	h.wg.Add(1)
 	go func() {
@@ -227,6 +259,9 @@
 		// Connections that are still open belong to the upstream, which reports again.
 		_ = s.Close()
 	}
+	if err := h.metrics.Close(); err != nil {
+		h.log.WithError(err).WithField("event", "metricsFailed").Warn("metrics not closed")
+	}
 	_ = h.hop.Close()
 	_ = h.outbound.Close()
 	close(h.done)
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -17,9 +17,11 @@
 	queuedLines = 512
 	// linesPerSecond bounds the volume; 200 octets a line make 40 KB/s.
 	linesPerSecond = 200
-	// samplesPerSecond bounds the lines about single flows. A line takes about
-	// 20 µs; the smallest VMs have 60 ms of processor time a second.
-	samplesPerSecond = 20
+	// failuresPerSecond and successesPerSecond bound the lines about single flows.
+	// A line takes about 20 µs; the smallest VMs have 60 ms of processor time a
+	// second.
+	failuresPerSecond  = 20
+	successesPerSecond = 3
 	// summaryInterval is how often dropped lines are reported.
 	summaryInterval = time.Second
 )
@@ -34,10 +36,10 @@
 	second  int64
 	written int
 	mu      sync.Mutex
-	// sampleSecond and sampled are the budget of lines about single flows.
-	sampleSecond int64
-	sampled      int
-	done         chan struct{}
+	// sampleSecond, failures and successes are the budgets of lines about single flows.
+	sampleSecond        int64
+	failures, successes int
+	done                chan struct{}
 }
 
 // NewOutput returns an output that writes to w until it is closed.
@@ -56,15 +58,20 @@
 }
 
 // Sample reports whether one more line about a single flow fits into the budget.
-// Lines that do not fit are not even formatted; they are counted as dropped.
-func (o *Output) Sample() bool {
+// Lines that do not fit are not even formatted. Failures have the larger budget
+// and are counted as dropped beyond it; successes are only a sample anyway.
+func (o *Output) Sample(failure bool) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if s := time.Now().Unix(); s != o.sampleSecond {
-		o.sampleSecond, o.sampled = s, 0
+		o.sampleSecond, o.failures, o.successes = s, 0, 0
 	}
-	o.sampled++
-	if o.sampled > samplesPerSecond {
+	if !failure {
+		o.successes++
+		return o.successes <= successesPerSecond
+	}
+	o.failures++
+	if o.failures > failuresPerSecond {
 		o.dropped.Add(1)
 		return false
 	}
