--- a/cmd/bramleycourse/main.go
+++ b/cmd/bramleycourse/main.go
@@ -16,6 +16,7 @@
 	Apply    applyCmd    `cmd:"" help:"Put a declaration in force."`
 	Status   statusCmd   `cmd:"" help:"Show the processes and the generation that each has in force."`
 	Dump     dumpCmd     `cmd:"" help:"Print the state dump of a process."`
+	Explain  explainCmd  `cmd:"" help:"Explain from logs what happened to a flow."`
 	Trial    trialCmd    `cmd:"" help:"Compare placement policies in a queue model."`
 	Slope    slopeCmd    `cmd:"" help:"Measure what control costs against the numbers of balancers and endpoints."`
 	Demo     demoCmd     `cmd:"" help:"Run everything in one process, replace a part of it under load, and print what was counted."`
