--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -80,7 +80,6 @@
 	retries    *budget.Budget
 	rejections rejections
 	lookups    lookups
-	unresolved unresolvedPackets
 	trials     trials
 	// started is when the balancer started, by the clock of now.
 	started time.Duration
@@ -103,16 +102,15 @@
 // NewCore returns the core of a balancer that starts now.
 func NewCore(now time.Duration, s Self, c flow.Codec) *Core {
 	co := &Core{
-		self:       s,
-		codec:      c,
-		hints:      flow.NewHints(s.FlowLifetime, hintLinger, maxHints),
-		view:       view.New(),
-		pending:    pendings{byKey: map[flow.Key]*pending{}},
-		lookups:    lookups{byKey: map[flow.Key]*lookup{}},
-		unresolved: unresolvedPackets{byKey: map[flow.Key]*unresolved{}},
-		trials:     trials{},
-		started:    now,
-		out:        make([]byte, 0, frame.MaxSize),
+		self:    s,
+		codec:   c,
+		hints:   flow.NewHints(s.FlowLifetime, hintLinger, maxHints),
+		view:    view.New(),
+		pending: pendings{byKey: map[flow.Key]*pending{}},
+		lookups: lookups{byKey: map[flow.Key]*lookup{}},
+		trials:  trials{},
+		started: now,
+		out:     make([]byte, 0, frame.MaxSize),
 	}
 	co.retries = budget.New(retryBudget, clockOf(now))
 	co.members.init()
@@ -180,7 +178,7 @@
 		c.send(&f, c.ids[0].Addr)
 		return
 	}
-	c.lost(now, k, p, b, false)
+	c.lost(now, k, p, false)
 }
 
 // abandon resets a flow whose agent has ended without a word. Its caller then
@@ -213,7 +211,7 @@
 		c.trials.refund(k)
 	}
 	if len(f.Candidates) > 0 {
-		c.lost(now, k, &p, f.Payload, f.Unsure)
+		c.lost(now, k, &p, f.Unsure)
 		return
 	}
 	w := frame.Frame{Kind: frame.Walk, Balancer: c.self.Peer, Unsure: f.Unsure, Payload: f.Payload}
@@ -232,7 +230,7 @@
 		}
 	}
 	if len(w.Candidates) == 0 {
-		c.lost(now, k, &p, f.Payload, f.Unsure)
+		c.lost(now, k, &p, f.Unsure)
 		return
 	}
 	if c.trials.allow(now, k) {
@@ -252,7 +250,7 @@
 // asked, because the flow of an agent that is down may still be open, and only
 // where the request may be repeated: another one may have run, and its answer
 // may still come. An agent that has started beside a running upstream is unsure.
-func (c *Core) lost(now time.Duration, k flow.Key, p *flow.Packet, packet []byte, unsure bool) {
+func (c *Core) lost(now time.Duration, k flow.Key, p *flow.Packet, unsure bool) {
 	c.Counts.Lost++
 	r := c.rules.Route(k.Route())
 	if p.Rst || r == nil {
@@ -266,13 +264,9 @@
 	outcome := "dropped"
 	if reset {
 		outcome = "reset"
-		c.unresolved.drop(k)
 		c.Counts.Reset++
 		c.reset(k, p)
 	}
-	if !reset && r.Repeatable && p.Size > 0 {
-		c.unresolved.add(now, k, packet)
-	}
 	if c.Sample(true) {
 		c.decision("flowLost", k, outcome).WithFields(logrus.Fields{
 			"seq": p.Seq, "size": p.Size, "repeatable": r.Repeatable, "settled": c.settled(now), "absentAgents": absent, "unsure": unsure,
@@ -360,7 +354,6 @@
 	c.hints.Put(now, k, flow.Hint{Agent: from, Service: uint32(f.Service)})
 	c.pending.drop(k)
 	c.lookups.end(k)
-	c.unresolved.drop(k)
 }
 
 // Tick does what is due.
@@ -368,7 +361,6 @@
 	c.noticePause(now)
 	c.retryDue(now)
 	c.checkLookups(now)
-	c.lookAgain(now)
 	if c.members.checking > 0 || now >= c.housekeeping {
 		c.members.tick(now, c)
 	}
@@ -384,7 +376,7 @@
 
 // Due returns the time until Tick has something to do.
 func (c *Core) Due(now time.Duration) time.Duration {
-	d := min(c.pending.next(now), c.lookups.next(now), c.unresolved.next(now), max(0, c.housekeeping-now))
+	d := min(c.pending.next(now), c.lookups.next(now), max(0, c.housekeeping-now))
 	if c.members.checking > 0 {
 		d = min(d, minOfferTimeout)
 	}
