Count a request as in progress only once and not forever

A request that its caller repeated after the answer counted as a new one, and a request without an answer never ended.

TestBusy failed on both before.

--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -13,6 +13,8 @@
 	limit   int
 	// busy counts the entries with a request in progress.
 	busy int
+	// released is when requests without an end were last looked for.
+	released time.Duration
 	// expected are the flows whose first request is about to come, oldest first.
 	expected []expected
 	// handshake is a moving average of the time from the opening of a flow to its
@@ -47,6 +49,9 @@
 	busy                     bool
 	since                    time.Duration
 	callerEnded, serverEnded bool
+	// lastData is the sequence number of the caller's latest data; valid if hasData.
+	lastData uint32
+	hasData  bool
 }
 
 // Open reports whether the flow is established at this upstream.
@@ -154,7 +159,7 @@
 		e.open = true
 	}
 	e.Seen, e.Balancer = now, balancer
-	if p.Size > 0 {
+	if p.Size > 0 && e.news(p) {
 		t.setBusy(e, true)
 		if e.since == 0 {
 			e.since = now
@@ -173,6 +178,16 @@
 	return e
 }
 
+// news reports whether a caller's packet carries data that the flow has not
+// carried before. A caller repeats its request if the answer got lost.
+func (e *Entry) news(p *Packet) bool {
+	if e.hasData && int32(p.Seq-e.lastData) <= 0 {
+		return false
+	}
+	e.lastData, e.hasData = p.Seq, true
+	return true
+}
+
 // maxFirstAck is how far beyond the upstream's first sequence number a caller's
 // first packet may acknowledge: the handshake and one window of 16 packets.
 const maxFirstAck = 16*1200 + 1
@@ -236,9 +251,34 @@
 	}
 }
 
+const (
+	// maxWork bounds how long a request counts as in progress: what takes longer
+	// has lost its caller or its answer.
+	maxWork = 2 * time.Second
+	// workFactor is how many mean times that is for slow upstreams.
+	workFactor = 10
+	// releaseInterval is how often such requests are looked for.
+	releaseInterval = 500 * time.Millisecond
+)
+
+// release stops counting requests that have been in progress for too long.
+func (t *Table) release(now time.Duration) {
+	t.released = now
+	limit := max(maxWork, workFactor*t.work)
+	for _, e := range t.entries {
+		if e.busy && e.since > 0 && now-e.since >= limit {
+			t.setBusy(e, false)
+			e.since = 0
+		}
+	}
+}
+
 // Sweep removes flows that have ended, never opened or have been idle for the
 // given time.
 func (t *Table) Sweep(now, idle time.Duration) {
+	if now-t.released >= releaseInterval {
+		t.release(now)
+	}
 	if now-t.swept < sweepInterval {
 		return
 	}
--- /dev/null
+++ b/internal/flow/table_test.go
@@ -0,0 +1,161 @@
+package flow
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+)
+
+const (
+	ms = time.Millisecond
+	// start is the time at which the plays begin.
+	start = time.Second
+)
+
+var (
+	testCaller = netip.MustParseAddrPort("100.64.0.1:4000")
+	testRoute  = netip.MustParseAddrPort("198.18.0.1:443")
+	testPeer   = netip.MustParseAddrPort("10.0.0.1:7000")
+	testKey    = KeyOf(testCaller, testRoute)
+)
+
+// opened returns a table with one open flow whose upstream began at 1000.
+func opened(t *testing.T, now time.Duration) *Table {
+	t.Helper()
+	f := NewTable(4)
+	f.Opening(now, testKey, testPeer)
+	f.FromUpstream(now, testKey, &Packet{Syn: true, Ack: true, Seq: 1000})
+	if f.FromCaller(now, testKey, &Packet{Ack: true, Seq: 8, Acked: 1001}, testPeer) == nil {
+		t.Fatal("the flow is not held")
+	}
+	return f
+}
+
+// TestBusy guards the count of requests in progress, on which admission
+// depends: each must end, whatever the caller does.
+func TestBusy(t *testing.T) {
+	request := &Packet{Ack: true, Seq: 8, Acked: 1001, Size: 100}
+	answer := &Packet{Ack: true, Seq: 1001, Size: 50}
+	for _, c := range []struct {
+		name string
+		play func(f *Table)
+		at   time.Duration
+		want int
+	}{
+		{"opening flow", func(*Table) {}, 0, 1},
+		{"no request comes", func(*Table) {}, 50 * ms, 0},
+		{"request", func(f *Table) { f.FromCaller(start, testKey, request, testPeer) }, 50 * ms, 1},
+		{"answered", func(f *Table) {
+			f.FromCaller(start, testKey, request, testPeer)
+			f.FromUpstream(start+30*ms, testKey, answer)
+		}, 50 * ms, 0},
+		{"request repeated after the answer", func(f *Table) {
+			f.FromCaller(start, testKey, request, testPeer)
+			f.FromUpstream(start+30*ms, testKey, answer)
+			f.FromCaller(start+200*ms, testKey, request, testPeer)
+		}, 210 * ms, 0},
+		{"second request", func(f *Table) {
+			f.FromCaller(start, testKey, request, testPeer)
+			f.FromUpstream(start+30*ms, testKey, answer)
+			f.FromCaller(start+100*ms, testKey, &Packet{Ack: true, Seq: 108, Acked: 1051, Size: 100}, testPeer)
+		}, 110 * ms, 1},
+		{"caller resets", func(f *Table) {
+			f.FromCaller(start, testKey, request, testPeer)
+			f.FromCaller(start+10*ms, testKey, &Packet{Rst: true}, testPeer)
+		}, 50 * ms, 0},
+		{"upstream closes", func(f *Table) {
+			f.FromCaller(start, testKey, request, testPeer)
+			f.FromUpstream(start+10*ms, testKey, &Packet{Fin: true})
+		}, 50 * ms, 0},
+		{"dropped", func(f *Table) {
+			f.FromCaller(start, testKey, request, testPeer)
+			f.Drop(testKey)
+		}, 50 * ms, 0},
+		{"no answer at all", func(f *Table) {
+			f.FromCaller(start, testKey, request, testPeer)
+			for now := time.Duration(0); now < 3*time.Second; now += 250 * ms {
+				f.Sweep(start+now, time.Minute)
+			}
+		}, 3 * time.Second, 0},
+	} {
+		f := opened(t, start)
+		c.play(f)
+		if have := f.Busy(start + c.at); have != c.want {
+			t.Errorf("%s: want %d, have %d", c.name, c.want, have)
+		}
+	}
+}
+
+// TestHolder guards flows that several upstreams answered: the one whose
+// sequence number the caller acknowledges holds the flow.
+func TestHolder(t *testing.T) {
+	f := NewTable(4)
+	first := &Packet{Ack: true, Seq: 8, Acked: 5001}
+	if f.FromCaller(0, testKey, first, testPeer) != nil {
+		t.Error("an unknown flow is held")
+	}
+	f.Opening(0, testKey, testPeer)
+	if f.FromCaller(0, testKey, first, testPeer) != nil {
+		t.Error("a flow that the upstream has not answered is held")
+	}
+	f.FromUpstream(0, testKey, &Packet{Syn: true, Ack: true, Seq: 90000})
+	if f.FromCaller(0, testKey, first, testPeer) != nil {
+		t.Error("a flow of another upstream is held")
+	}
+	f.FromUpstream(0, testKey, &Packet{Syn: true, Ack: true, Seq: 5000})
+	if e := f.FromCaller(0, testKey, first, testPeer); e == nil || !e.Open() {
+		t.Error("the flow is not held")
+	}
+}
+
+// TestSweep guards the bound on the table and the time that ended flows are kept.
+func TestSweep(t *testing.T) {
+	f := opened(t, 0)
+	for n := range 3 {
+		f.Opening(0, KeyOf(testCaller, netip.AddrPortFrom(testRoute.Addr(), uint16(1+n))), testPeer)
+	}
+	if f.Opening(0, KeyOf(testCaller, netip.AddrPortFrom(testRoute.Addr(), 9)), testPeer) != nil {
+		t.Error("more flows than the limit")
+	}
+	f.Sweep(3*time.Second, time.Minute)
+	if f.Len() != 1 {
+		t.Errorf("flows that never opened: want 1 left, have %d", f.Len())
+	}
+	f.FromCaller(10*time.Second, testKey, &Packet{Fin: true, Acked: 1001}, testPeer)
+	f.FromUpstream(10*time.Second, testKey, &Packet{Fin: true})
+	f.Sweep(12*time.Second, time.Minute)
+	if f.Len() != 1 {
+		t.Error("an ended flow is dropped before its last packets")
+	}
+	f.Sweep(20*time.Second, time.Minute)
+	if f.Len() != 0 {
+		t.Error("an ended flow is kept")
+	}
+}
+
+// TestHints guards the bound on the memory for hints and the short life of one
+// whose flow ends.
+func TestHints(t *testing.T) {
+	h := NewHints(time.Minute, 3*time.Second, 2)
+	a := Hint{Agent: testPeer, Service: 7}
+	h.Put(0, testKey, a)
+	if have, ok := h.Get(time.Second, testKey, true); !ok || have != a {
+		t.Errorf("have %+v, %v", have, ok)
+	}
+	if _, ok := h.Get(5*time.Second, testKey, false); ok {
+		t.Error("the hint of an ended flow is kept")
+	}
+	other := KeyOf(testCaller, netip.AddrPortFrom(testRoute.Addr(), 1))
+	h.Put(5*time.Second, other, a)
+	h.Put(5*time.Second, KeyOf(testCaller, netip.AddrPortFrom(testRoute.Addr(), 2)), a)
+	if h.Len() != 2 {
+		t.Errorf("want 2 hints, have %d", h.Len())
+	}
+	h.Drop(other, netip.MustParseAddrPort("10.0.0.9:1"))
+	if _, ok := h.Get(5*time.Second, other, false); !ok {
+		t.Error("the word of another agent drops the hint")
+	}
+	if h.Drop(other, testPeer); h.Len() != 1 {
+		t.Error("the hint is not dropped")
+	}
+}
