--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -170,7 +170,9 @@
 		}
 	}
 	if p.Fin {
-		e.callerEnded = true
+		// The caller waits for nothing any more.
+		e.callerEnded, e.since = true, 0
+		t.setBusy(e, false)
 	}
 	if p.Rst {
 		t.end(e)
--- a/internal/flow/table_test.go
+++ b/internal/flow/table_test.go
@@ -67,6 +67,10 @@
 			f.FromCaller(start, testKey, request, testPeer)
 			f.FromUpstream(start+10*ms, testKey, &Packet{Fin: true})
 		}, 50 * ms, 0},
+		{"caller closes without an answer", func(f *Table) {
+			f.FromCaller(start, testKey, request, testPeer)
+			f.FromCaller(start+10*ms, testKey, &Packet{Ack: true, Fin: true, Seq: 108, Acked: 1001}, testPeer)
+		}, 50 * ms, 0},
 		{"dropped", func(f *Table) {
 			f.FromCaller(start, testKey, request, testPeer)
 			f.Drop(testKey)
