Tell an upstream that started with its agent from one that ran before

The first report of some upstreams came before their agent listened, so the agent saw the second one and took the upstream for one that had run before; one such agent of 38 keeps every lost flow from being reset.

The time of the upstream's birth is compared with the agent's start. Both use the clock of their VM; a clock that jumps ahead in between errs to the safe side.

TestLostFlow with nine agents failed first.

--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -52,6 +52,9 @@
 	// Seq is the version of the first entry; it is higher than that of an
 	// earlier run.
 	Seq ident.Seq
+	// StartedMillis is when the agent started, in Unix milliseconds by the clock of
+	// the VM, which the upstream uses too.
+	StartedMillis int64
 	// FlowLifetime is the longest time that a flow may last.
 	FlowLifetime time.Duration
 	// Seeds are addresses for messages of balancers that may be running.
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -96,7 +96,7 @@
 	}
 	h.core = NewCore(h.loop.Now(), Self{
 		Instance: ident.NewInstance(), Place: s.Place, Service: s.Service, Hop: s.Hop, Upstream: s.Upstream,
-		Seq: ident.Seq(time.Now().UnixMilli()), FlowLifetime: s.FlowLifetime, Seeds: s.Seeds,
+		Seq: ident.Seq(time.Now().UnixMilli()), StartedMillis: time.Now().UnixMilli(), FlowLifetime: s.FlowLifetime, Seeds: s.Seeds,
 	}, c)
 	h.core.Log, h.core.Sample = log, sample
 	h.metrics = node.NewMetrics("agent", h.collect)
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -44,6 +44,12 @@
 	// presumedSlots is the number of slots before the first report: that of the
 	// smallest upstreams.
 	presumedSlots = 2
+	// restartMillis is the least time between the end of an agent's run and the
+	// start of the next one, in milliseconds.
+	restartMillis = 400
+	// maxFirstSeq is the number of a report that may be the first one to arrive:
+	// the agent may start a little later than its upstream.
+	maxFirstSeq = 3
 	// defaultBeat is the interval of reports until two were seen.
 	defaultBeat = time.Second
 )
@@ -177,7 +183,7 @@
 	before, beforeService := u.state(), u.service
 	restarted := u.known && b.Born != u.last.Born
 	if !u.known {
-		u.old = b.Seq > 1
+		u.old = !c.startedWith(&b)
 	}
 	if restarted {
 		// The flows of the earlier start are gone with it.
@@ -207,6 +213,13 @@
 	}
 }
 
+// startedWith reports whether the upstream has started with the agent, so that
+// it holds no flow of an earlier run: its first report has just come, or it was
+// born so short a time before the agent that no earlier run can have met it.
+func (c *Core) startedWith(b *Beat) bool {
+	return b.Seq <= 1 || b.Seq <= maxFirstSeq && b.Born >= c.self.StartedMillis-restartMillis
+}
+
 // NoUpstream takes the finding that nothing listens at the upstream's address.
 func (c *Core) NoUpstream(now time.Duration) {
 	u := &c.upstream
