--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
@@ -147,7 +148,7 @@
 	cancel()
 	f.loop.Do(f.core.Stop)
 	f.close()
-	f.log.WithField("event", "stop").WithField("counts", f.core.Counts).Info("balancer stopped")
+	f.log.WithField("event", "stop").WithField("counts", fmt.Sprintf("%+v", f.core.Counts)).Info("balancer stopped")
 	return nil
 }
 
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -198,7 +199,7 @@
 	}).Info("agent started")
 	h.control(signals, reload)
 	h.close()
-	h.log.WithField("event", "stop").WithField("counts", h.core.Counts).Info("agent stopped")
+	h.log.WithField("event", "stop").WithField("counts", fmt.Sprintf("%+v", h.core.Counts)).Info("agent stopped")
 	return nil
 }
 
--- a/internal/plat/report.go
+++ b/internal/plat/report.go
@@ -34,9 +34,9 @@
 	}
 	r.failing, r.at = failing, now
 	if failing {
-		log.WithError(err).Warn("platform calls fail")
+		log.WithError(err).WithField("event", "platformDown").Warn("platform calls fail")
 	} else {
-		log.Info("platform calls succeed again")
+		log.WithField("event", "platformUp").Info("platform calls succeed again")
 	}
 }
 
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -40,7 +40,7 @@
 // beliefs are the events that change what a process believes.
 var beliefs = []string{
 	"configuration", "badConfiguration", "member", "agentDown", "agentUp", "upstream", "upstreamDown",
-	"upstreamGone", "noUpstream", "lateReport", "reload", "start", "stop", "signal",
+	"upstreamGone", "noUpstream", "lateReport", "platformDown", "platformUp", "reload", "start", "stop", "signal",
 }
 
 // Step is a decision about the flow.
@@ -133,6 +133,8 @@
 	switch event {
 	case "agentUp", "agentDown":
 		return "agent"
+	case "platformDown", "platformUp":
+		return "platform"
 	case "upstream", "upstreamDown", "upstreamGone", "noUpstream":
 		return "upstream"
 	}
