--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -233,7 +233,8 @@
 func (c *Core) take(now time.Duration, k flow.Key, p *flow.Packet, f *frame.Frame) {
 	o := &opening{frame: *f, at: now}
 	o.frame.Candidates, o.frame.Payload = slices.Clone(f.Candidates), nil
-	if c.free(now) {
+	urgent := (&queue.Item{Priority: f.Priority}).Urgent()
+	if c.free(now, urgent) {
 		c.admit(now, k, o, f.Payload)
 		return
 	}
@@ -267,9 +268,18 @@
 // round trip to the caller.
 const spareOpenings = 1
 
+// urgentOpenings is the same for urgent requests. Requests on flows that are
+// open already go straight to the upstream's own queue; without the difference
+// urgent ones on new flows would wait for all of them.
+const urgentOpenings = 4
+
 // free reports whether the upstream may get another flow.
-func (c *Core) free(now time.Duration) bool {
-	return c.table.Busy(now) < max(1, c.upstream.concurrency())+spareOpenings
+func (c *Core) free(now time.Duration, urgent bool) bool {
+	spare := spareOpenings
+	if urgent {
+		spare = urgentOpenings
+	}
+	return c.table.Busy(now) < max(1, c.upstream.concurrency())+spare
 }
 
 // admit passes an opening packet to the upstream.
@@ -309,10 +319,10 @@
 		c.giveBack(now, "upstreamClosed", c.waiting.Clear())
 		return
 	}
-	for c.free(now) {
-		i := c.waiting.Next(now, c.pace())
+	for c.free(now, true) {
+		i := c.waiting.Next(now, c.pace(), !c.free(now, false))
 		if i == nil {
-			return
+			break
 		}
 		o := c.frames[i.Key]
 		delete(c.frames, i.Key)
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -91,21 +91,37 @@
 }
 
 // Next removes and returns the packet that the upstream gets next, or nil if
-// none waits.
-func (q *Queue) Next(now time.Duration, p Pace) *Item {
+// none waits. With urgent it returns only a packet of an urgent request.
+func (q *Queue) Next(now time.Duration, p Pace, urgent bool) *Item {
 	if len(q.items) == 0 {
 		return nil
 	}
 	q.note(now, p)
+	best := q.first(now)
+	if urgent && !q.items[best].Urgent() {
+		return nil
+	}
+	return q.remove(best)
+}
+
+// first returns the index of the packet that goes first.
+func (q *Queue) first(now time.Duration) int {
 	best := 0
 	for n := range q.items {
 		if q.before(now, n, best) {
 			best = n
 		}
 	}
-	return q.remove(best)
+	return best
 }
 
+// urgentPriority is the last priority that counts as urgent: the half of the
+// scale that operators use for requests which change something.
+const urgentPriority = 1
+
+// Urgent reports whether the request goes before the usual ones.
+func (i *Item) Urgent() bool { return i.Priority <= urgentPriority }
+
 // last returns the index of the packet that would be served last.
 func (q *Queue) last(now time.Duration, p Pace) int {
 	q.note(now, p)
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -44,7 +44,7 @@
 		for _, i := range q.Expired(now, pace) {
 			out = append(out, fmt.Sprintf("expired %d", i.Key[0]))
 		}
-		for i := q.Next(now, pace); i != nil; i = q.Next(now, pace) {
+		for i := q.Next(now, pace, false); i != nil; i = q.Next(now, pace, false) {
 			out = append(out, fmt.Sprintf("next %d", i.Key[0]))
 		}
 		return strings.Join(out, "\n")
@@ -105,6 +105,8 @@
 	return result
 }
 
+func next(q *Queue, now time.Duration, p Pace) *Item { return q.Next(now, p, false) }
+
 func oldest(q *Queue, _ time.Duration, _ Pace) *Item {
 	if len(q.items) == 0 {
 		return nil
@@ -118,7 +120,7 @@
 // load that fits.
 func TestBurst(t *testing.T) {
 	for seed := range uint64(8) {
-		have := play(seed, 1.5, (*Queue).Next)
+		have := play(seed, 1.5, next)
 		first := play(seed, 1.5, oldest)
 		// During the burst a third of the requests cannot be served in time.
 		excess := int(0.5 * 2 * 3 / 0.04)
@@ -128,7 +130,7 @@
 		if have.inTime <= first.inTime {
 			t.Errorf("seed %d: want more in time than first come, first served, have %+v and %+v", seed, have, first)
 		}
-		if calm, base := play(seed, 0.7, (*Queue).Next), play(seed, 0.7, oldest); calm.inTime < base.inTime {
+		if calm, base := play(seed, 0.7, next), play(seed, 0.7, oldest); calm.inTime < base.inTime {
 			t.Errorf("seed %d: a load that fits: want %+v, have %+v", seed, base, calm)
 		}
 	}
