Measure the flow roles; answer announcements without news in a few octets

At the target 20 announcements a second with full lists of balancers would take 29 KB/s of the 21 KB/s that a node has for control; every tenth answer carries the list now. The search for earlier runs at an agent's address happens at its first announcement only.

--- /dev/null
+++ b/internal/front/bench_test.go
@@ -0,0 +1,135 @@
+package front
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/bramleycourse/bramleycourse/internal/flow"
+	"github.com/bramleycourse/bramleycourse/internal/frame"
+	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/rules"
+	"github.com/bramleycourse/bramleycourse/internal/view"
+)
+
+var benchRoute = netip.MustParseAddrPort("198.18.0.1:443")
+
+// benchCore returns a core with agents of some services, and the packet that its
+// codec returns.
+func benchCore(tb testing.TB, services, agents int) (*Core, *flow.Packet) {
+	p := &flow.Packet{}
+	c := NewCore(time.Second, Self{Name: "edge", Place: "a", FlowLifetime: time.Minute}, flow.Codec{
+		Decode: func([]byte) (flow.Packet, bool) { return *p, true },
+		Reset:  func(*flow.Packet) []byte { return nil },
+	})
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	l.SetLevel(logrus.ErrorLevel)
+	c.Log, c.Sample = logrus.NewEntry(l), func(bool) bool { return false }
+	c.Answer = func(time.Duration) {}
+	c.ToAgent = func([]byte, netip.AddrPort) {}
+	c.ToCaller = func([]byte, netip.Addr) {}
+	var entries []view.Entry
+	for n := range agents {
+		entries = append(entries, view.Entry{
+			Key:   view.Key{Hop: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), 8000), Instance: 1},
+			State: view.Serving, Seq: 5, Service: ident.ServiceName(fmt.Sprint("s", n%services)), Place: "a",
+		})
+	}
+	c.Listed(time.Second, entries)
+	t, err := rules.New(rules.Content{Generation: 1, Routes: []rules.Route{{Addr: benchRoute, Shares: []rules.Share{{Service: "s0", Weight: 1}}}}})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	c.SetRules(t, "test")
+	return c, p
+}
+
+func benchCaller(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, byte(64 + n>>24), byte(n >> 16), byte(n >> 8)}), uint16(n))
+}
+
+// BenchmarkOpening measures an opening packet and the answer to its offer.
+func BenchmarkOpening(b *testing.B) {
+	for _, agents := range []int{7, 38, 1000} {
+		b.Run(fmt.Sprint(agents), func(b *testing.B) {
+			c, p := benchCore(b, 1, agents)
+			raw := make([]byte, 32)
+			for n := range b.N {
+				*p = flow.Packet{From: benchCaller(n % 100000), To: benchRoute, Syn: true}
+				c.FromCaller(time.Second, raw)
+				k := flow.KeyOf(p.From, p.To)
+				c.taken(time.Second, &frame.Frame{Payload: k[:]}, benchRoute)
+				c.hints.Drop(k, benchRoute)
+			}
+		})
+	}
+}
+
+// BenchmarkCarry measures a packet of an open flow.
+func BenchmarkCarry(b *testing.B) {
+	c, p := benchCore(b, 1, 38)
+	raw := make([]byte, 132)
+	*p = flow.Packet{From: benchCaller(1), To: benchRoute, Ack: true, Size: 100}
+	c.hints.Put(time.Second, flow.KeyOf(p.From, p.To), flow.Hint{Agent: benchRoute})
+	for b.Loop() {
+		c.FromCaller(time.Second, raw)
+	}
+}
+
+// TestCarryAllocations guards the packet path of open flows against allocations.
+func TestCarryAllocations(t *testing.T) {
+	c, p := benchCore(t, 1, 38)
+	raw := make([]byte, 132)
+	*p = flow.Packet{From: benchCaller(1), To: benchRoute, Ack: true, Size: 100}
+	c.hints.Put(time.Second, flow.KeyOf(p.From, p.To), flow.Hint{Agent: benchRoute})
+	if n := testing.AllocsPerRun(200, func() { c.FromCaller(time.Second, raw) }); n > 0 {
+		t.Errorf("want no allocations, have %v", n)
+	}
+}
+
+// BenchmarkAnnounce measures the announcement of an agent that is known.
+func BenchmarkAnnounce(b *testing.B) {
+	c, _ := benchCore(b, 1100, 4500)
+	e := c.view.Unsorted()[0]
+	for c.view.Unsorted()[0].Key.IsBalancer() {
+		e = c.view.Unsorted()[1]
+	}
+	body, err := json.Marshal(view.Item{Entry: e})
+	if err != nil {
+		b.Fatal(err)
+	}
+	raw := (&frame.Frame{Kind: frame.Announce, Payload: body}).Append(nil)
+	for b.Loop() {
+		c.FromAgent(time.Second, raw, e.Key.Hop)
+	}
+}
+
+// BenchmarkRebuild measures a change of the view at the size of the target.
+func BenchmarkRebuild(b *testing.B) {
+	c, _ := benchCore(b, 1100, 4500)
+	for b.Loop() {
+		c.rebuild()
+	}
+}
+
+// BenchmarkHints measures the memory of a hint.
+func BenchmarkHints(b *testing.B) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	h := flow.NewHints(time.Minute, time.Second, maxHints)
+	for n := range maxHints {
+		h.Put(0, flow.KeyOf(benchCaller(n), benchRoute), flow.Hint{Agent: benchRoute})
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/maxHints, "B/hint")
+	runtime.KeepAlive(h)
+}
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -92,6 +92,9 @@
 	out                  []byte
 	frame                frame.Frame
 	ids                  [route.MaxOrder]ident.EndpointID
+	// packet is the one that the core works on; a local one would be allocated
+	// for each call.
+	packet flow.Packet
 }
 
 // Counts counts events.
@@ -137,17 +140,18 @@
 
 // FromCaller handles a datagram from the network of the callers.
 func (c *Core) FromCaller(now time.Duration, b []byte) {
-	p, ok := c.codec.Decode(b)
-	if !ok || p.Returned {
+	var ok bool
+	p := &c.packet
+	if *p, ok = c.codec.Decode(b); !ok || p.Returned {
 		c.Counts.Foreign++
 		return
 	}
 	k := flow.KeyOf(p.From, p.To)
 	if p.Opens() {
-		c.open(now, k, &p, b)
+		c.open(now, k, p, b)
 		return
 	}
-	c.carry(now, k, &p, b)
+	c.carry(now, k, p, b)
 }
 
 // carry sends a packet of an open flow to its agent, or to the likeliest one.
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -25,6 +25,9 @@
 	aloneRetry = 250 * time.Millisecond
 	// maxItems is the number of entries in a datagram: up to 200 octets each.
 	maxItems = 6
+	// listEvery is how many announcements without news an agent makes on average
+	// until it gets a list of balancers again.
+	listEvery = 10
 	// peerForgetTime is after what time a silent balancer counts as gone.
 	peerForgetTime = 30 * time.Second
 )
@@ -317,18 +320,32 @@
 	p.ahead = 0
 }
 
-// announced handles the entry of an agent that came from itself. Entries of
-// earlier processes at its address have ended.
-func (c *Core) announced(now time.Duration, i view.Item, from netip.AddrPort) {
-	items := []view.Item{i}
+// earlierRuns returns the entries of earlier processes at an agent's address, as
+// gone.
+func (c *Core) earlierRuns(k view.Key) []view.Item {
+	var items []view.Item
 	for _, e := range c.view.Unsorted() {
-		if e.Key.Hop == i.Key.Hop && e.Key != i.Key && !e.Key.IsBalancer() && e.Key.Hop == from {
+		if e.Key.Hop == k.Hop && e.Key != k && !e.Key.IsBalancer() {
 			e.State = view.Gone
 			items = append(items, view.Item{Entry: e})
 		}
 	}
-	if news := c.adopt(now, items); len(news) > 0 {
+	return items
+}
+
+// announced handles the entry of an agent that came from itself. Entries of
+// earlier processes at its address have ended.
+func (c *Core) announced(now time.Duration, i view.Item, from netip.AddrPort) {
+	items := []view.Item{i}
+	if _, known := c.view.Get(i.Key); !known && i.Key.Hop == from {
+		items = append(items, c.earlierRuns(i.Key)...)
+	}
+	news := c.adopt(now, items)
+	if len(news) > 0 {
 		c.flood(news, from)
+	} else if held, _ := c.view.Get(i.Key); held == i.Entry && rand.IntN(listEvery) > 0 {
+		c.sendBody(frame.Entries, []view.Item{}, from)
+		return
 	}
 	answer := make([]view.Item, 0, maxItems)
 	if held, ok := c.view.Item(now, i.Key); ok && held.Entry != i.Entry {
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -105,6 +105,9 @@
 	housekeeping time.Duration
 	out          []byte
 	frame        frame.Frame
+	// packet is the one that the core works on; a local one would be allocated
+	// for each call.
+	packet flow.Packet
 }
 
 // Counts counts events.
@@ -367,13 +370,14 @@
 
 // carry handles a packet of an open flow.
 func (c *Core) carry(now time.Duration, f *frame.Frame) {
-	p, ok := c.codec.Decode(f.Payload)
-	if !ok {
+	var ok bool
+	p := &c.packet
+	if *p, ok = c.codec.Decode(f.Payload); !ok {
 		c.Counts.Foreign++
 		return
 	}
 	k := flow.KeyOf(p.From, p.To)
-	if e := c.table.FromCaller(now, k, &p, f.Balancer); e != nil {
+	if e := c.table.FromCaller(now, k, p, f.Balancer); e != nil {
 		if !f.Hinted {
 			c.tell(k, f.Balancer)
 		}
@@ -436,23 +440,24 @@
 
 // FromUpstream handles a packet that the upstream sent.
 func (c *Core) FromUpstream(now time.Duration, b []byte) {
-	p, ok := c.codec.Decode(b)
-	if !ok {
+	var ok bool
+	p := &c.packet
+	if *p, ok = c.codec.Decode(b); !ok {
 		c.Counts.Foreign++
 		return
 	}
 	if p.Returned {
 		c.upstream.asked = 0
-		c.returned(now, &p, b)
+		c.returned(now, p, b)
 		return
 	}
 	if c.upstream.heard(now) {
 		c.changed(now)
 	}
 	k := flow.KeyOf(p.To, p.From)
-	e := c.table.FromUpstream(now, k, &p)
+	e := c.table.FromUpstream(now, k, p)
 	if e == nil && !p.Rst && !p.Syn {
-		e = c.recover(now, k, &p)
+		e = c.recover(now, k, p)
 	}
 	if p.Syn && e != nil && c.openings[k] != nil {
 		delete(c.openings, k)
