--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -24,7 +24,7 @@
 	maxFlows = 4096
 	// maxWaiting bounds the opening packets that wait for a slot: 16 were the
 	// upstream's own queue, and the deadline bounds them first.
-	maxWaiting = 256
+	maxWaiting = 64
 	// maxTrials bounds the memory of packets passed to the upstream on trial.
 	maxTrials = 1024
 	// openingTimeout is after what time an opening packet counts as unanswered:
