Share the handling of signals; split the agent's core

The processes of balancers and agents had the same loop for signals, reloads and drains, and place repeated the actions of admit. The loop reads whether the upstream has left under the lock now.

Behaviour is the same; the tests of the cores pass unchanged.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -9,7 +9,6 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -198,48 +197,23 @@
 	f.core.FromCaller(now, b)
 }
 
-// reloadInterval is how often the settings file is looked at.
-const reloadInterval = 2 * time.Second
-
 // control handles signals until the balancer may end.
 func (f *Front) control(signals <-chan os.Signal, reload func() ([]netip.AddrPort, bool)) {
-	m := drain.New(drain.Limits{Minimum: minStop, Quiet: quietStop, Limit: max(minStop, f.settings.StopLimit-stopMargin)})
-	check := time.NewTicker(reloadInterval)
-	defer check.Stop()
 	var seen uint64
-	for {
-		select {
-		case s := <-signals:
-			if s == syscall.SIGHUP {
-				f.reload(reload)
-				continue
-			}
-			f.log.WithFields(logrus.Fields{"event": "signal", "signal": s.String()}).Info("signal to stop")
-			if m.Signal(time.Now()) == drain.Cut {
-				return
-			}
+	c := node.Control{
+		Signals: signals, Reload: reload, Check: stopCheck, Log: f.log,
+		Limits: drain.Limits{Minimum: minStop, Quiet: quietStop, Limit: max(minStop, f.settings.StopLimit-stopMargin)},
+		Seeds:  func(seeds []netip.AddrPort) { f.loop.Do(func(time.Duration) { f.core.SetSeeds(seeds) }) },
+		Leave: func() {
 			f.stopping.Store(true)
 			f.ready.Store(false)
-			check.Reset(stopCheck)
-		case <-check.C:
-			if !f.stopping.Load() {
-				f.reload(reload)
-				continue
-			}
-			busy := false
+		},
+		Busy: func() (busy bool) {
 			f.loop.Do(func(time.Duration) { busy, seen = f.packets != seen, f.packets })
-			if m.Check(time.Now(), busy) != drain.None {
-				return
-			}
-		}
-	}
-}
-
-func (f *Front) reload(reload func() ([]netip.AddrPort, bool)) {
-	if seeds, changed := reload(); changed {
-		f.log.WithField("event", "reload").WithField("seeds", seeds).Info("settings changed")
-		f.loop.Do(func(time.Duration) { f.core.SetSeeds(seeds) })
+			return busy
+		},
 	}
+	c.Run()
 }
 
 // readiness answers whether the balancer may get packets.
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -4,9 +4,7 @@
 package hostd
 
 import (
-	"math"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -115,22 +113,6 @@
 	Taken, Forwarded, Refused, Foreign, WrongService, Missed, Returned, Recovered, Tried, Reset, Unanswered, Full, Held uint64
 }
 
-// opening is an opening packet at the upstream with the frame that brought it.
-type opening struct {
-	frame frame.Frame
-	at    time.Duration
-}
-
-// trial is a packet at the upstream that may belong to another one.
-type trial struct {
-	frame frame.Frame
-	at    time.Duration
-	// back is set once the upstream has returned the packet.
-	back bool
-	// unsure is set if an agent before this one may hold the flow.
-	unsure bool
-}
-
 // NewCore returns the core of an agent that starts now.
 func NewCore(now time.Duration, s Self, c flow.Codec) *Core {
 	co := &Core{
@@ -190,163 +172,6 @@
 	}
 }
 
-// offered decides on an opening packet.
-func (c *Core) offered(now time.Duration, f *frame.Frame) {
-	p, ok := c.codec.Decode(f.Payload)
-	if !ok {
-		c.Counts.Foreign++
-		return
-	}
-	k := flow.KeyOf(p.From, p.To)
-	if e := c.table.Get(k); e != nil && f.Service == c.upstream.id() {
-		c.repeated(now, k, f)
-		return
-	}
-	if c.frames[k] != nil {
-		c.tell(k, f.Balancer)
-		return
-	}
-	l := c.Load(now)
-	if f.Service != c.upstream.id() {
-		c.Counts.WrongService++
-		l.Closed = true
-	}
-	switch place.Decide(l, f) {
-	case place.Take:
-		c.take(now, k, &p, f)
-	case place.Forward:
-		c.Counts.Forwarded++
-		c.send(f, f.Candidates[f.Position].Addr)
-	case place.Refuse:
-		c.refuse(f)
-	}
-}
-
-// repeated passes a copy of an opening packet on to the upstream that got the first one.
-func (c *Core) repeated(now time.Duration, k flow.Key, f *frame.Frame) {
-	if e := c.table.Get(k); e.Answered() {
-		c.tell(k, f.Balancer)
-	} else {
-		c.table.Opening(now, k, f.Balancer)
-	}
-	c.ToUpstream(f.Payload)
-}
-
-// take passes an opening packet to the upstream, or keeps it until a slot is free.
-func (c *Core) take(now time.Duration, k flow.Key, p *flow.Packet, f *frame.Frame) {
-	o := &opening{frame: *f, at: now}
-	o.frame.Candidates, o.frame.Payload = slices.Clone(f.Candidates), nil
-	urgent := (&queue.Item{Priority: f.Priority}).Urgent()
-	if c.free(now, urgent) {
-		c.admit(now, k, o, f.Payload)
-		return
-	}
-	item := queue.Item{
-		Key: k, Attempt: now - copyAge(p), Priority: f.Priority, Packet: slices.Clone(f.Payload),
-		Objective: time.Duration(f.ObjectiveMillis) * time.Millisecond,
-		Deadline:  time.Duration(f.TimeoutMillis) * time.Millisecond,
-	}
-	item.Began = item.Attempt - time.Duration(f.AgeMillis)*time.Millisecond
-	c.Counts.Held++
-	c.frames[k] = o
-	c.tell(k, f.Balancer)
-	if evicted := c.waiting.Put(now, &item, c.pace()); evicted != nil {
-		c.giveBack(now, "queueFull", []*queue.Item{evicted})
-	}
-}
-
-// pace returns how fast the upstream serves at present.
-func (c *Core) pace() queue.Pace {
-	return queue.Pace{Work: c.table.Work(), Handshake: c.table.Handshake()}
-}
-
-// copyAges are the times after which a caller repeats its opening packet.
-var copyAges = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
-
-// copyAge returns how old the attempt is that an opening packet belongs to.
-func copyAge(p *flow.Packet) time.Duration { return copyAges[min(int(p.Acked), len(copyAges)-1)] }
-
-// spareOpenings is how many flows more than it has slots an upstream gets, so
-// that the next request is there when a slot becomes free: a handshake takes a
-// round trip to the caller.
-const spareOpenings = 1
-
-// urgentOpenings is the same for urgent requests. Requests on flows that are
-// open already go straight to the upstream's own queue; without the difference
-// urgent ones on new flows would wait for all of them.
-const urgentOpenings = 4
-
-// free reports whether the upstream may get another flow.
-func (c *Core) free(now time.Duration, urgent bool) bool {
-	spare := spareOpenings
-	if urgent {
-		spare = urgentOpenings
-	}
-	return c.table.Busy(now) < max(1, c.upstream.concurrency())+spare
-}
-
-// admit passes an opening packet to the upstream.
-func (c *Core) admit(now time.Duration, k flow.Key, o *opening, packet []byte) {
-	if c.table.Opening(now, k, o.frame.Balancer) == nil {
-		c.Counts.Full++
-		c.returnOpening(o, packet)
-		return
-	}
-	c.Counts.Taken++
-	waited := now - o.at
-	c.Wait(waited)
-	if c.Sample(waited >= slowWait) {
-		c.decision("flowAdmitted", k, "admitted", now).WithFields(logrus.Fields{
-			"waited": waited, "priority": o.frame.Priority, "balancer": o.frame.Balancer,
-		}).Info("the upstream gets the flow")
-	}
-	o.at = now
-	c.openings[k] = o
-	c.upstream.ask(now)
-	c.ToUpstream(packet)
-}
-
-// returnOpening gives an opening packet back to its balancer.
-func (c *Core) returnOpening(o *opening, packet []byte) {
-	f := o.frame
-	f.Payload = packet
-	c.refuse(&f)
-}
-
-// grant passes waiting packets on as far as there is room.
-func (c *Core) grant(now time.Duration) {
-	if c.waiting.Len() == 0 {
-		return
-	}
-	if !c.upstream.accepts() || c.leaving || c.upstream.stalled(now) {
-		c.giveBack(now, "upstreamClosed", c.waiting.Clear())
-		return
-	}
-	for c.free(now, true) {
-		i := c.waiting.Next(now, c.pace(), !c.free(now, false))
-		if i == nil {
-			break
-		}
-		o := c.frames[i.Key]
-		delete(c.frames, i.Key)
-		c.admit(now, i.Key, o, i.Packet)
-	}
-	c.giveBack(now, "deadline", c.waiting.Expired(now, c.pace()))
-}
-
-// giveBack gives packets that waited in vain back to their balancers.
-func (c *Core) giveBack(now time.Duration, reason string, items []*queue.Item) {
-	for _, i := range items {
-		if c.Sample(true) {
-			c.decision("openingGivenBack", i.Key, reason, now).WithField("age", now-i.Began).Info("opening packet waited in vain")
-		}
-		o := c.frames[i.Key]
-		delete(c.frames, i.Key)
-		o.frame.AgeMillis = uint16(min((now-i.Began)/time.Millisecond, math.MaxUint16))
-		c.returnOpening(o, i.Packet)
-	}
-}
-
 // decision begins the log line of a decision about a flow.
 func (c *Core) decision(event string, k flow.Key, outcome string, now time.Duration) *logrus.Entry {
 	return c.Log.WithFields(logrus.Fields{
@@ -355,12 +180,6 @@
 	})
 }
 
-func (c *Core) refuse(f *frame.Frame) {
-	c.Counts.Refused++
-	f.Kind = frame.Refused
-	c.send(f, f.Balancer)
-}
-
 // tell tells a balancer that this agent holds a flow.
 func (c *Core) tell(k flow.Key, balancer netip.AddrPort) {
 	if balancer.IsValid() && balancer.Port() != 0 {
@@ -391,38 +210,6 @@
 	c.miss(f)
 }
 
-// mayHold reports whether the upstream may hold a flow that is not in the table:
-// it ran before the agent did, and has not returned a packet of the flow yet.
-func (c *Core) mayHold(now time.Duration, k flow.Key, f *frame.Frame) bool {
-	if now-c.started >= c.self.FlowLifetime || f.Service != c.upstream.id() || c.upstream.fresh() {
-		return false
-	}
-	t := c.trials[k]
-	if t == nil || !t.back {
-		f.Unsure = true
-		return true
-	}
-	return false
-}
-
-// try passes a packet to the upstream because the agent may have lost the
-// table entry of its flow. Each flow is tried once.
-func (c *Core) try(now time.Duration, k flow.Key, f *frame.Frame, unsure bool) bool {
-	if t := c.trials[k]; t != nil {
-		// Until the answer to the first packet, the next ones wait at the caller.
-		return now-t.at < openingTimeout
-	}
-	if f.Trials == 0 || len(c.trials) >= maxTrials || !f.Hinted && !c.upstream.outlived() {
-		return false
-	}
-	c.Counts.Tried++
-	t := &trial{frame: *f, at: now, unsure: unsure}
-	t.frame.Candidates, t.frame.Payload = slices.Clone(f.Candidates), nil
-	c.trials[k] = t
-	c.ToUpstream(f.Payload)
-	return true
-}
-
 // miss passes a packet on to the next agent of its walk or returns it.
 func (c *Core) miss(f *frame.Frame) {
 	c.Counts.Missed++
@@ -467,21 +254,6 @@
 	c.grant(now)
 }
 
-// recover adds a flow to the table that the upstream turned out to hold.
-func (c *Core) recover(now time.Duration, k flow.Key, p *flow.Packet) *flow.Entry {
-	e := c.table.Learn(now, k)
-	if e == nil {
-		return nil
-	}
-	c.Counts.Recovered++
-	if t := c.trials[k]; t != nil {
-		e.Balancer = t.frame.Balancer
-		delete(c.trials, k)
-		c.tell(k, e.Balancer)
-	}
-	return c.table.FromUpstream(now, k, p)
-}
-
 // returned handles a packet that the upstream did not accept.
 func (c *Core) returned(now time.Duration, p *flow.Packet, b []byte) {
 	c.Counts.Returned++
@@ -511,25 +283,6 @@
 	}
 }
 
-// returnedOpening offers an opening packet that the upstream has no room for
-// to the other candidates.
-func (c *Core) returnedOpening(k flow.Key, b []byte) {
-	o := c.openings[k]
-	if o == nil {
-		return
-	}
-	delete(c.openings, k)
-	c.table.Drop(k)
-	f := o.frame
-	f.Payload = b
-	if place.Decide(place.Load{Slots: 1, Closed: true}, &f) == place.Forward {
-		c.Counts.Forwarded++
-		c.send(&f, f.Candidates[f.Position].Addr)
-		return
-	}
-	c.refuse(&f)
-}
-
 // Due returns the time until Tick has something to do.
 func (c *Core) Due(now time.Duration) time.Duration { return max(0, c.housekeeping-now) }
 
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -34,8 +34,6 @@
 	// stopMargin is kept between the end of a stop and the kill.
 	stopMargin = time.Second
 	stopCheck  = 20 * time.Millisecond
-	// reloadInterval is how often the settings file is looked at.
-	reloadInterval = 2 * time.Second
 	// maxListings bounds the changes of the entry that wait for the platform.
 	maxListings = 16
 	// minRetry and maxRetry bound the time between attempts to write it.
@@ -269,46 +267,23 @@
 	h.wg.Wait()
 }
 
-// control handles signals until the agent may end.
+// control handles signals until the agent may end. The entry of an upstream that
+// has left is removed from the platform's list first.
 func (h *Host) control(signals <-chan os.Signal, reload func() ([]netip.AddrPort, bool)) {
-	m := drain.New(drain.Limits{Minimum: minStop, Quiet: quietStop, Limit: max(minStop, h.settings.StopLimit-stopMargin)})
-	check := time.NewTicker(reloadInterval)
-	defer check.Stop()
-	stopping := false
-	for {
-		select {
-		case s := <-signals:
-			if s == syscall.SIGHUP {
-				h.reload(reload)
-				continue
-			}
-			h.log.WithFields(logrus.Fields{"event": "signal", "signal": s.String()}).Info("signal to stop")
-			if m.Signal(time.Now()) == drain.Cut {
-				return
-			}
-			stopping = true
-			h.loop.Do(h.core.Leave)
-			check.Reset(stopCheck)
-		case <-check.C:
-			if !stopping {
-				h.reload(reload)
-				continue
-			}
-			busy := false
-			h.loop.Do(func(now time.Duration) { busy = h.core.Busy(now) > 0 })
-			if h.core.Gone() {
-				busy = h.unlisted.Load()
-			}
-			if m.Check(time.Now(), busy) != drain.None {
-				return
-			}
-		}
-	}
-}
-
-func (h *Host) reload(reload func() ([]netip.AddrPort, bool)) {
-	if seeds, changed := reload(); changed {
-		h.log.WithField("event", "reload").WithField("seeds", seeds).Info("settings changed")
-		h.loop.Do(func(time.Duration) { h.core.SetSeeds(seeds) })
+	c := node.Control{
+		Signals: signals, Reload: reload, Check: stopCheck, Log: h.log,
+		Limits: drain.Limits{Minimum: minStop, Quiet: quietStop, Limit: max(minStop, h.settings.StopLimit-stopMargin)},
+		Seeds:  func(seeds []netip.AddrPort) { h.loop.Do(func(time.Duration) { h.core.SetSeeds(seeds) }) },
+		Leave:  func() { h.loop.Do(h.core.Leave) },
+		Busy: func() (busy bool) {
+			h.loop.Do(func(now time.Duration) {
+				busy = h.core.Busy(now) > 0
+				if h.core.Gone() {
+					busy = h.unlisted.Load()
+				}
+			})
+			return busy
+		},
 	}
+	c.Run()
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -4,35 +4,10 @@
 package place
 
 import (
+	"github.com/bramleycourse/bramleycourse/internal/admit"
 	"github.com/bramleycourse/bramleycourse/internal/frame"
 )
 
-// Action says what an agent does with an opening packet.
-type Action uint8
-
-// Actions.
-const (
-	// Take hands the packet to the agent's own upstream.
-	Take Action = iota + 1
-	// Forward sends the frame to Candidates[Position].
-	Forward
-	// Refuse returns the frame to the balancer.
-	Refuse
-)
-
-// String returns the action as a metric and log value.
-func (a Action) String() string {
-	switch a {
-	case Take:
-		return "take"
-	case Forward:
-		return "forward"
-	case Refuse:
-		return "refuse"
-	}
-	return "none"
-}
-
 // Load is the load of an upstream.
 type Load struct {
 	// Slots is how many requests the upstream works on at once; greater than zero.
@@ -64,18 +39,18 @@
 	return frame.Depth(min(blend/l.Slots*float64(frame.Full), float64(frame.NoDepth-1)))
 }
 
-// Decide decides on an Offer or Placed frame. For Forward it rewrites the frame
+// Decide decides on an Offer or Placed frame. For admit.Forward it rewrites the frame
 // for the next agent.
-func Decide(l Load, f *frame.Frame) Action {
+func Decide(l Load, f *frame.Frame) admit.Action {
 	if f.Kind == frame.Placed {
 		if l.Closed {
-			return Refuse
+			return admit.Refuse
 		}
-		return Take
+		return admit.Take
 	}
 	depth := l.Depth()
 	if depth < comfortable {
-		return Take
+		return admit.Take
 	}
 	if len(f.Candidates) == 0 {
 		return last(depth)
@@ -83,24 +58,24 @@
 	f.Candidates[f.Position].Depth = depth
 	if f.Position+1 < len(f.Candidates) {
 		f.Position++
-		return Forward
+		return admit.Forward
 	}
 	best := least(f)
 	switch {
 	case f.Candidates[best].Depth == frame.NoDepth:
-		return Refuse
+		return admit.Refuse
 	case best == f.Position:
-		return Take
+		return admit.Take
 	}
 	f.Kind, f.Position = frame.Placed, best
-	return Forward
+	return admit.Forward
 }
 
-func last(depth frame.Depth) Action {
+func last(depth frame.Depth) admit.Action {
 	if depth == frame.NoDepth {
-		return Refuse
+		return admit.Refuse
 	}
-	return Take
+	return admit.Take
 }
 
 // least returns the position of the candidate with the lowest depth. At equal
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"testing"
 
+	"github.com/bramleycourse/bramleycourse/internal/admit"
 	"github.com/bramleycourse/bramleycourse/internal/frame"
 )
 
@@ -22,11 +23,11 @@
 	for hops = range 2 * len(loads) {
 		at := f.Position
 		switch Decide(loads[at], f) {
-		case Take:
+		case admit.Take:
 			return at, hops
-		case Refuse:
+		case admit.Refuse:
 			return -1, hops
-		case Forward:
+		case admit.Forward:
 		}
 	}
 	t.Fatal("the walk does not end")
@@ -60,10 +61,10 @@
 func TestPlaced(t *testing.T) {
 	f := offer(2)
 	f.Kind = frame.Placed
-	if have := Decide(Load{Slots: 1, Busy: 9}, f); have != Take {
+	if have := Decide(Load{Slots: 1, Busy: 9}, f); have != admit.Take {
 		t.Errorf("want take, have %s", have)
 	}
-	if have := Decide(Load{Slots: 1, Closed: true}, f); have != Refuse {
+	if have := Decide(Load{Slots: 1, Closed: true}, f); have != admit.Refuse {
 		t.Errorf("want refuse, have %s", have)
 	}
 }
