Do not reset a flow that another agent took, or that not all agents were asked for

Found by reading the code. (1) An opening packet that was offered to a second agent may be given back by the first one more than a second later; the balancer passed that refusal on as a reset of the flow that was open at the second. (2) A walk asks at most 64 agents; of a larger service the holder may not have been asked, and the flow was reset all the same.

TestLateRefusal and TestLargeService failed first.

--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -262,7 +262,9 @@
 	}
 	absent := 0
 	for _, s := range r.Shares {
-		absent += c.members.group(frame.IDOf(s.Service)).absent
+		g := c.members.group(frame.IDOf(s.Service))
+		// A walk asks a limited number of agents; the others were not asked.
+		absent += g.absent + max(0, g.all.Len()-route.MaxOrder)
 	}
 	reset := r.Repeatable && c.settled(now) && absent == 0 && !unsure
 	outcome := "dropped"
--- a/internal/front/offer.go
+++ b/internal/front/offer.go
@@ -199,6 +199,10 @@
 	if r == nil {
 		return
 	}
+	if h, taken := c.hints.Get(now, k, false); taken && h.Agent != from {
+		// Another agent has taken the flow meanwhile.
+		return
+	}
 	again := &pending{
 		key: k, packet: slices.Clone(f.Payload), service: f.Service, route: r,
 		tried: []netip.AddrPort{from}, age: time.Duration(f.AgeMillis) * time.Millisecond,
