Repeat the word of a planned stop to all balancers

Found by reading: an agent told two balancers once that it stops. If the datagram was lost, balancers took the stop for a failure and gave its living flows up after 0.6 s, which planned work must never do.

A stopping agent tells all balancers that it knows, every 100 ms for the 0.3 s that a stop takes at least.

--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -292,7 +292,7 @@
 		return
 	}
 	c.housekeeping = now + tickInterval
-	if c.homes.heard == c.started {
+	if c.homes.heard == c.started || c.leaving {
 		c.housekeeping = now + firstInterval
 	}
 	for k, o := range c.openings {
--- a/internal/hostd/homes.go
+++ b/internal/hostd/homes.go
@@ -19,7 +19,8 @@
 	homeCount = 2
 	// announceInterval is how often it does so.
 	announceInterval = time.Second
-	// firstInterval is how often it does so until a balancer has answered.
+	// firstInterval is how often it does so until a balancer has answered, and
+	// while it stops.
 	firstInterval = 100 * time.Millisecond
 	// answerTimeout is after what time an unanswered announcement is repeated to
 	// other balancers.
@@ -66,6 +67,7 @@
 // the upstream has left too, its flows wait for the next run.
 func (c *Core) Leave(now time.Duration) {
 	c.leaving = true
+	c.housekeeping = now
 	c.changed(now)
 }
 
@@ -115,6 +117,17 @@
 	return as[:min(homeCount, len(as))]
 }
 
+// all returns all balancers that are known, and the seeds.
+func (h *homes) all() []netip.AddrPort {
+	as := slices.Clone(h.seeds)
+	for a := range h.known {
+		if !slices.Contains(as, a) {
+			as = append(as, a)
+		}
+	}
+	return as
+}
+
 func (c *Core) announce(now time.Duration) {
 	h := &c.homes
 	e := view.Entry{
@@ -127,10 +140,15 @@
 		return
 	}
 	h.next = now + announceInterval
-	if h.heard == c.started {
+	if h.heard == c.started || c.leaving {
 		h.next = now + firstInterval
 	}
-	for _, a := range h.targets(c.self.Hop) {
+	targets := h.targets(c.self.Hop)
+	if c.leaving {
+		// A balancer that takes the stop for a failure would give the flows up.
+		targets = h.all()
+	}
+	for _, a := range targets {
 		if _, waits := h.asked[a]; !waits {
 			h.asked[a] = now
 		}
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -27,8 +27,9 @@
 )
 
 const (
-	// minStop lets the word of the stop reach the balancers.
-	minStop = 100 * time.Millisecond
+	// minStop lets the word of the stop, which is repeated every 100 ms, reach the
+	// balancers.
+	minStop = 320 * time.Millisecond
 	// quietStop is the time without a request in progress after which a stop ends.
 	quietStop = 100 * time.Millisecond
 	// stopMargin is kept between the end of a stop and the kill.
