--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -107,7 +107,7 @@
 	f.core.ToCaller = func(b []byte, caller netip.Addr) { f.hop.Send(b, netip.AddrPortFrom(caller, port)) }
 	f.core.Forgotten = func(agent netip.AddrPort) {
 		if f.core.First() {
-			go f.strike(agent)
+			go f.removeAgent(agent)
 		}
 	}
 	f.core.Fetch = func(from netip.AddrPort) { go f.fetch(from) }
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -21,8 +21,8 @@
 	// fetchDelay is how long a newer configuration of a peer is expected from the
 	// platform before it is read from the peer.
 	fetchDelay = 200 * time.Millisecond
-	// aloneRetry is how often the seeds are asked while no balancer is known.
-	aloneRetry = 250 * time.Millisecond
+	// seedInterval is how often the seeds are asked while no balancer is known.
+	seedInterval = 250 * time.Millisecond
 	// maxItems is the number of entries in a datagram: up to 200 octets each.
 	maxItems = 6
 	// listEvery is how many announcements without news an agent makes on average
@@ -119,7 +119,7 @@
 	c.view.Expire(now)
 	known := c.Peers()
 	if len(known) == 0 {
-		p.next = now + aloneRetry
+		p.next = now + seedInterval
 		for _, a := range p.seeds {
 			c.AddPeer(now, a)
 		}
--- a/internal/front/sync.go
+++ b/internal/front/sync.go
@@ -33,10 +33,10 @@
 	fetchTimeout = 2 * time.Second
 	// maxConfig bounds a peer's configuration: 1,400 routes of 200 octets and room.
 	maxConfig = 4 << 20
-	// alone is after what time without another balancer the platform's list is read.
-	alone = 1500 * time.Millisecond
-	// aloneInterval is the time between such reads.
-	aloneInterval = 10 * time.Second
+	// noPeersDelay is after what time without another balancer the platform's list is read.
+	noPeersDelay = 1500 * time.Millisecond
+	// noPeersInterval is the time between such reads.
+	noPeersInterval = 10 * time.Second
 )
 
 // watch keeps the configuration as new as the platform's.
@@ -154,23 +154,23 @@
 // balancers look that no seed leads to another process, and reads the agents'.
 // It reads the other balancers' while none is known.
 func (f *Front) register(ctx context.Context) {
-	f.insist(ctx, f.findAgents)
-	f.insist(ctx, func(ctx context.Context) error {
+	f.retry(ctx, f.findAgents)
+	f.retry(ctx, func(ctx context.Context) error {
 		return f.store.Ensure(ctx, plat.KindBalancer, f.settings.Name, roster.Balancer{Peer: f.settings.Peer})
 	})
-	sleep(ctx, alone)
+	sleep(ctx, noPeersDelay)
 	for ctx.Err() == nil {
 		n := 0
 		f.loop.Do(func(time.Duration) { n = len(f.core.Peers()) })
 		if n == 0 {
 			f.findPeers(ctx)
 		}
-		sleep(ctx, aloneInterval)
+		sleep(ctx, noPeersInterval)
 	}
 }
 
-// insist repeats a call until it succeeds.
-func (f *Front) insist(ctx context.Context, call func(context.Context) error) {
+// retry repeats a call until it succeeds.
+func (f *Front) retry(ctx context.Context, call func(context.Context) error) {
 	for retry := minRetry; ctx.Err() == nil; retry = min(2*retry, maxRetry) {
 		if call(ctx) == nil {
 			return // The client logs when calls begin to fail.
@@ -200,13 +200,13 @@
 	})
 }
 
-// strike removes the entry of an agent that is gone for good. One balancer does
+// removeAgent removes the entry of an agent that is gone for good. One balancer does
 // so; the others know the same balancers.
-func (f *Front) strike(agent netip.AddrPort) {
+func (f *Front) removeAgent(agent netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 	if err := roster.RemoveAgent(ctx, f.store, agent); err != nil {
-		f.log.WithError(err).WithFields(logrus.Fields{"event": "strikeFailed", "agent": agent}).Warn("entry of an agent not removed")
+		f.log.WithError(err).WithFields(logrus.Fields{"event": "removeFailed", "agent": agent}).Warn("entry of an agent not removed")
 	}
 }
 
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -93,12 +93,12 @@
 	frames  map[flow.Key]*opening
 	// trials are packets that were passed to the upstream although the table
 	// does not have their flow.
-	trials  map[flow.Key]*trial
-	homes   homes
-	mean    float64
-	meanAt  time.Duration
-	started time.Duration
-	leaving bool
+	trials       map[flow.Key]*trial
+	registration registration
+	mean         float64
+	meanAt       time.Duration
+	started      time.Duration
+	leaving      bool
 	// housekeeping is when it is due.
 	housekeeping time.Duration
 	out          []byte
@@ -128,7 +128,7 @@
 		out:      make([]byte, 0, frame.MaxSize),
 	}
 	co.upstream.service, co.upstream.beatAt = s.Service, now
-	co.homes.init(now, s.Seeds)
+	co.registration.init(now, s.Seeds)
 	return co
 }
 
@@ -152,7 +152,7 @@
 	case frame.Ping:
 		c.send(&frame.Frame{Kind: frame.Pong}, from)
 	case frame.Entries:
-		c.homes.answered(now, f.Payload, from, c)
+		c.registration.answered(now, f.Payload, from, c)
 	default:
 		c.Counts.Foreign++
 	}
@@ -292,7 +292,7 @@
 		return
 	}
 	c.housekeeping = now + tickInterval
-	if c.homes.heard == c.started || c.leaving {
+	if c.registration.heard == c.started || c.leaving {
 		c.housekeeping = now + firstInterval
 	}
 	for k, o := range c.openings {
@@ -314,5 +314,5 @@
 	if c.upstream.check(now, c.Log) {
 		c.changed(now)
 	}
-	c.homes.tick(now, c)
+	c.registration.tick(now, c)
 }
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -238,7 +238,7 @@
 		m.Gauge("slots", l.Slots)
 		m.Gauge("depth", float64(l.Depth()))
 		m.Gauge("workSeconds", h.core.table.Work().Seconds())
-		m.Gauge("balancersKnown", float64(len(h.core.homes.known)))
+		m.Gauge("balancersKnown", float64(len(h.core.registration.known)))
 		m.Gauge("reportAgeSeconds", (now - h.core.upstream.beatAt).Seconds())
 	})
 	m.Counters(c)
--- a/internal/hostd/homes.go
+++ b/internal/hostd/registration.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// homeCount is the number of balancers that an agent announces itself to;
+	// announceTargets is the number of balancers that an agent announces itself to;
 	// those tell the others.
-	homeCount = 2
+	announceTargets = 2
 	// announceInterval is how often it does so.
 	announceInterval = time.Second
 	// firstInterval is how often it does so until a balancer has answered, and
@@ -31,8 +31,9 @@
 	maxBalancers = 512
 )
 
-// homes are the balancers that the agent announces itself to.
-type homes struct {
+// registration keeps the agent known to the balancers: it announces the agent to
+// some of them, which tell the others.
+type registration struct {
 	seeds []netip.AddrPort
 	// known are balancers and how often they did not answer in a row.
 	known map[netip.AddrPort]int
@@ -47,19 +48,19 @@
 	state view.State
 }
 
-func (h *homes) init(now time.Duration, seeds []netip.AddrPort) {
-	h.seeds, h.next, h.found, h.heard = seeds, now, now, now
-	h.known, h.asked = map[netip.AddrPort]int{}, map[netip.AddrPort]time.Duration{}
+func (r *registration) init(now time.Duration, seeds []netip.AddrPort) {
+	r.seeds, r.next, r.found, r.heard = seeds, now, now, now
+	r.known, r.asked = map[netip.AddrPort]int{}, map[netip.AddrPort]time.Duration{}
 }
 
 // SetSeeds replaces the addresses of balancers from the settings.
-func (c *Core) SetSeeds(seeds []netip.AddrPort) { c.homes.seeds = seeds }
+func (c *Core) SetSeeds(seeds []netip.AddrPort) { c.registration.seeds = seeds }
 
 // AddBalancer makes a balancer known whose address was found elsewhere.
 func (c *Core) AddBalancer(a netip.AddrPort) {
-	if _, held := c.homes.known[a]; !held && len(c.homes.known) < maxBalancers {
-		c.homes.known[a] = 0
-		c.homes.next = 0
+	if _, held := c.registration.known[a]; !held && len(c.registration.known) < maxBalancers {
+		c.registration.known[a] = 0
+		c.registration.next = 0
 	}
 }
 
@@ -86,41 +87,41 @@
 			s = view.Gone
 		}
 	}
-	h := &c.homes
-	if h.seq == 0 {
-		h.seq = c.self.Seq
+	r := &c.registration
+	if r.seq == 0 {
+		r.seq = c.self.Seq
 	} else {
-		h.seq++
+		r.seq++
 	}
-	h.state = s
+	r.state = s
 	c.announce(now)
 }
 
 // targets returns the balancers to announce to: the ones that the agent's
 // address ranks first among those that answer.
-func (h *homes) targets(self netip.AddrPort) []netip.AddrPort {
+func (r *registration) targets(self netip.AddrPort) []netip.AddrPort {
 	var as []netip.AddrPort
-	for a, n := range h.known {
+	for a, n := range r.known {
 		if n == 0 {
 			as = append(as, a)
 		}
 	}
 	if len(as) == 0 {
-		for a := range h.known {
+		for a := range r.known {
 			as = append(as, a)
 		}
-		return append(as, h.seeds...)
+		return append(as, r.seeds...)
 	}
 	slices.SortFunc(as, func(a, b netip.AddrPort) int {
 		return cmp.Compare(flow.KeyOf(self, a).Hash(), flow.KeyOf(self, b).Hash())
 	})
-	return as[:min(homeCount, len(as))]
+	return as[:min(announceTargets, len(as))]
 }
 
 // all returns all balancers that are known, and the seeds.
-func (h *homes) all() []netip.AddrPort {
-	as := slices.Clone(h.seeds)
-	for a := range h.known {
+func (r *registration) all() []netip.AddrPort {
+	as := slices.Clone(r.seeds)
+	for a := range r.known {
 		if !slices.Contains(as, a) {
 			as = append(as, a)
 		}
@@ -129,80 +130,80 @@
 }
 
 func (c *Core) announce(now time.Duration) {
-	h := &c.homes
+	r := &c.registration
 	e := view.Entry{
 		Key:   view.Key{Hop: c.self.Hop, Instance: c.self.Instance},
-		State: h.state, Seq: h.seq, Service: c.upstream.service, Place: c.self.Place,
+		State: r.state, Seq: r.seq, Service: c.upstream.service, Place: c.self.Place,
 	}
 	b, err := json.Marshal(view.Item{Entry: e})
 	if err != nil {
 		c.Log.WithError(err).Error("announcement not encoded")
 		return
 	}
-	h.next = now + announceInterval
-	if h.heard == c.started || c.leaving {
-		h.next = now + firstInterval
+	r.next = now + announceInterval
+	if r.heard == c.started || c.leaving {
+		r.next = now + firstInterval
 	}
-	targets := h.targets(c.self.Hop)
+	targets := r.targets(c.self.Hop)
 	if c.leaving {
 		// A balancer that takes the stop for a failure would give the flows up.
-		targets = h.all()
+		targets = r.all()
 	}
 	for _, a := range targets {
-		if _, waits := h.asked[a]; !waits {
-			h.asked[a] = now
+		if _, waits := r.asked[a]; !waits {
+			r.asked[a] = now
 		}
 		c.send(&frame.Frame{Kind: frame.Announce, Payload: b}, a)
 	}
 }
 
 // tick announces what is due and gives up on balancers that do not answer.
-func (h *homes) tick(now time.Duration, c *Core) {
-	if h.seq == 0 && c.upstream.service != "" {
+func (r *registration) tick(now time.Duration, c *Core) {
+	if r.seq == 0 && c.upstream.service != "" {
 		c.changed(now)
 	}
 	lost := false
-	for a, at := range h.asked {
+	for a, at := range r.asked {
 		if now-at >= answerTimeout {
-			delete(h.asked, a)
-			if n, held := h.known[a]; held {
-				h.known[a] = n + 1
+			delete(r.asked, a)
+			if n, held := r.known[a]; held {
+				r.known[a] = n + 1
 				lost = lost || n == 0
 			}
 		}
 	}
-	if h.seq > 0 && (lost || now >= h.next) {
+	if r.seq > 0 && (lost || now >= r.next) {
 		c.announce(now)
 	}
-	if now-h.heard >= findInterval/2 && now-h.found >= findInterval {
-		h.found = now
+	if now-r.heard >= findInterval/2 && now-r.found >= findInterval {
+		r.found = now
 		c.FindBalancers()
 	}
 }
 
 // answered takes the answer of a balancer: the balancers that it knows, and the
 // agent's own entry if it knows another version.
-func (h *homes) answered(now time.Duration, payload []byte, from netip.AddrPort, c *Core) {
+func (r *registration) answered(now time.Duration, payload []byte, from netip.AddrPort, c *Core) {
 	var items []view.Item
 	if json.Unmarshal(payload, &items) != nil {
 		c.Counts.Foreign++
 		return
 	}
-	h.heard = now
-	delete(h.asked, from)
-	if len(h.known) < maxBalancers {
-		h.known[from] = 0
+	r.heard = now
+	delete(r.asked, from)
+	if len(r.known) < maxBalancers {
+		r.known[from] = 0
 	}
 	for _, i := range items {
 		switch {
 		case i.Key.IsBalancer() && i.State == view.Gone:
-			delete(h.known, i.Peer)
+			delete(r.known, i.Peer)
 		case i.Key.IsBalancer():
-			if _, held := h.known[i.Peer]; !held && len(h.known) < maxBalancers {
-				h.known[i.Peer] = 0
+			if _, held := r.known[i.Peer]; !held && len(r.known) < maxBalancers {
+				r.known[i.Peer] = 0
 			}
-		case i.Key.Hop == c.self.Hop && i.Key.Instance == c.self.Instance && i.Seq >= h.seq && i.State != h.state:
-			h.seq = i.Seq
+		case i.Key.Hop == c.self.Hop && i.Key.Instance == c.self.Instance && i.Seq >= r.seq && i.State != r.state:
+			r.seq = i.Seq
 			c.changed(now)
 		}
 	}
