Take a refused connection for a missing upstream only if no report comes either

A refused connection closes the agent for new flows; it stays unsure about open ones until a report is a quarter of its interval overdue.

--- a/cmd/bramleyflow/roles.go
+++ b/cmd/bramleyflow/roles.go
@@ -58,7 +58,7 @@
 	h, err := hostd.New(hostd.Settings{
 		Name: s.Name, Place: s.Place, Service: s.Service, Hop: s.Hop, Outbound: s.Outbound,
 		Upstream: s.Upstream, Reports: s.Reports, Ready: s.Ready, CallerPort: s.Hop.Port(), Metrics: c.metrics(&s),
-		Seeds: s.Seeds, FlowLifetime: s.FlowLifetime, StopLimit: s.StopLimit,
+		Seeds: s.Seeds, FlowLifetime: s.FlowLifetime, ReportInterval: s.ReportInterval, StopLimit: s.StopLimit,
 	}, platform.Codec, newStore(s, log), log, out.Sample)
 	if err != nil {
 		return err
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -50,6 +50,8 @@
 	// Seq is the version of the first entry; it is higher than that of an
 	// earlier run.
 	Seq ident.Seq
+	// ReportInterval is how often the upstream reports.
+	ReportInterval time.Duration
 	// StartedMillis is when the agent started, in Unix milliseconds by the clock of
 	// the VM, which the upstream uses too.
 	StartedMillis int64
@@ -128,6 +130,7 @@
 		out:      make([]byte, 0, frame.MaxSize),
 	}
 	co.upstream.service, co.upstream.beatAt = s.Service, now
+	co.upstream.started, co.upstream.expected = now, s.ReportInterval
 	co.registration.init(now, s.Seeds)
 	return co
 }
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -58,6 +58,8 @@
 	CallerPort   uint16
 	Seeds        []netip.AddrPort
 	FlowLifetime time.Duration
+	// ReportInterval is how often the upstream reports.
+	ReportInterval time.Duration
 	// StopLimit is the time between the signal to stop and the kill.
 	StopLimit time.Duration
 }
@@ -96,7 +98,7 @@
 	}
 	h.core = NewCore(h.loop.Now(), Self{
 		Instance: ident.NewInstance(), Place: s.Place, Service: s.Service, Hop: s.Hop, Upstream: s.Upstream,
-		Seq: ident.Seq(time.Now().UnixMilli()), StartedMillis: time.Now().UnixMilli(), FlowLifetime: s.FlowLifetime, Seeds: s.Seeds,
+		Seq: ident.Seq(time.Now().UnixMilli()), StartedMillis: time.Now().UnixMilli(), ReportInterval: s.ReportInterval, FlowLifetime: s.FlowLifetime, Seeds: s.Seeds,
 	}, c)
 	h.core.Log, h.core.Sample = log, sample
 	h.metrics = node.NewMetrics("agent", h.collect)
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -50,6 +50,9 @@
 	// maxFirstSeq is the number of a report that may be the first one to arrive:
 	// the agent may start a little later than its upstream.
 	maxFirstSeq = 3
+	// absentSlack is the time that a first report may take on top of a quarter more
+	// than its interval.
+	absentSlack = 100 * time.Millisecond
 	// defaultBeat is the interval of reports until two were seen.
 	defaultBeat = time.Second
 )
@@ -68,6 +71,11 @@
 	// asked is when the upstream got an opening packet after which it has sent
 	// nothing; 0 if there is none.
 	asked time.Duration
+	// refusing is set if a connection was refused before the first report.
+	refusing bool
+	// started is when the agent started, expected the interval of reports in the
+	// settings.
+	started, expected time.Duration
 	// down is set while the upstream seems to be dead.
 	down bool
 	// old is set if the first report was not the upstream's first one: it ran
@@ -80,7 +88,9 @@
 // accepts reports whether the upstream takes new flows. Until its first report
 // it is presumed to: most agents start beside an upstream that runs already, and
 // an opening packet that stays unanswered goes to another agent.
-func (u *upstream) accepts() bool { return u.service != "" && !u.gone && !u.down && !u.last.Leaving }
+func (u *upstream) accepts() bool {
+	return u.service != "" && !u.gone && !u.down && !u.refusing && !u.last.Leaving
+}
 
 // alive reports whether the upstream has shown that it runs.
 func (u *upstream) alive() bool { return !u.gone && !u.down && (u.known || u.spoke > 0) }
@@ -128,7 +138,8 @@
 // heard notes a packet of the upstream and reports whether it seemed dead before.
 func (u *upstream) heard(now time.Duration) bool {
 	wasDown := u.down
-	u.spoke, u.asked, u.down = now, 0, false
+	wasDown = wasDown || u.refusing
+	u.spoke, u.asked, u.down, u.refusing = now, 0, false, false
 	return wasDown
 }
 
@@ -137,9 +148,10 @@
 	if u.gone || u.down {
 		return false
 	}
+	absent := u.refusing && !u.known && u.spoke == 0 && now-u.started >= u.expected*5/4+absentSlack
 	overdue := float64(now-u.beatAt) > silentBeats*float64(max(u.interval, defaultBeat)) && now-u.spoke > u.interval
 	silent := u.asked > 0 && now-u.asked >= silentTime
-	if !silent && !overdue {
+	if !silent && !overdue && !absent {
 		return false
 	}
 	u.down = true
@@ -195,6 +207,7 @@
 		u.interval = now - u.beatAt
 	}
 	wasKnown := u.known
+	u.refusing = false
 	u.known, u.gone, u.down, u.last, u.beatAt, u.service = true, false, false, b, now, b.Service
 	u.asked = 0
 	u.coldTill = now + b.Cold
@@ -220,14 +233,16 @@
 	return b.Seq <= 1 || b.Seq <= maxFirstSeq && b.Born >= c.self.StartedMillis-restartMillis
 }
 
-// NoUpstream takes the finding that nothing listens at the upstream's address.
+// NoUpstream takes the finding that a connection to the upstream was refused. It
+// gets no new flows then, but it may live and hold flows: only an upstream that
+// does not report in its interval either is taken for absent.
 func (c *Core) NoUpstream(now time.Duration) {
 	u := &c.upstream
 	if u.known || u.spoke > 0 || u.down {
 		return
 	}
-	u.down = true
-	c.Log.WithField("event", "noUpstream").Info("no upstream beside the agent")
+	u.refusing = true
+	c.Log.WithField("event", "noUpstream").Info("connection to the upstream refused")
 	c.changed(now)
 }
 
