front, hostd: reset lost flows although an agent has vanished

In the logs each "no agent holds the flow" line has absentAgents=1: an agent of a VM that was being taken away came back beside no upstream, announced itself as taking no new flows and ended without a word. All balancers counted it as an agent that may hold flows for forgetTime, 20 s. Hinted flows of a silent agent were given up after 0.6 s, flows without a hint were not.

- The same limits now hold for both: 0.6 s for an agent that served, 2 s for one that said that it takes no new flows (a planned restart takes 0.5 s), and none while half of the service does not answer.

Ruled out: unsure agents (unsure=false in all these lines), services of more than 64 agents, balancers that do not know the agents yet (settled=true).

--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -251,8 +251,8 @@
 
 // lost resets a flow that no agent holds, so that its caller sends the request
 // again on another flow. It does so only if every agent of the service was
-// asked, because the flow of an agent that is down may still be open, and only
-// where the request may be repeated: another one may have run, and its answer
+// asked, because the flow of an agent that is down for a moment may still be open,
+// and only where the request may be repeated: another one may have run, and its answer
 // may still come. An agent that has started beside a running upstream is unsure.
 func (c *Core) lost(now time.Duration, k flow.Key, p *flow.Packet, unsure bool) {
 	c.Counts.Lost++
@@ -264,7 +264,7 @@
 	for _, s := range r.Shares {
 		g := c.members.group(frame.IDOf(s.Service))
 		// A walk asks a limited number of agents; the others were not asked.
-		absent += g.absent + max(0, g.all.Len()-route.MaxOrder)
+		absent += g.awaited(now) + max(0, g.all.Len()-route.MaxOrder)
 	}
 	reset := r.Repeatable && c.settled(now) && absent == 0 && !unsure
 	outcome := "dropped"
--- a/internal/front/member.go
+++ b/internal/front/member.go
@@ -23,6 +23,10 @@
 	// up: two more Pings have gone unanswered by then, and a processor quota
 	// holds a process up for at most a tenth of a second.
 	lostTime = 600 * time.Millisecond
+	// returnTime is the same for an agent that said that it takes no new flows. It
+	// may have been stopped as planned; the platform starts a process again after
+	// half a second.
+	returnTime = 2 * time.Second
 	// pauseTime is how late a tick comes if the balancer did not run.
 	pauseTime = 2 * tickInterval
 	// forgetTime is after what time an agent that is down counts as gone: the
@@ -47,8 +51,8 @@
 type group struct {
 	// usable may get new flows; all may hold flows.
 	usable, all *route.Group
-	// absent counts agents that may hold flows and do not answer.
-	absent int
+	// absent are agents that do not answer.
+	absent []*member
 }
 
 type members struct {
@@ -105,7 +109,7 @@
 		usable, all []route.Endpoint
 		// serving are all agents that serve, whether they answer or not.
 		serving []route.Endpoint
-		absent  int
+		absent  []*member
 	}
 	services := map[frame.ServiceID]*lists{}
 	for a, b := range m.byAddr {
@@ -122,7 +126,7 @@
 			l.serving = append(l.serving, e)
 		}
 		if b.downAt > 0 {
-			l.absent++
+			l.absent = append(l.absent, b)
 			continue
 		}
 		l.all = append(l.all, e)
@@ -179,16 +183,41 @@
 	return n
 }
 
-// lost reports whether an agent that was serving has not answered for so long
-// that its flows are given up. An agent that said that it stops may come back
-// to them.
+// overdue reports whether the agent has not answered for so long that it is not
+// expected to come back to its flows.
+func (b *member) overdue(now time.Duration) bool {
+	limit := lostTime
+	if b.entry.State != view.Serving {
+		limit = returnTime
+	}
+	return b.downAt > 0 && now-b.downAt >= limit
+}
+
+// lost reports whether the flows of an agent are given up.
 func (m *members) lost(now time.Duration, a netip.AddrPort) bool {
 	b := m.byAddr[a]
-	if b == nil || b.downAt == 0 || now-b.downAt < lostTime || b.entry.State != view.Serving {
-		return false
+	return b != nil && b.overdue(now) && !m.group(frame.IDOf(b.entry.Service)).cutOff()
+}
+
+// cutOff reports whether so many agents do not answer that the balancer takes
+// its own link to be the reason.
+func (g *group) cutOff() bool {
+	return float64(len(g.absent)) >= minUsable*float64(len(g.absent)+g.all.Len())
+}
+
+// awaited returns the number of agents that do not answer and may come back to
+// their flows.
+func (g *group) awaited(now time.Duration) int {
+	if g.cutOff() {
+		return len(g.absent)
+	}
+	n := 0
+	for _, b := range g.absent {
+		if !b.overdue(now) {
+			n++
+		}
 	}
-	g := m.group(frame.IDOf(b.entry.Service))
-	return float64(g.absent) < minUsable*float64(g.absent+g.all.Len())
+	return n
 }
 
 // noticePause restarts all waits for an answer after the balancer itself did
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -215,8 +215,18 @@
 		_ = c.Close()
 		return
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		h.loop.Do(h.core.NoUpstream)
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	h.loop.Do(h.core.NoUpstream)
+	ctx, cancel := context.WithTimeout(context.Background(), findTimeout)
+	defer cancel()
+	listed, err := roster.HasAgent(ctx, h.store, h.settings.Hop)
+	if err != nil {
+		return // The client logs that calls fail; the wait for a report decides.
+	}
+	if !listed {
+		h.loop.Do(h.core.Unlisted)
 	}
 }
 
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -71,8 +71,9 @@
 	// asked is when the upstream got an opening packet after which it has sent
 	// nothing; 0 if there is none.
 	asked time.Duration
-	// refusing is set if a connection was refused before the first report.
-	refusing bool
+	// refusing is set if a connection was refused before the first report, unlisted
+	// if the platform's list does not have the agent either.
+	refusing, unlisted bool
 	// started is when the agent started, expected the interval of reports in the
 	// settings.
 	started, expected time.Duration
@@ -148,7 +149,8 @@
 	if u.gone || u.down {
 		return false
 	}
-	absent := u.refusing && !u.known && u.spoke == 0 && now-u.started >= u.expected*5/4+absentSlack
+	waited := u.unlisted || now-u.started >= u.expected*5/4+absentSlack
+	absent := u.refusing && !u.known && u.spoke == 0 && waited
 	overdue := float64(now-u.beatAt) > silentBeats*float64(max(u.interval, defaultBeat)) && now-u.spoke > u.interval
 	silent := u.asked > 0 && now-u.asked >= silentTime
 	if !silent && !overdue && !absent {
@@ -246,6 +248,16 @@
 	c.changed(now)
 }
 
+// Unlisted takes the finding that the platform's list does not have the agent. An
+// agent enters itself with the first report of its upstream and stays until the
+// upstream leaves, so an upstream that refuses connections too is not there.
+func (c *Core) Unlisted(now time.Duration) {
+	c.upstream.unlisted = true
+	if c.upstream.check(now, c.Log) {
+		c.changed(now)
+	}
+}
+
 // OnLeave takes the word of the upstream with the given name that it is gone.
 func (c *Core) OnLeave(now time.Duration, id string, born int64) {
 	u := &c.upstream
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -73,6 +73,16 @@
 	return store.Ensure(ctx, plat.KindEndpoint, a.Hop.String(), a)
 }
 
+// HasAgent reports whether the list has an entry of an agent.
+func HasAgent(ctx context.Context, store *plat.Client, hop netip.AddrPort) (bool, error) {
+	_, err := store.Get(ctx, plat.KindEndpoint, hop.String())
+	var missing *plat.NotFoundError
+	if errors.As(err, &missing) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
 // RemoveAgent removes the entry of an agent if there is one.
 func RemoveAgent(ctx context.Context, store *plat.Client, hop netip.AddrPort) error {
 	err := store.Delete(ctx, plat.KindEndpoint, hop.String(), 0)
