front, hostd: take the word of an agent without an upstream

Four agents whose upstreams had left took an opening packet 1.4 ms before the connection to the upstream was refused. The returned packet marked the upstream as down, and check() did not look at an upstream that is down again, so they stayed unsure. They had announced themselves as gone, but balancers read the platform's list later, and the entry there counted because it was the only living one.

- An upstream that is down and has shown no sign of life counts as absent after the same wait as one that refuses connections.
- An entry of the platform's list counts only for an agent that has said nothing itself, not even that it is gone.

Ruled out: absent agents (absentAgents=0 in these lines), large services.

--- a/internal/front/member.go
+++ b/internal/front/member.go
@@ -76,18 +76,25 @@
 	return &noGroup
 }
 
-// rebuild derives the members and groups from the view.
+// rebuild derives the members and groups from the view. An entry of the
+// platform's list has no instance; it stands in only for an agent that has said
+// nothing itself, not even that it is gone.
 func (c *Core) rebuild() {
 	m := &c.members
 	newest := map[netip.AddrPort]view.Entry{}
-	for _, e := range c.view.Unsorted() {
+	for _, e := range c.view.All() {
 		if e.Key.IsBalancer() {
 			continue
 		}
-		if old, ok := newest[e.Key.Hop]; !ok || e.Seq > old.Seq {
+		if old, ok := newest[e.Key.Hop]; !ok || supersedes(&e, &old) {
 			newest[e.Key.Hop] = e
 		}
 	}
+	for a, e := range newest {
+		if e.State == view.Gone {
+			delete(newest, a)
+		}
+	}
 	for a, e := range newest {
 		if old := m.byAddr[a]; old == nil {
 			m.byAddr[a] = &member{entry: e}
@@ -103,6 +110,17 @@
 	m.regroup(c.self.Place)
 }
 
+// supersedes reports whether entry e of an address counts instead of o.
+func supersedes(e, o *view.Entry) bool {
+	if listed := e.Key.Instance == 0; listed != (o.Key.Instance == 0) {
+		return !listed
+	}
+	if (e.State == view.Gone) != (o.State == view.Gone) {
+		return o.State == view.Gone
+	}
+	return e.Seq > o.Seq
+}
+
 // regroup derives the groups from the members.
 func (m *members) regroup(own ident.PlaceName) {
 	type lists struct {
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -77,8 +77,9 @@
 	// started is when the agent started, expected the interval of reports in the
 	// settings.
 	started, expected time.Duration
-	// down is set while the upstream seems to be dead.
-	down bool
+	// down is set while the upstream seems to be dead, absent once it is taken not
+	// to be there at all; both end with its next sign of life.
+	down, absent bool
 	// old is set if the first report was not the upstream's first one: it ran
 	// before the agent did.
 	old bool
@@ -107,7 +108,7 @@
 
 // fresh reports whether the upstream holds no flows of an earlier run of the
 // agent for certain.
-func (u *upstream) fresh() bool { return u.gone || u.known && !u.old }
+func (u *upstream) fresh() bool { return u.gone || u.absent || u.known && !u.old }
 
 // stalled reports whether the upstream does not answer opening packets.
 func (u *upstream) stalled(now time.Duration) bool { return u.asked > 0 && now-u.asked >= stallTime }
@@ -140,26 +141,30 @@
 func (u *upstream) heard(now time.Duration) bool {
 	wasDown := u.down
 	wasDown = wasDown || u.refusing
-	u.spoke, u.asked, u.down, u.refusing = now, 0, false, false
+	u.spoke, u.asked, u.down, u.absent, u.refusing = now, 0, false, false, false
 	return wasDown
 }
 
 // check finds out whether the upstream still lives and reports a change.
 func (u *upstream) check(now time.Duration, log *logrus.Entry) bool {
-	if u.gone || u.down {
+	if u.gone || u.absent {
 		return false
 	}
-	waited := u.unlisted || now-u.started >= u.expected*5/4+absentSlack
-	absent := u.refusing && !u.known && u.spoke == 0 && waited
 	overdue := float64(now-u.beatAt) > silentBeats*float64(max(u.interval, defaultBeat)) && now-u.spoke > u.interval
 	silent := u.asked > 0 && now-u.asked >= silentTime
-	if !silent && !overdue && !absent {
+	waited := u.unlisted || now-u.started >= u.expected*5/4+absentSlack
+	dead := u.down || u.refusing || overdue || silent
+	switch {
+	case dead && waited && !u.known && u.spoke == 0:
+		u.down, u.absent = true, true
+	case !u.down && (overdue || silent):
+		u.down = true
+	default:
 		return false
 	}
-	u.down = true
 	log.WithFields(logrus.Fields{
-		"event": "upstreamDown", "upstream": u.last.ID, "sinceReport": now - u.beatAt,
-		"sincePacket": now - u.spoke, "unansweredOpening": silent,
+		"event": "upstreamDown", "upstream": u.last.ID, "sinceReport": now - u.beatAt, "absent": u.absent,
+		"sincePacket": now - u.spoke, "unansweredOpening": silent, "refused": u.refusing, "unlisted": u.unlisted,
 	}).Warn("upstream does not answer")
 	return true
 }
@@ -168,7 +173,7 @@
 // does not answer holds no flows, so its agent counts as gone.
 func (u *upstream) state() view.State {
 	switch {
-	case u.gone, u.down && !u.known && u.spoke == 0:
+	case u.gone, u.absent:
 		return view.Gone
 	case u.accepts():
 		return view.Serving
@@ -210,7 +215,7 @@
 	}
 	wasKnown := u.known
 	u.refusing = false
-	u.known, u.gone, u.down, u.last, u.beatAt, u.service = true, false, false, b, now, b.Service
+	u.known, u.gone, u.down, u.absent, u.last, u.beatAt, u.service = true, false, false, false, b, now, b.Service
 	u.asked = 0
 	u.coldTill = now + b.Cold
 	if b.Cold <= 0 {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -126,6 +126,15 @@
 	return es
 }
 
+// All returns all entries, tombstones included, in no order.
+func (v *View) All() []Entry {
+	es := make([]Entry, 0, len(v.records))
+	for _, r := range v.records {
+		es = append(es, r.entry)
+	}
+	return es
+}
+
 // Entries returns the entries that are not gone in the order of their keys.
 func (v *View) Entries() []Entry {
 	es := v.Unsorted()
