front, hostd, plat: call the platform's store less

A count by kind shows balancers that read the configuration and watch in turn, ten times a second: they watched from the version of the configuration object. Once the lists of balancers and agents had changed often enough, that version was older than the store's history (410), and so was that of the object read next, until the operator changed the configuration.

- The configuration is read as a list, and watches go on from the list's version.
- An entry that is already as wanted costs one call after a restart, not two.

Ruled out: peers' fetches (they only end a watch), the wait of a watch call.

TestWatchAfterLostHistory (14 watch calls and 15 reads in 1.4 s) and TestUnchangedEntry fail without the change.

--- a/internal/front/sync.go
+++ b/internal/front/sync.go
@@ -59,17 +59,18 @@
 }
 
 // poll reads the configuration if since is zero, or else waits for a change. It
-// returns the version to continue from.
+// returns the version to continue from. That is the one of the list, not of the
+// configuration: a configuration may be older than the store's history.
 func (f *Front) poll(ctx context.Context, since plat.Version) (plat.Version, error) {
+	var (
+		l   plat.List
+		err error
+	)
 	if since == 0 {
-		o, err := f.store.Get(ctx, plat.KindConfig, f.config.Name)
-		if err != nil {
-			return 0, err
-		}
-		f.take(o)
-		return o.Version, nil
+		l, err = f.store.List(ctx, plat.KindConfig)
+	} else {
+		l, err = f.watchOnce(ctx, since)
 	}
-	l, err := f.watchOnce(ctx, since)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -74,6 +74,9 @@
 	// Enlist begins to write the agent's entry to the platform's list of agents,
 	// or to remove it if the service is empty.
 	Enlist func(service ident.ServiceName)
+	// CheckListed begins to find out whether the platform's list has the agent;
+	// Unlisted takes the finding.
+	CheckListed func()
 	// Wait takes how long an opening packet waited for a slot.
 	Wait func(time.Duration)
 	// Log takes changes of what the agent believes. Sample reports whether one
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -107,6 +107,7 @@
 	h.core.ToUpstream = func(b []byte) { h.outbound.Send(b, s.Upstream) }
 	h.core.ToCaller = func(b []byte, caller netip.Addr) { h.hop.Send(b, netip.AddrPortFrom(caller, s.CallerPort)) }
 	h.core.FindBalancers = func() { go h.find() }
+	h.core.CheckListed = func() { go h.checkListed() }
 	h.core.Enlist = func(service ident.ServiceName) {
 		h.unlisted.Store(true)
 		h.listing.Put(service)
@@ -215,10 +216,13 @@
 		_ = c.Close()
 		return
 	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		h.loop.Do(h.core.NoUpstream)
 	}
-	h.loop.Do(h.core.NoUpstream)
+}
+
+// checkListed finds out whether the platform's list has the agent.
+func (h *Host) checkListed() {
 	ctx, cancel := context.WithTimeout(context.Background(), findTimeout)
 	defer cancel()
 	listed, err := roster.HasAgent(ctx, h.store, h.settings.Hop)
--- a/internal/hostd/trial.go
+++ b/internal/hostd/trial.go
@@ -27,11 +27,21 @@
 	t := c.trials[k]
 	if t == nil || !t.back {
 		f.Unsure = true
+		c.askList()
 		return true
 	}
 	return false
 }
 
+// askList looks at the platform's list once if the upstream refuses connections:
+// the agent then need not stay unsure until a report is overdue.
+func (c *Core) askList() {
+	if u := &c.upstream; u.refusing && !u.listAsked {
+		u.listAsked = true
+		c.CheckListed()
+	}
+}
+
 // try passes a packet to the upstream because the agent may have lost the
 // table entry of its flow. Each flow is tried once.
 func (c *Core) try(now time.Duration, k flow.Key, f *frame.Frame, unsure bool) bool {
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -72,8 +72,9 @@
 	// nothing; 0 if there is none.
 	asked time.Duration
 	// refusing is set if a connection was refused before the first report, unlisted
-	// if the platform's list does not have the agent either.
-	refusing, unlisted bool
+	// if the platform's list does not have the agent either, listAsked once it was
+	// looked at.
+	refusing, unlisted, listAsked bool
 	// started is when the agent started, expected the interval of reports in the
 	// settings.
 	started, expected time.Duration
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -51,6 +51,8 @@
 	Name string
 	// Current is the version found; zero when the object does not exist.
 	Current Version
+	// Found is the value of that version, if the store told it.
+	Found json.RawMessage
 	// Expected is the version that the write was conditional on.
 	Expected Version
 }
@@ -243,13 +245,17 @@
 }
 
 // Ensure makes an object of one owner hold a value, with one call if there is
-// none yet and two if there is.
+// none yet or if it holds the value, and two if it holds another one.
 func (c *Client) Ensure(ctx context.Context, k Kind, name string, value any) error {
 	_, err := c.Put(ctx, k, name, value, 0)
 	var conflict *ConflictError
-	if errors.As(err, &conflict) && conflict.Current != 0 {
-		_, err = c.Put(ctx, k, name, value, conflict.Current)
+	if !errors.As(err, &conflict) || conflict.Current == 0 {
+		return err
 	}
+	if b, encodeErr := json.Marshal(value); encodeErr == nil && bytes.Equal(b, conflict.Found) {
+		return nil
+	}
+	_, err = c.Put(ctx, k, name, value, conflict.Current)
 	return err
 }
 
