flow, hostd: count answers whose flow ends before their data

The verdict on two upstreams that went down and up at 5.7 s was never lifted. Their trials were answered (a log of their packets), but the answers did not count: on flows of one request the packet with the end comes first, in the same instant, and the table took the request for over without looking at the time or the outcome. The mean time of requests missed these answers too.

The end of a flow now ends the request like the first data does, for the mean and for the verdict. An upstream that starts anew is logged as recovered.

--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -209,8 +209,9 @@
 		e.first, e.answered = p.Seq, true
 		return e
 	}
-	if p.Size > 0 {
-		if e.busy && e.since > 0 {
+	if p.Size > 0 || p.Fin {
+		// The end of a flow may overtake the answer's data.
+		if e.Requested() {
 			t.work += (now - e.since - t.work) / workSamples
 		}
 		e.since = 0
@@ -218,7 +219,6 @@
 	}
 	if p.Fin {
 		e.serverEnded = true
-		t.setBusy(e, false)
 	}
 	if p.Rst {
 		t.end(e)
--- a/internal/flow/table_test.go
+++ b/internal/flow/table_test.go
@@ -90,6 +90,22 @@
 	}
 }
 
+// TestWork guards the mean time of requests: an upstream that closes the flow
+// after its answer counts too, also if the end overtakes the data.
+func TestWork(t *testing.T) {
+	end, answer := &Packet{Ack: true, Fin: true, Seq: 1051}, &Packet{Ack: true, Seq: 1001, Size: 50}
+	for name, packets := range map[string][]*Packet{"open": {answer}, "closed": {answer, end}, "overtaken": {end, answer}} {
+		f := opened(t, start)
+		f.FromCaller(start, testKey, &Packet{Ack: true, Seq: 8, Acked: 1001, Size: 100}, testPeer)
+		for _, p := range packets {
+			f.FromUpstream(start+200*ms, testKey, p)
+		}
+		if want := firstWork + (200*ms-firstWork)/workSamples; f.Work() != want {
+			t.Errorf("%s: want a mean of %v, have %v", name, want, f.Work())
+		}
+	}
+}
+
 // TestHolder guards flows that several upstreams answered: the one whose
 // sequence number the caller acknowledges holds the flow.
 func TestHolder(t *testing.T) {
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -250,7 +250,7 @@
 		c.changed(now)
 	}
 	k := flow.KeyOf(p.To, p.From)
-	if e := c.table.Get(k); e != nil && e.Requested() && (p.Rst || p.Size > 0) {
+	if e := c.table.Get(k); e != nil && e.Requested() && (p.Rst || p.Fin || p.Size > 0) {
 		c.outcome(now, p.Rst)
 	}
 	e := c.table.FromUpstream(now, k, p)
--- a/internal/hostd/outcomes.go
+++ b/internal/hostd/outcomes.go
@@ -61,6 +61,19 @@
 	if !c.outcomes.add(now, failed) {
 		return
 	}
+	c.logVerdict()
+}
+
+// forgive ends the verdict on an upstream that has started anew.
+func (c *Core) forgive() {
+	failing := c.outcomes.failing
+	c.outcomes = outcomes{}
+	if failing {
+		c.logVerdict()
+	}
+}
+
+func (c *Core) logVerdict() {
 	l := c.Log.WithFields(logrus.Fields{"upstream": c.upstream.last.ID, "share": c.outcomes.share})
 	if c.outcomes.failing {
 		l.WithField("event", "upstreamFailing").Warn("upstream breaks off requests")
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -210,7 +210,7 @@
 		c.table.Clear()
 		clear(c.openings)
 		u.old = false
-		c.outcomes = outcomes{}
+		c.forgive()
 	}
 	if u.known && !restarted && u.beatAt > 0 {
 		u.interval = now - u.beatAt
