front, hostd: count dropped log lines on the metrics page

The number was in the summary lines of the log only, so a dashboard could not tell that the logs of a burst have gaps. TestDroppedLinesMetric fails without it.

--- a/cmd/bramleyflow/roles.go
+++ b/cmd/bramleyflow/roles.go
@@ -42,7 +42,7 @@
 	f, err := front.New(front.Settings{
 		Name: s.Name, Place: s.Place, Hop: s.Hop, Ready: s.Ready, Peer: s.Peer, Metrics: c.metrics(&s),
 		Seeds: s.Seeds, FlowLifetime: s.FlowLifetime, StopLimit: s.StopLimit,
-	}, platform.Codec, newStore(s, log), front.ConfigObject{Name: platform.ConfigName, Parse: platform.ParseConfig}, log, out.Sample)
+	}, platform.Codec, newStore(s, log), front.ConfigObject{Name: platform.ConfigName, Parse: platform.ParseConfig}, out, log)
 	if err != nil {
 		return err
 	}
@@ -59,7 +59,7 @@
 		Name: s.Name, Place: s.Place, Service: s.Service, Hop: s.Hop, Outbound: s.Outbound,
 		Upstream: s.Upstream, Reports: s.Reports, Ready: s.Ready, CallerPort: s.Hop.Port(), Metrics: c.metrics(&s),
 		Seeds: s.Seeds, FlowLifetime: s.FlowLifetime, ReportInterval: s.ReportInterval, StopLimit: s.StopLimit,
-	}, platform.Codec, newStore(s, log), log, out.Sample)
+	}, platform.Codec, newStore(s, log), out, log)
 	if err != nil {
 		return err
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -53,6 +53,7 @@
 	settings Settings
 	core     *Core
 	loop     *node.Loop
+	out      *node.Output
 	log      *logrus.Entry
 	store    *plat.Client
 	http     *http.Client
@@ -78,10 +79,11 @@
 }
 
 // New opens the sockets of a balancer.
-func New(s Settings, c flow.Codec, store *plat.Client, o ConfigObject, log *logrus.Entry, sample func(failure bool) bool) (*Front, error) {
+func New(s Settings, c flow.Codec, store *plat.Client, o ConfigObject, out *node.Output, log *logrus.Entry) (*Front, error) {
 	f := &Front{
 		settings: s,
 		loop:     node.New(log),
+		out:      out,
 		log:      log,
 		store:    store,
 		config:   o,
@@ -99,7 +101,7 @@
 		Name: s.Name, Instance: ident.NewInstance(), Place: s.Place, Hop: s.Hop, Peer: s.Peer,
 		Seq: ident.Seq(time.Now().UnixMilli()), FlowLifetime: s.FlowLifetime, Seeds: s.Seeds,
 	}, c)
-	f.core.Log, f.core.Sample = log, sample
+	f.core.Log, f.core.Sample = log, out.Sample
 	f.metrics = node.NewMetrics("balancer", f.collect)
 	f.core.Answer = f.metrics.Histogram("offerAnswer")
 	f.core.ToAgent = f.peer.Send
@@ -166,6 +168,7 @@
 		m.Gauge("openingsPending", float64(len(f.core.pending.byKey)))
 	})
 	m.Counters(c)
+	m.Counter("logLinesDropped", f.out.Dropped())
 	node.StoreCalls(m, f.store)
 }
 
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -69,6 +69,7 @@
 	settings Settings
 	core     *Core
 	loop     *node.Loop
+	out      *node.Output
 	log      *logrus.Entry
 	hop      *node.Socket
 	outbound *node.Socket
@@ -84,9 +85,9 @@
 }
 
 // New opens the sockets of an agent.
-func New(s Settings, c flow.Codec, store *plat.Client, log *logrus.Entry, sample func(failure bool) bool) (*Host, error) {
+func New(s Settings, c flow.Codec, store *plat.Client, out *node.Output, log *logrus.Entry) (*Host, error) {
 	h := &Host{
-		settings: s, loop: node.New(log), log: log, store: store,
+		settings: s, loop: node.New(log), out: out, log: log, store: store,
 		listing: ring.New[ident.ServiceName](maxListings), done: make(chan struct{}),
 	}
 	var err error
@@ -100,7 +101,7 @@
 		Instance: ident.NewInstance(), Place: s.Place, Service: s.Service, Hop: s.Hop, Upstream: s.Upstream,
 		Seq: ident.Seq(time.Now().UnixMilli()), StartedMillis: time.Now().UnixMilli(), ReportInterval: s.ReportInterval, FlowLifetime: s.FlowLifetime, Seeds: s.Seeds,
 	}, c)
-	h.core.Log, h.core.Sample = log, sample
+	h.core.Log, h.core.Sample = log, out.Sample
 	h.metrics = node.NewMetrics("agent", h.collect)
 	h.core.Wait = h.metrics.Histogram("openingWait")
 	h.core.ToPeer = h.hop.Send
@@ -259,6 +260,7 @@
 		m.Gauge("reportAgeSeconds", (now - h.core.upstream.beatAt).Seconds())
 	})
 	m.Counters(c)
+	m.Counter("logLinesDropped", h.out.Dropped())
 	node.StoreCalls(m, h.store)
 }
 
