--- a/internal/hostd/opening.go
+++ b/internal/hostd/opening.go
@@ -132,8 +132,10 @@
 	waited := now - o.at
 	c.Wait(waited)
 	if c.Sample(waited >= slowWait) {
+		p, _ := c.codec.Decode(packet) // It was decoded before it was taken.
+		age := time.Duration(o.frame.AgeMillis)*time.Millisecond + copyAge(&p) + waited
 		c.decision("flowAdmitted", k, "admitted", now).WithFields(logrus.Fields{
-			"waited": waited, "priority": o.frame.Priority, "balancer": o.frame.Balancer,
+			"age": age, "waited": waited, "priority": o.frame.Priority, "balancer": o.frame.Balancer,
 		}).Info("the upstream gets the flow")
 	}
 	o.at = now
