front: walk along all agents of a large service

In a larger service a flow whose agent came later in the hash order was not found by a balancer without a hint, and no lost flow was ever reset, so after a power loss each caller waited for its deadline.

A walk that ends without the holder is now followed by others along the agents that were not asked, until all were. What was asked is kept with the lookup; if the lookup has run into its deadline, the packet is dropped as before and the caller's next copy begins anew. The deadline grows with the length of the walk.

--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -175,14 +176,14 @@
 	f.Service = frame.IDOf(name)
 	g := c.members.group(f.Service)
 	if n := g.all.Order(k.Hash(), maxNear, c.ids[:1]); n > 0 {
-		c.lookups.begin(now, k, c.ids[0].Addr)
+		c.lookups.begin(now, k, nil, c.ids[0].Addr)
 		if c.trials.allow(now, k) {
 			f.Trials = 1
 		}
 		c.send(&f, c.ids[0].Addr)
 		return
 	}
-	c.lost(now, k, p, false)
+	c.lost(now, k, p, false, nil)
 }
 
 // abandon resets a flow whose agent has ended without a word. Its caller then
@@ -210,42 +211,34 @@
 	c.Counts.Missed++
 	k := flow.KeyOf(p.From, p.To)
 	c.hints.Drop(k, from)
-	c.lookups.end(k)
+	asked := c.lookups.end(k)
 	if f.Trials > 0 && !f.Hinted {
 		c.trials.refund(k)
 	}
-	if len(f.Candidates) > 0 {
-		c.lost(now, k, &p, f.Unsure)
-		return
-	}
-	w := frame.Frame{Kind: frame.Walk, Balancer: c.self.Peer, Unsure: f.Unsure, Payload: f.Payload}
 	r := c.rules.Route(k.Route())
 	if r == nil {
 		c.Counts.NoRoute++
 		return
 	}
-	for _, s := range r.Shares {
-		w.Service = frame.IDOf(s.Service)
-		n := c.members.group(w.Service).all.Order(k.Hash(), route.MaxOrder, c.ids[:])
-		for _, id := range c.ids[:n] {
-			if id.Addr != from && len(w.Candidates) < frame.MaxCandidates {
-				w.Candidates = append(w.Candidates, frame.Candidate{Addr: id.Addr})
-			}
-		}
+	walked := len(f.Candidates) > 0
+	if !walked && !slices.Contains(asked, from) {
+		asked = append(asked, from)
 	}
+	w := frame.Frame{Kind: frame.Walk, Balancer: c.self.Peer, Unsure: f.Unsure, Payload: f.Payload}
+	c.walkList(&w, k, r, walked, asked)
 	if len(w.Candidates) == 0 {
-		c.lost(now, k, &p, f.Unsure)
+		c.lost(now, k, &p, f.Unsure, asked)
 		return
 	}
 	if c.trials.allow(now, k) {
 		w.Trials = 1
 	}
 	c.Counts.Walked++
-	asked := make([]netip.AddrPort, len(w.Candidates))
+	agents := make([]netip.AddrPort, len(w.Candidates))
 	for i, a := range w.Candidates {
-		asked[i] = a.Addr
+		agents[i] = a.Addr
 	}
-	c.lookups.begin(now, k, asked...)
+	c.lookups.begin(now, k, asked, agents...)
 	c.send(&w, w.Candidates[0].Addr)
 }
 
@@ -254,7 +247,7 @@
 // asked, because the flow of an agent that is down for a moment may still be open,
 // and only where the request may be repeated: another one may have run, and its answer
 // may still come. An agent that has started beside a running upstream is unsure.
-func (c *Core) lost(now time.Duration, k flow.Key, p *flow.Packet, unsure bool) {
+func (c *Core) lost(now time.Duration, k flow.Key, p *flow.Packet, unsure bool, asked []netip.AddrPort) {
 	c.Counts.Lost++
 	r := c.rules.Route(k.Route())
 	if p.Rst || r == nil {
@@ -262,9 +255,13 @@
 	}
 	absent := 0
 	for _, s := range r.Shares {
-		g := c.members.group(frame.IDOf(s.Service))
-		// A walk asks a limited number of agents; the others were not asked.
-		absent += g.awaited(now) + max(0, g.all.Len()-route.MaxOrder)
+		service := frame.IDOf(s.Service)
+		g := c.members.group(service)
+		absent += g.awaited(now)
+		if g.all.Len() > route.MaxOrder {
+			// A walk that was not noted has left out an unknown part.
+			absent += len(c.members.unasked(service, asked))
+		}
 	}
 	reset := r.Repeatable && c.settled(now) && absent == 0 && !unsure
 	outcome := "dropped"
--- a/internal/front/lookup.go
+++ b/internal/front/lookup.go
@@ -2,9 +2,13 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/bramleycourse/bramleycourse/internal/flow"
+	"github.com/bramleycourse/bramleycourse/internal/frame"
+	"github.com/bramleycourse/bramleycourse/internal/route"
+	"github.com/bramleycourse/bramleycourse/internal/rules"
 )
 
 const (
@@ -12,14 +16,18 @@
 	// asked for a flow are suspected: a walk along 38 agents of three places
 	// takes up to 50 ms.
 	lookupTimeout = 80 * time.Millisecond
+	// lookupHop is the time that each agent of a longer walk may take.
+	lookupHop = 2 * time.Millisecond
 	// maxLookups bounds the flows that are looked for at one time.
 	maxLookups = 1024
 )
 
 // lookup is a flow that agents were asked for.
 type lookup struct {
-	key    flow.Key
-	agents []netip.AddrPort
+	key flow.Key
+	// earlier are the agents that were asked before and do not hold the flow,
+	// agents those that are asked now.
+	earlier, agents []netip.AddrPort
 	// deadline is when the agents should have answered.
 	deadline time.Duration
 	done     bool
@@ -31,22 +39,28 @@
 	queue []*lookup
 }
 
-// begin notes that agents were asked for a flow. The first question counts.
-func (l *lookups) begin(now time.Duration, k flow.Key, agents ...netip.AddrPort) {
+// begin notes that agents are asked for a flow after others that do not hold it.
+// The first question counts.
+func (l *lookups) begin(now time.Duration, k flow.Key, earlier []netip.AddrPort, agents ...netip.AddrPort) {
 	if l.byKey[k] != nil || len(l.byKey) >= maxLookups {
 		return
 	}
-	o := &lookup{key: k, agents: agents, deadline: now + lookupTimeout}
+	timeout := max(lookupTimeout, time.Duration(len(agents))*lookupHop)
+	o := &lookup{key: k, earlier: earlier, agents: agents, deadline: now + timeout}
 	l.byKey[k] = o
 	l.queue = append(l.queue, o)
 }
 
-// end notes that an agent has answered.
-func (l *lookups) end(k flow.Key) {
-	if o := l.byKey[k]; o != nil {
-		o.done = true
-		delete(l.byKey, k)
+// end notes that an agent has answered. It returns the agents that were asked;
+// none if the question was not noted or its deadline has passed.
+func (l *lookups) end(k flow.Key) []netip.AddrPort {
+	o := l.byKey[k]
+	if o == nil {
+		return nil
 	}
+	o.done = true
+	delete(l.byKey, k)
+	return append(slices.Clip(o.earlier), o.agents...)
 }
 
 // next returns the time until the first deadline.
@@ -65,7 +79,7 @@
 func (c *Core) checkLookups(now time.Duration) {
 	for c.lookups.next(now) == 0 {
 		o := c.lookups.queue[0]
-		c.lookups.end(o.key)
+		_ = c.lookups.end(o.key) // Without an answer, nobody is known not to hold the flow.
 		// An agent that does not answer has not passed the packet on.
 		c.trials.refund(o.key)
 		for _, a := range o.agents {
@@ -73,3 +87,47 @@
 		}
 	}
 }
+
+// unasked returns the agents of a service that answer and were not asked.
+func (m *members) unasked(s frame.ServiceID, asked []netip.AddrPort) []netip.AddrPort {
+	known := make(map[netip.AddrPort]bool, len(asked))
+	for _, a := range asked {
+		known[a] = true
+	}
+	var as []netip.AddrPort
+	for a, b := range m.byAddr {
+		if b.downAt == 0 && !known[a] && frame.IDOf(b.entry.Service) == s {
+			as = append(as, a)
+		}
+	}
+	return as
+}
+
+// walkList writes the agents that a walk visits next into the frame. A walk has a
+// limited length: that along the first agents of the hash order is followed by
+// others along the rest of a large service.
+func (c *Core) walkList(w *frame.Frame, k flow.Key, r *rules.Route, again bool, asked []netip.AddrPort) {
+	add := func(a netip.AddrPort) {
+		if len(w.Candidates) < frame.MaxCandidates && !slices.Contains(asked, a) {
+			w.Candidates = append(w.Candidates, frame.Candidate{Addr: a})
+		}
+	}
+	for _, s := range r.Shares {
+		service := frame.IDOf(s.Service)
+		g := c.members.group(service)
+		if again && (g.all.Len() <= route.MaxOrder || len(asked) == 0) {
+			continue
+		}
+		w.Service = service
+		if again {
+			for _, a := range c.members.unasked(service, asked) {
+				add(a)
+			}
+			continue
+		}
+		n := g.all.Order(k.Hash(), route.MaxOrder, c.ids[:])
+		for _, id := range c.ids[:n] {
+			add(id.Addr)
+		}
+	}
+}
