front, hostd: find flows at once after a rolling restart of agents

Fifteen agents had been restarted in turn, so all were unsure about idle flows, and a new balancer without hints allowed two trials in 2.5 s: it tried three wrong upstreams between 18.86 and 21.86 s and had not come to the right one yet. Requests waited for seconds meanwhile and ran into their deadline. The bound of two trials rests on a misreading: what counts is that the holder gets none of the packets for two seconds, so a slow search is the fault.

- A walk now tries every unsure agent, one after the other, a millisecond or two each, and only within a second of the first trial.
The agents remember what their upstream returned, so the walk also ends with certainty, and lost flows are reset.
An answer now counts only for the walk that it belongs to.

Ruled out: hints (none of the packets had one), a second packet at an upstream (each saw one).

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -80,6 +80,7 @@
 const (
 	flagHinted = 1
 	flagUnsure = 2
+	flagTried  = 4
 
 	version = 0xB1
 	// headSize is the length of the fixed part: version, kind, position, count,
@@ -106,7 +107,9 @@
 	// Hinted is set on Data if the balancer was told that the agent holds the flow.
 	Hinted bool
 	// Unsure is set by an agent that may hold the flow without knowing.
-	Unsure  bool
+	Unsure bool
+	// Tried is set by an agent whose upstream has returned the packet.
+	Tried   bool
 	Service ServiceID
 	// Balancer is the address that outcomes are sent to.
 	Balancer netip.AddrPort
@@ -131,6 +134,9 @@
 	if f.Unsure {
 		flags |= flagUnsure
 	}
+	if f.Tried {
+		flags |= flagTried
+	}
 	b = append(b, version, byte(f.Kind), byte(f.Position), byte(len(f.Candidates)), f.Trials, flags)
 	b = binary.BigEndian.AppendUint32(b, uint32(f.Service))
 	b = appendAddr(b, f.Balancer)
@@ -156,7 +162,7 @@
 		return false
 	}
 	f.Kind, f.Position, f.Trials, f.Hinted = Kind(b[1]), int(b[2]), b[4], b[5]&flagHinted != 0
-	f.Unsure = b[5]&flagUnsure != 0
+	f.Unsure, f.Tried = b[5]&flagUnsure != 0, b[5]&flagTried != 0
 	f.Service = ServiceID(binary.BigEndian.Uint32(b[6:]))
 	f.Balancer = addrOf(b[10:])
 	f.ObjectiveMillis, f.TimeoutMillis = binary.BigEndian.Uint16(b[16:]), binary.BigEndian.Uint16(b[18:])
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -19,7 +19,7 @@
 			Candidates: []Candidate{{addr("10.0.0.2:8000"), 17}, {addr("10.0.0.3:8000"), NoDepth}},
 			Payload:    []byte("packet"),
 		},
-		{Kind: Data, Hinted: true, Trials: 2, Balancer: addr("10.0.0.1:7000"), Payload: []byte("packet")},
+		{Kind: Data, Hinted: true, Tried: true, Trials: 2, Balancer: addr("10.0.0.1:7000"), Payload: []byte("packet")},
 	} {
 		var have Frame
 		if !have.Parse(want.Append(nil)) {
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -5,7 +5,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -177,9 +176,7 @@
 	g := c.members.group(f.Service)
 	if n := g.all.Order(k.Hash(), maxNear, c.ids[:1]); n > 0 {
 		c.lookups.begin(now, k, nil, c.ids[0].Addr)
-		if c.trials.allow(now, k) {
-			f.Trials = 1
-		}
+		f.Trials = c.trials.allow(now, k, 1)
 		c.send(&f, c.ids[0].Addr)
 		return
 	}
@@ -211,28 +208,28 @@
 	c.Counts.Missed++
 	k := flow.KeyOf(p.From, p.To)
 	c.hints.Drop(k, from)
-	asked := c.lookups.end(k)
-	if f.Trials > 0 && !f.Hinted {
-		c.trials.refund(k)
+	walked := len(f.Candidates) > 0
+	asked := []netip.AddrPort{from}
+	if walked {
+		asked = c.lookups.missed(k, f.Candidates)
+	} else {
+		c.lookups.missed(k, []frame.Candidate{{Addr: from}})
+	}
+	if f.Tried {
+		c.trials.used(now, k)
 	}
 	r := c.rules.Route(k.Route())
 	if r == nil {
 		c.Counts.NoRoute++
 		return
 	}
-	walked := len(f.Candidates) > 0
-	if !walked && !slices.Contains(asked, from) {
-		asked = append(asked, from)
-	}
 	w := frame.Frame{Kind: frame.Walk, Balancer: c.self.Peer, Unsure: f.Unsure, Payload: f.Payload}
 	c.walkList(&w, k, r, walked, asked)
 	if len(w.Candidates) == 0 {
 		c.lost(now, k, &p, f.Unsure, asked)
 		return
 	}
-	if c.trials.allow(now, k) {
-		w.Trials = 1
-	}
+	w.Trials = c.trials.allow(now, k, len(w.Candidates))
 	c.Counts.Walked++
 	agents := make([]netip.AddrPort, len(w.Candidates))
 	for i, a := range w.Candidates {
@@ -355,6 +352,7 @@
 		}
 	}
 	c.hints.Put(now, k, flow.Hint{Agent: from, Service: uint32(f.Service)})
+	c.trials.found(k)
 	c.pending.drop(k)
 	c.lookups.end(k)
 }
@@ -372,7 +370,7 @@
 	}
 	c.housekeeping = now + tickInterval
 	c.hints.Sweep(now)
-	c.trials.expire(now)
+	c.trials.expire(now, c.self.FlowLifetime)
 	c.exchange(now)
 	c.fetchAhead(now)
 }
--- a/internal/front/lookup.go
+++ b/internal/front/lookup.go
@@ -51,15 +51,23 @@
 	l.queue = append(l.queue, o)
 }
 
-// end notes that an agent has answered. It returns the agents that were asked;
-// none if the question was not noted or its deadline has passed.
-func (l *lookups) end(k flow.Key) []netip.AddrPort {
+// end notes that an agent has answered.
+func (l *lookups) end(k flow.Key) {
+	if o := l.byKey[k]; o != nil {
+		o.done = true
+		delete(l.byKey, k)
+	}
+}
+
+// missed notes that none of the agents that were asked holds the flow. It returns
+// all that were asked, or nil if the question was not noted, its deadline has
+// passed, or the answer belongs to another packet of the flow.
+func (l *lookups) missed(k flow.Key, candidates []frame.Candidate) []netip.AddrPort {
 	o := l.byKey[k]
-	if o == nil {
+	if o == nil || !slices.EqualFunc(o.agents, candidates, func(a netip.AddrPort, c frame.Candidate) bool { return a == c.Addr }) {
 		return nil
 	}
-	o.done = true
-	delete(l.byKey, k)
+	l.end(k)
 	return append(slices.Clip(o.earlier), o.agents...)
 }
 
@@ -79,9 +87,7 @@
 func (c *Core) checkLookups(now time.Duration) {
 	for c.lookups.next(now) == 0 {
 		o := c.lookups.queue[0]
-		_ = c.lookups.end(o.key) // Without an answer, nobody is known not to hold the flow.
-		// An agent that does not answer has not passed the packet on.
-		c.trials.refund(o.key)
+		c.lookups.end(o.key)
 		for _, a := range o.agents {
 			c.members.suspect(now, a, c)
 		}
--- a/internal/front/trials.go
+++ b/internal/front/trials.go
@@ -4,53 +4,47 @@
 	"time"
 
 	"github.com/bramleycourse/bramleycourse/internal/flow"
+	"github.com/bramleycourse/bramleycourse/internal/frame"
 )
 
 const (
-	// trialInterval is the time that the bound on trials holds for: longer than
-	// the two seconds in which three packets of an open flow at other upstreams
-	// count as misdelivery.
-	trialInterval = 2500 * time.Millisecond
-	// maxTrials is how many agents without a table entry may pass a packet of one
-	// flow to their upstreams in that time.
-	maxTrials = 2
+	// trialTime is for how long after its first trial a flow is tried at upstreams
+	// that may hold it. Three packets at other upstreams count as misdelivery if
+	// the holder gets none for two seconds, so the search ends well before.
+	trialTime = time.Second
+	// walkTrials is how many agents of a walk may try: all that have started beside
+	// a running upstream, since each trial takes a millisecond or two.
+	walkTrials = frame.MaxCandidates
+	// maxTried bounds the memory of flows that were tried.
+	maxTried = 1 << 16
 )
 
-// trials bounds how many upstreams see packets of a flow that is not theirs.
-type trials map[flow.Key]trial
+// trials holds when flows whose holder is unknown were first tried at an
+// upstream, until the holder is found.
+type trials map[flow.Key]time.Duration
 
-type trial struct {
-	count int
-	// since is when the first of them was allowed.
-	since time.Duration
-}
-
-// allow reports whether one more agent may try.
-func (t trials) allow(now time.Duration, k flow.Key) bool {
-	o := t[k]
-	if now-o.since >= trialInterval {
-		o = trial{since: now}
+// allow returns how many of the agents that are asked next may try.
+func (t trials) allow(now time.Duration, k flow.Key, agents int) uint8 {
+	if first, tried := t[k]; tried && now-first >= trialTime || !tried && len(t) >= maxTried {
+		return 0
 	}
-	if o.count >= maxTrials {
-		return false
-	}
-	o.count++
-	t[k] = o
-	return true
+	return uint8(min(agents, walkTrials))
 }
 
-// refund takes back a trial that no agent made use of.
-func (t trials) refund(k flow.Key) {
-	if o := t[k]; o.count > 0 {
-		o.count--
-		t[k] = o
+// used notes that an agent has tried.
+func (t trials) used(now time.Duration, k flow.Key) {
+	if _, tried := t[k]; !tried {
+		t[k] = now
 	}
 }
 
-// expire forgets what is over.
-func (t trials) expire(now time.Duration) {
-	for k, o := range t {
-		if now-o.since >= trialInterval {
+// found forgets a flow whose holder is known.
+func (t trials) found(k flow.Key) { delete(t, k) }
+
+// expire forgets flows that have reached the end of their lifetime.
+func (t trials) expire(now, lifetime time.Duration) {
+	for k, first := range t {
+		if now-first >= lifetime {
 			delete(t, k)
 		}
 	}
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -282,7 +282,7 @@
 	if t := c.trials[k]; t != nil && !t.back {
 		t.back = true
 		f := t.frame
-		f.Payload, f.Trials, f.Unsure = b, 0, t.unsure
+		f.Payload, f.Trials, f.Unsure, f.Tried = b, f.Trials-1, t.unsure, true
 		c.miss(&f)
 		return
 	}
