--- a/internal/hostd/opening.go
+++ b/internal/hostd/opening.go
@@ -42,12 +42,12 @@
 		l.Closed = true
 	}
 	urgent := (&queue.Item{Priority: f.Priority}).Urgent()
-	trial := l.Failing && c.outcomes.trial(now, urgent)
-	l.Failing = l.Failing && !trial
+	probe := l.Failing && c.outcomes.mayProbe(now, urgent)
+	l.Failing = l.Failing && !probe
 	switch place.Decide(l, f) {
 	case admit.Take:
-		if trial {
-			c.outcomes.begin(now)
+		if probe {
+			c.outcomes.probe(now)
 		}
 		c.take(now, k, &p, f)
 	case admit.Forward:
--- a/internal/hostd/outcomes.go
+++ b/internal/hostd/outcomes.go
@@ -11,23 +11,23 @@
 	// back: three failures in a row after successes make an upstream failing.
 	outcomeSamples = 8
 	// failingShare is the share of failed requests from which on an upstream gets
-	// new flows only for trial. Healthy upstreams break off next to none.
+	// new flows only as probes. Healthy upstreams break off next to none.
 	failingShare = 0.3
-	// trialInterval is the time between a failed trial and the next one. A trial
+	// probeInterval is the time between a failed probe and the next one. A probe
 	// costs a caller one of its attempts.
-	trialInterval = 400 * time.Millisecond
+	probeInterval = 400 * time.Millisecond
 )
 
 // outcomes judges an upstream by how it ends requests: an upstream that breaks
 // them off at once would look like the least loaded one, whatever it reports
 // about itself. A failing upstream gets new flows only where all other
-// candidates fail too, and one at a time for trial.
+// candidates fail too, and one at a time as a probe.
 type outcomes struct {
 	// share is a moving average of the failures among the requests.
 	share float64
-	// failing is set while the upstream gets new flows only for trial.
+	// failing is set while the upstream gets new flows only as probes.
 	failing bool
-	// next is when the next trial may begin.
+	// next is when the next probe may begin.
 	next time.Duration
 }
 
@@ -37,7 +37,7 @@
 	o.next = now
 	if failed {
 		sample = 1
-		o.next = now + trialInterval
+		o.next = now + probeInterval
 	}
 	o.share += (sample - o.share) / outcomeSamples
 	before := o.failing
@@ -45,13 +45,13 @@
 	return o.failing != before
 }
 
-// trial reports whether a failing upstream may get a new flow now. Trials are
-// not made with urgent requests: those may change something, and their callers
-// may not repeat them.
-func (o *outcomes) trial(now time.Duration, urgent bool) bool { return !urgent && now >= o.next }
+// mayProbe reports whether a failing upstream may get a new flow now. Urgent
+// requests are no probes: they may change something, and their callers may not
+// repeat them.
+func (o *outcomes) mayProbe(now time.Duration, urgent bool) bool { return !urgent && now >= o.next }
 
-// begin notes that a trial begins; its outcome allows the next one.
-func (o *outcomes) begin(now time.Duration) { o.next = now + trialInterval }
+// probe notes that a probe begins; its outcome allows the next one.
+func (o *outcomes) probe(now time.Duration) { o.next = now + probeInterval }
 
 // outcome takes the end of a request at the upstream.
 func (c *Core) outcome(now time.Duration, failed bool) {
--- a/internal/hostd/outcomes_test.go
+++ b/internal/hostd/outcomes_test.go
@@ -33,23 +33,23 @@
 	}
 }
 
-// TestTrials guards callers of a failing upstream: trials are rare while they
+// TestProbes guards callers of a failing upstream: probes are rare while they
 // fail, follow each other when they succeed, and use no urgent request.
-func TestTrials(t *testing.T) {
+func TestProbes(t *testing.T) {
 	var o outcomes
 	o.add(0, true)
-	if o.trial(trialInterval-time.Millisecond, false) || !o.trial(trialInterval, false) {
-		t.Errorf("after a failure: want a trial after %v", trialInterval)
+	if o.mayProbe(probeInterval-time.Millisecond, false) || !o.mayProbe(probeInterval, false) {
+		t.Errorf("after a failure: want a probe after %v", probeInterval)
 	}
-	if o.trial(trialInterval, true) {
-		t.Error("want no trial with an urgent request")
+	if o.mayProbe(probeInterval, true) {
+		t.Error("want no probe with an urgent request")
 	}
-	o.begin(trialInterval)
-	if o.trial(trialInterval+time.Millisecond, false) {
-		t.Error("want one trial at a time")
+	o.probe(probeInterval)
+	if o.mayProbe(probeInterval+time.Millisecond, false) {
+		t.Error("want one probe at a time")
 	}
-	o.add(trialInterval+30*time.Millisecond, false)
-	if !o.trial(trialInterval+30*time.Millisecond, false) {
-		t.Error("after a success: want the next trial at once")
+	o.add(probeInterval+30*time.Millisecond, false)
+	if !o.mayProbe(probeInterval+30*time.Millisecond, false) {
+		t.Error("after a success: want the next probe at once")
 	}
 }
