Share the parts of a process; read the walks apart

The balancer and the agent each opened, served, spawned and ended their sockets, servers and goroutines with the same lines; node.Parts does so now, and the counters that all processes have are set in one place. The first walk for a flow and the next ones were one function with a flag that searched agents which were left out already; they are two. The urgency of a priority no longer needs a queue item.

No change of behaviour, bounds or assertions. Ruled out to share as well: the queues of deadlines in lookup.go and offer.go (one repeats, one ends), and set-up lines of tests that each tell their own case.

--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -175,7 +175,7 @@
 	f.Service = frame.IDOf(name)
 	g := c.members.group(f.Service)
 	if n := g.all.Order(k.Hash(), maxNear, c.ids[:1]); n > 0 {
-		c.lookups.begin(now, k, nil, c.ids[0].Addr)
+		c.lookups.begin(now, k, nil, []netip.AddrPort{c.ids[0].Addr})
 		f.Trials = c.trials.allow(now, k, 1)
 		c.send(&f, c.ids[0].Addr)
 		return
@@ -208,6 +208,9 @@
 	c.Counts.Missed++
 	k := flow.KeyOf(p.From, p.To)
 	c.hints.Drop(k, from)
+	if f.Tried {
+		c.trials.used(now, k)
+	}
 	walked := len(f.Candidates) > 0
 	asked := []netip.AddrPort{from}
 	if walked {
@@ -215,35 +218,39 @@
 	} else {
 		c.lookups.missed(k, []frame.Candidate{{Addr: from}})
 	}
-	if f.Tried {
-		c.trials.used(now, k)
-	}
 	r := c.rules.Route(k.Route())
 	if r == nil {
 		c.Counts.NoRoute++
 		return
 	}
-	w := frame.Frame{Kind: frame.Walk, Balancer: c.self.Peer, Unsure: f.Unsure, Payload: f.Payload}
-	c.walkList(&w, k, r, walked, asked)
-	if len(w.Candidates) == 0 {
+	var w walk
+	if walked {
+		w = c.nextWalk(r, asked)
+	} else {
+		w = c.firstWalk(k, r, from)
+	}
+	if len(w.agents) == 0 {
 		c.lost(now, k, &p, f.Unsure, asked)
 		return
 	}
-	w.Trials = c.trials.allow(now, k, len(w.Candidates))
 	c.Counts.Walked++
-	agents := make([]netip.AddrPort, len(w.Candidates))
-	for i, a := range w.Candidates {
-		agents[i] = a.Addr
+	c.lookups.begin(now, k, asked, w.agents)
+	next := frame.Frame{
+		Kind: frame.Walk, Service: w.service, Balancer: c.self.Peer, Unsure: f.Unsure, Payload: f.Payload,
+		Trials: c.trials.allow(now, k, len(w.agents)),
+	}
+	for _, a := range w.agents {
+		next.Candidates = append(next.Candidates, frame.Candidate{Addr: a})
 	}
-	c.lookups.begin(now, k, asked, agents...)
-	c.send(&w, w.Candidates[0].Addr)
+	c.send(&next, w.agents[0])
 }
 
 // lost resets a flow that no agent holds, so that its caller sends the request
 // again on another flow. It does so only if every agent of the service was
 // asked, because the flow of an agent that is down for a moment may still be open,
-// and only where the request may be repeated: another one may have run, and its answer
-// may still come. An agent that has started beside a running upstream is unsure.
+// and only where the request may be repeated: another one may have run, and its
+// answer may still come. An agent that has started beside a running upstream is
+// unsure.
 func (c *Core) lost(now time.Duration, k flow.Key, p *flow.Packet, unsure bool, asked []netip.AddrPort) {
 	c.Counts.Lost++
 	r := c.rules.Route(k.Route())
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -61,15 +60,13 @@
 	hop      *node.Socket
 	peer     *node.Socket
 	metrics  *node.Metrics
-	servers  []*http.Server
+	parts    *node.Parts
 	// ready is set while the balancer has a configuration and does not stop.
 	ready, stopping atomic.Bool
 	// cancelWatch ends the present watch call.
 	cancelWatch atomic.Pointer[context.CancelFunc]
 	// packets counts callers' packets; guarded by the loop.
 	packets uint64
-	done    chan struct{}
-	wg      sync.WaitGroup
 }
 
 // ConfigObject says where the operator's configuration is and how to read it.
@@ -88,13 +85,13 @@
 		store:    store,
 		config:   o,
 		http:     &http.Client{Transport: node.Transport()},
-		done:     make(chan struct{}),
 	}
+	f.parts = node.NewParts(f.loop, log)
 	var err error
-	if f.hop, err = node.Listen(s.Hop); err != nil {
+	if f.hop, err = f.parts.Listen(s.Hop); err != nil {
 		return nil, errors.Annotatef(err, "packets")
 	}
-	if f.peer, err = node.Listen(s.Peer); err != nil {
+	if f.peer, err = f.parts.Listen(s.Peer); err != nil {
 		return nil, errors.Annotatef(err, "messages")
 	}
 	f.core = NewCore(f.loop.Now(), Self{
@@ -103,6 +100,7 @@
 	}, c)
 	f.core.Log, f.core.Sample = log, out.Sample
 	f.metrics = node.NewMetrics("balancer", f.collect)
+	f.parts.Metrics = f.metrics
 	f.core.Answer = f.metrics.Histogram("offerAnswer")
 	f.core.ToAgent = f.peer.Send
 	port := s.Hop.Port()
@@ -121,34 +119,27 @@
 func (f *Front) Run(signals <-chan os.Signal, reload func() ([]netip.AddrPort, bool)) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	ready, err := node.ServeHTTP(f.settings.Ready, f.readiness(), f.log)
-	if err != nil {
+	if err := f.parts.Serve(f.settings.Ready, f.readiness()); err != nil {
 		return err
 	}
-	peers, err := node.ServeHTTP(f.settings.Peer, f.configuration(), f.log)
-	if err != nil {
+	if err := f.parts.Serve(f.settings.Peer, f.configuration()); err != nil {
 		return err
 	}
-	f.servers = []*http.Server{ready, peers}
-	if f.settings.Metrics.IsValid() {
-		page, err := f.metrics.Serve(f.settings.Metrics, f.log)
-		if err != nil {
-			return err
-		}
-		f.servers = append(f.servers, page)
+	if err := f.parts.Serve(f.settings.Metrics, f.metrics.Handler()); err != nil {
+		return err
 	}
 	f.loop.Attach(node.Ticker{Tick: f.core.Tick, Due: f.core.Due})
-	f.spawn(func() { f.loop.Serve(f.hop, f.fromCaller) })
-	f.spawn(func() { f.loop.Serve(f.peer, f.core.FromAgent) })
-	f.spawn(func() { f.watch(ctx) })
-	f.spawn(func() { f.register(ctx) })
+	f.parts.Spawn(func() { f.loop.Serve(f.hop, f.fromCaller) })
+	f.parts.Spawn(func() { f.loop.Serve(f.peer, f.core.FromAgent) })
+	f.parts.Spawn(func() { f.watch(ctx) })
+	f.parts.Spawn(func() { f.register(ctx) })
 	f.log.WithFields(logrus.Fields{
 		"event": "start", "place": f.settings.Place, "hop": f.settings.Hop, "peer": f.settings.Peer, "seeds": f.settings.Seeds,
 	}).Info("balancer started")
 	f.control(signals, reload)
 	cancel()
 	f.loop.Do(f.core.Stop)
-	f.close()
+	f.parts.Close()
 	f.log.WithField("event", "stop").WithField("counts", fmt.Sprintf("%+v", f.core.Counts)).Info("balancer stopped")
 	return nil
 }
@@ -168,31 +159,7 @@
 		m.Gauge("openingsPending", float64(len(f.core.pending.byKey)))
 	})
 	m.Counters(c)
-	m.Counter("logLinesDropped", f.out.Dropped())
-	node.StoreCalls(m, f.store)
-}
-
-func (f *Front) spawn(run func()) {
-	f.wg.Add(1)
-	go func() {
-		defer f.wg.Done()
-		run()
-	}()
-}
-
-func (f *Front) close() {
-	f.loop.Close()
-	for _, s := range f.servers {
-		// Connections that are still open belong to checks and peers, which try again.
-		_ = s.Close()
-	}
-	if err := f.metrics.Close(); err != nil {
-		f.log.WithError(err).WithField("event", "metricsFailed").Warn("metrics not closed")
-	}
-	_ = f.hop.Close()
-	_ = f.peer.Close()
-	close(f.done)
-	f.wg.Wait()
+	m.Shared(f.store, f.out)
 }
 
 func (f *Front) fromCaller(now time.Duration, b []byte, _ netip.AddrPort) {
--- a/internal/front/lookup.go
+++ b/internal/front/lookup.go
@@ -41,7 +41,7 @@
 
 // begin notes that agents are asked for a flow after others that do not hold it.
 // The first question counts.
-func (l *lookups) begin(now time.Duration, k flow.Key, earlier []netip.AddrPort, agents ...netip.AddrPort) {
+func (l *lookups) begin(now time.Duration, k flow.Key, earlier, agents []netip.AddrPort) {
 	if l.byKey[k] != nil || len(l.byKey) >= maxLookups {
 		return
 	}
@@ -109,31 +109,41 @@
 	return as
 }
 
-// walkList writes the agents that a walk visits next into the frame. A walk has a
-// limited length: that along the first agents of the hash order is followed by
-// others along the rest of a large service.
-func (c *Core) walkList(w *frame.Frame, k flow.Key, r *rules.Route, again bool, asked []netip.AddrPort) {
-	add := func(a netip.AddrPort) {
-		if len(w.Candidates) < frame.MaxCandidates && !slices.Contains(asked, a) {
-			w.Candidates = append(w.Candidates, frame.Candidate{Addr: a})
+// walk is the agents that are asked for a flow next, and their service.
+type walk struct {
+	agents  []netip.AddrPort
+	service frame.ServiceID
+}
+
+// firstWalk returns the agents that may hold a flow, in the order of its hash,
+// without the one that has just been asked.
+func (c *Core) firstWalk(k flow.Key, r *rules.Route, asked netip.AddrPort) (w walk) {
+	for _, s := range r.Shares {
+		w.service = frame.IDOf(s.Service)
+		n := c.members.group(w.service).all.Order(k.Hash(), route.MaxOrder, c.ids[:])
+		for _, id := range c.ids[:n] {
+			if id.Addr != asked {
+				w.agents = append(w.agents, id.Addr)
+			}
 		}
 	}
+	w.agents = w.agents[:min(len(w.agents), frame.MaxCandidates)]
+	return w
+}
+
+// nextWalk returns the agents of large services that the walks before did not
+// visit, or none if it is not known which those visited.
+func (c *Core) nextWalk(r *rules.Route, asked []netip.AddrPort) (w walk) {
+	if len(asked) == 0 {
+		return w
+	}
 	for _, s := range r.Shares {
 		service := frame.IDOf(s.Service)
-		g := c.members.group(service)
-		if again && (g.all.Len() <= route.MaxOrder || len(asked) == 0) {
-			continue
-		}
-		w.Service = service
-		if again {
-			for _, a := range c.members.unasked(service, asked) {
-				add(a)
-			}
-			continue
-		}
-		n := g.all.Order(k.Hash(), route.MaxOrder, c.ids[:])
-		for _, id := range c.ids[:n] {
-			add(id.Addr)
+		if c.members.group(service).all.Len() > route.MaxOrder {
+			w.service = service
+			w.agents = append(w.agents, c.members.unasked(service, asked)...)
 		}
 	}
+	w.agents = w.agents[:min(len(w.agents), frame.MaxCandidates)]
+	return w
 }
--- a/internal/front/metrics_test.go
+++ b/internal/front/metrics_test.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer p.close()
+	defer p.parts.Close()
 	for range 1000 {
 		p.log.Info("a line over the budget of a second")
 	}
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -75,26 +74,25 @@
 	outbound *node.Socket
 	store    *plat.Client
 	metrics  *node.Metrics
+	parts    *node.Parts
 	// listing takes the service of the entry in the platform's list; empty for none.
 	listing *ring.Ring[ident.ServiceName]
 	// unlisted is set while the platform's list does not hold what was last wanted.
 	unlisted atomic.Bool
-	servers  []*http.Server
-	done     chan struct{}
-	wg       sync.WaitGroup
 }
 
 // New opens the sockets of an agent.
 func New(s Settings, c flow.Codec, store *plat.Client, out *node.Output, log *logrus.Entry) (*Host, error) {
 	h := &Host{
 		settings: s, loop: node.New(log), out: out, log: log, store: store,
-		listing: ring.New[ident.ServiceName](maxListings), done: make(chan struct{}),
+		listing: ring.New[ident.ServiceName](maxListings),
 	}
+	h.parts = node.NewParts(h.loop, log)
 	var err error
-	if h.hop, err = node.Listen(s.Hop); err != nil {
+	if h.hop, err = h.parts.Listen(s.Hop); err != nil {
 		return nil, errors.Annotatef(err, "packets")
 	}
-	if h.outbound, err = node.Listen(s.Outbound); err != nil {
+	if h.outbound, err = h.parts.Listen(s.Outbound); err != nil {
 		return nil, errors.Annotatef(err, "packets of the upstream")
 	}
 	h.core = NewCore(h.loop.Now(), Self{
@@ -103,6 +101,7 @@
 	}, c)
 	h.core.Log, h.core.Sample = log, out.Sample
 	h.metrics = node.NewMetrics("agent", h.collect)
+	h.parts.Metrics = h.metrics
 	h.core.Wait = h.metrics.Histogram("openingWait")
 	h.core.ToPeer = h.hop.Send
 	h.core.ToUpstream = func(b []byte) { h.outbound.Send(b, s.Upstream) }
@@ -132,7 +131,7 @@
 		case wanted = <-h.listing.Items():
 			retry = minRetry
 		case <-again:
-		case <-h.done:
+		case <-h.parts.Done():
 			return
 		}
 		pending = h.list(wanted) != nil
@@ -173,35 +172,25 @@
 // Run serves until a signal to stop has been handled. Reports serves the
 // upstream's reports, reload returns the seeds of a changed settings file.
 func (h *Host) Run(signals <-chan os.Signal, reports http.Handler, reload func() ([]netip.AddrPort, bool)) error {
-	for a, handler := range map[netip.AddrPort]http.Handler{h.settings.Reports: reports, h.settings.Ready: ready} {
-		if !a.IsValid() {
-			continue
-		}
-		s, err := node.ServeHTTP(a, handler, h.log)
-		if err != nil {
+	for a, handler := range map[netip.AddrPort]http.Handler{
+		h.settings.Reports: reports, h.settings.Ready: ready, h.settings.Metrics: h.metrics.Handler(),
+	} {
+		if err := h.parts.Serve(a, handler); err != nil {
 			return err
 		}
-		h.servers = append(h.servers, s)
-	}
-	if h.settings.Metrics.IsValid() {
-		page, err := h.metrics.Serve(h.settings.Metrics, h.log)
-		if err != nil {
-			return err
-		}
-		h.servers = append(h.servers, page)
 	}
 	h.loop.Attach(node.Ticker{Tick: h.core.Tick, Due: h.core.Due})
-	h.spawn(func() { h.loop.Serve(h.hop, h.core.FromPeer) })
-	h.spawn(func() {
+	h.parts.Spawn(func() { h.loop.Serve(h.hop, h.core.FromPeer) })
+	h.parts.Spawn(func() {
 		h.loop.Serve(h.outbound, func(now time.Duration, b []byte, _ netip.AddrPort) { h.core.FromUpstream(now, b) })
 	})
-	h.spawn(h.enlist)
+	h.parts.Spawn(h.enlist)
 	go h.checkUpstream()
 	h.log.WithFields(logrus.Fields{
 		"event": "start", "place": h.settings.Place, "service": h.settings.Service, "hop": h.settings.Hop, "seeds": h.settings.Seeds,
 	}).Info("agent started")
 	h.control(signals, reload)
-	h.close()
+	h.parts.Close()
 	h.log.WithField("event", "stop").WithField("counts", fmt.Sprintf("%+v", h.core.Counts)).Info("agent stopped")
 	return nil
 }
@@ -260,31 +249,7 @@
 		m.Gauge("reportAgeSeconds", (now - h.core.upstream.beatAt).Seconds())
 	})
 	m.Counters(c)
-	m.Counter("logLinesDropped", h.out.Dropped())
-	node.StoreCalls(m, h.store)
-}
-
-func (h *Host) spawn(run func()) {
-	h.wg.Add(1)
-	go func() {
-		defer h.wg.Done()
-		run()
-	}()
-}
-
-func (h *Host) close() {
-	h.loop.Close()
-	for _, s := range h.servers {
-		// Connections that are still open belong to the upstream, which reports again.
-		_ = s.Close()
-	}
-	if err := h.metrics.Close(); err != nil {
-		h.log.WithError(err).WithField("event", "metricsFailed").Warn("metrics not closed")
-	}
-	_ = h.hop.Close()
-	_ = h.outbound.Close()
-	close(h.done)
-	h.wg.Wait()
+	m.Shared(h.store, h.out)
 }
 
 // control handles signals until the agent may end. The entry of an upstream that
--- a/internal/hostd/opening.go
+++ b/internal/hostd/opening.go
@@ -41,8 +41,7 @@
 		c.Counts.WrongService++
 		l.Closed = true
 	}
-	urgent := (&queue.Item{Priority: f.Priority}).Urgent()
-	probe := l.Failing && c.outcomes.mayProbe(now, urgent)
+	probe := l.Failing && c.outcomes.mayProbe(now, queue.Urgent(f.Priority))
 	l.Failing = l.Failing && !probe
 	switch place.Decide(l, f) {
 	case admit.Take:
@@ -72,8 +71,7 @@
 func (c *Core) take(now time.Duration, k flow.Key, p *flow.Packet, f *frame.Frame) {
 	o := &opening{frame: *f, at: now}
 	o.frame.Candidates, o.frame.Payload = slices.Clone(f.Candidates), nil
-	urgent := (&queue.Item{Priority: f.Priority}).Urgent()
-	if c.free(now, urgent) {
+	if c.free(now, queue.Urgent(f.Priority)) {
 		c.admit(now, k, o, f.Payload)
 		return
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -4,14 +4,12 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/netip"
 	"reflect"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/bramleycourse/bramleycourse/internal/plat"
@@ -93,11 +91,11 @@
 	_, _ = io.WriteString(w, strings.Join(lines, ""))
 }
 
-// Serve serves the page at an address until the server is closed.
-func (m *Metrics) Serve(a netip.AddrPort, log *logrus.Entry) (*http.Server, error) {
+// Handler serves the page below its path.
+func (m *Metrics) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", m)
-	return ServeHTTP(a, mux, log)
+	return mux
 }
 
 // pageReporter keeps what the scope reports.
@@ -153,10 +151,12 @@
 // Flush implements tally.StatsReporter.
 func (r *pageReporter) Flush() {}
 
-// StoreCalls sets the counters of calls to the platform.
-func StoreCalls(m *Metrics, c *plat.Client) {
+// Shared sets the counters that all processes have: calls to the platform's store
+// and dropped log lines.
+func (m *Metrics) Shared(c *plat.Client, out *Output) {
 	m.Counter("storeReads", c.Calls.Reads.Load())
 	m.Counter("storeWrites", c.Calls.Writes.Load())
 	m.Counter("storeWatches", c.Calls.Watches.Load())
 	m.Counter("storeFailures", c.Calls.Failures.Load())
+	m.Counter("logLinesDropped", out.Dropped())
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -98,7 +98,7 @@
 	}
 	q.note(now, p)
 	best := q.first(now)
-	if urgent && !q.items[best].Urgent() {
+	if urgent && !Urgent(q.items[best].Priority) {
 		return nil
 	}
 	return q.remove(best)
@@ -119,8 +119,8 @@
 // scale that operators use for requests which change something.
 const urgentPriority = 1
 
-// Urgent reports whether the request goes before the usual ones.
-func (i *Item) Urgent() bool { return i.Priority <= urgentPriority }
+// Urgent reports whether requests of a priority go before the usual ones.
+func Urgent(priority uint8) bool { return priority <= urgentPriority }
 
 // last returns the index of the packet that would be served last.
 func (q *Queue) last(now time.Duration, p Pace) int {
