itest: freeze and kill agents that have updates in progress

Cause: the test froze the first of four agents at once, before any flow was open, and counted on one of 16 callers to choose it. All 16 choose other agents in about one run of a hundred (0.75^16), and the flows stay there. Runs told notRun 2 to 8 and never unknown: the fault met handshakes only, never an update in progress, which the test is about.

Ruled out: load (12 of 12 runs pass beside 12 busy processes).

Change: each fault goes to the agent whose upstream runs the most updates, once one runs. The checks are as they were.

--- a/internal/itest/once_test.go
+++ b/internal/itest/once_test.go
@@ -52,16 +52,17 @@
 		}, updateLimit, false},
 		{"frozen agent", func(s *Deployment) {
 			for range 2 {
-				s.Agents["listas"][0].Freeze()
+				a := s.updating("listas")
+				a.Freeze()
 				time.Sleep(2 * updateLimit)
-				s.Agents["listas"][0].Resume()
+				a.Resume()
 				time.Sleep(500 * time.Millisecond)
 			}
 		}, updateLimit, true},
 		{"killed agent", func(s *Deployment) {
 			for range 2 {
 				time.Sleep(300 * time.Millisecond)
-				a := s.Agents["listas"][0]
+				a := s.updating("listas")
 				a.Kill()
 				s.RemoveAgent("listas", a)
 				time.Sleep(1500 * time.Millisecond)
@@ -70,7 +71,7 @@
 		{"killed agent and patient callers", func(s *Deployment) {
 			for range 2 {
 				time.Sleep(300 * time.Millisecond)
-				a := s.Agents["listas"][0]
+				a := s.updating("listas")
 				a.Kill()
 				s.RemoveAgent("listas", a)
 			}
@@ -114,6 +115,23 @@
 	}
 }
 
+// updating returns the agent whose upstream runs the most updates, once there is
+// one. The flows of 16 callers leave one of four agents idle in one run of a
+// hundred, and a fault there touches no update.
+func (s *Deployment) updating(service string) *Process {
+	var busiest *Process
+	s.Eventually(10*time.Second, "an update in progress", func() bool {
+		most := 0
+		for _, a := range s.Agents[service] {
+			if n := a.Stub.Counts().Running; n > most {
+				busiest, most = a, n
+			}
+		}
+		return most > 0
+	})
+	return busiest
+}
+
 // setFail makes the upstreams of listas fail updates, or not.
 func (s *Deployment) setFail(f stub.UpdateFail) {
 	for _, a := range s.Agents["listas"] {
