front: look for flows of a shared route one service at a time

Cause: a walk for a flow of a route with several weighted services went along the agents of all of them and named only the last service. An agent of another service that has started beside a running upstream took such a flow for foreign and said for certain that it does not hold it, so a living flow was reset. The store's format has such routes (Backends), and config_change with how = weights makes them.

Ruled out: sending the packet to agents of every service with one identifier for all; an address that another service uses by now would pass the packet to its upstream.

Change: a walk visits the agents of one service; the next walk visits those of the next one. First and later walks are one function. A walk that was not noted counts as incomplete on a shared route, as on one of a large service.

Before: TestSharedRoute fails (want 2 answers, have 1, reset).

--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -211,9 +211,8 @@
 	if f.Tried {
 		c.trials.used(now, k)
 	}
-	walked := len(f.Candidates) > 0
 	asked := []netip.AddrPort{from}
-	if walked {
+	if len(f.Candidates) > 0 {
 		asked = c.lookups.missed(k, f.Candidates)
 	} else {
 		c.lookups.missed(k, []frame.Candidate{{Addr: from}})
@@ -223,12 +222,7 @@
 		c.Counts.NoRoute++
 		return
 	}
-	var w walk
-	if walked {
-		w = c.nextWalk(r, asked)
-	} else {
-		w = c.firstWalk(k, r, from)
-	}
+	w := c.nextWalk(k, r, asked)
 	if len(w.agents) == 0 {
 		c.lost(now, k, &p, f.Unsure, asked)
 		return
@@ -262,7 +256,7 @@
 		service := frame.IDOf(s.Service)
 		g := c.members.group(service)
 		absent += g.awaited(now)
-		if g.all.Len() > route.MaxOrder {
+		if !c.oneWalk(r) {
 			// A walk that was not noted has left out an unknown part.
 			absent += len(c.members.unasked(service, asked))
 		}
--- a/internal/front/lookup.go
+++ b/internal/front/lookup.go
@@ -115,35 +115,39 @@
 	service frame.ServiceID
 }
 
-// firstWalk returns the agents that may hold a flow, in the order of its hash,
-// without the one that has just been asked.
-func (c *Core) firstWalk(k flow.Key, r *rules.Route, asked netip.AddrPort) (w walk) {
+// nextWalk returns the agents that are asked for a flow after others that do not
+// hold it: those of the first service of the route that has some left. All agents
+// of a walk serve its service, since one of another service takes the flow for
+// foreign. There is no next walk if it is not known which agents were asked.
+func (c *Core) nextWalk(k flow.Key, r *rules.Route, asked []netip.AddrPort) walk {
+	if len(asked) == 0 {
+		return walk{}
+	}
 	for _, s := range r.Shares {
-		w.service = frame.IDOf(s.Service)
-		n := c.members.group(w.service).all.Order(k.Hash(), route.MaxOrder, c.ids[:])
-		for _, id := range c.ids[:n] {
-			if id.Addr != asked {
-				w.agents = append(w.agents, id.Addr)
-			}
+		service := frame.IDOf(s.Service)
+		if as := c.unasked(k, service, asked); len(as) > 0 {
+			return walk{as[:min(len(as), frame.MaxCandidates)], service}
 		}
 	}
-	w.agents = w.agents[:min(len(w.agents), frame.MaxCandidates)]
-	return w
+	return walk{}
 }
 
-// nextWalk returns the agents of large services that the walks before did not
-// visit, or none if it is not known which those visited.
-func (c *Core) nextWalk(r *rules.Route, asked []netip.AddrPort) (w walk) {
-	if len(asked) == 0 {
-		return w
-	}
-	for _, s := range r.Shares {
-		service := frame.IDOf(s.Service)
-		if c.members.group(service).all.Len() > route.MaxOrder {
-			w.service = service
-			w.agents = append(w.agents, c.members.unasked(service, asked)...)
+// unasked returns agents of a service that were not asked, the likeliest first.
+func (c *Core) unasked(k flow.Key, s frame.ServiceID, asked []netip.AddrPort) []netip.AddrPort {
+	g := c.members.group(s).all
+	var as []netip.AddrPort
+	for _, id := range c.ids[:g.Order(k.Hash(), route.MaxOrder, c.ids[:])] {
+		if !slices.Contains(asked, id.Addr) {
+			as = append(as, id.Addr)
 		}
 	}
-	w.agents = w.agents[:min(len(w.agents), frame.MaxCandidates)]
-	return w
+	if len(as) == 0 && g.Len() > route.MaxOrder {
+		return c.members.unasked(s, asked)
+	}
+	return as
+}
+
+// oneWalk reports whether one walk visits all agents that may hold a flow of a route.
+func (c *Core) oneWalk(r *rules.Route) bool {
+	return len(r.Shares) == 1 && c.members.group(frame.IDOf(r.Shares[0].Service)).all.Len() <= route.MaxOrder
 }
