plat: give each process a budget for store calls, counted and logged

No process knew that it called too often.

Change: calls that bring nothing new draw on a budget of 20 and one each five seconds: reads, writes, failures, and watches that return before half of their wait without a change. Calls beyond it are counted (storeOverBudget) and logged at most every ten seconds (platformBudget). A balancer over its budget pauses a second before its next watch; others watch meanwhile.

Ruled out: a plain rate.

Test: TestSpending (loops found, full watches and storms of changes not), TestSpendingLogged.

--- a/internal/front/sync.go
+++ b/internal/front/sync.go
@@ -29,6 +29,9 @@
 	// minRetry and maxRetry bound the time between attempts while the platform fails.
 	minRetry = 100 * time.Millisecond
 	maxRetry = time.Second
+	// overBudgetPause slows a balancer down whose calls bring nothing new. Others
+	// watch meanwhile, and it learns from them.
+	overBudgetPause = time.Second
 	// fetchTimeout bounds the read of a peer's configuration.
 	fetchTimeout = 2 * time.Second
 	// maxConfig bounds a peer's configuration: 1,400 routes of 200 octets and room.
@@ -44,6 +47,9 @@
 	var since plat.Version
 	retry := minRetry
 	for ctx.Err() == nil {
+		if f.store.OverBudget() {
+			sleep(ctx, overBudgetPause)
+		}
 		v, err := f.poll(ctx, since)
 		if err == nil {
 			since, retry = v, minRetry
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -158,5 +158,6 @@
 	m.Counter("storeWrites", c.Calls.Writes.Load())
 	m.Counter("storeWatches", c.Calls.Watches.Load())
 	m.Counter("storeFailures", c.Calls.Failures.Load())
+	m.Counter("storeOverBudget", c.Calls.OverBudget.Load())
 	m.Counter("logLinesDropped", out.Dropped())
 }
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -96,11 +96,18 @@
 // Calls counts calls to the platform.
 type Calls struct {
 	Reads, Writes, Watches, Failures atomic.Uint64
+	// OverBudget counts calls beyond the budget of the process.
+	OverBudget atomic.Uint64
 }
 
 // Verb says what a call does.
 type Verb uint8
 
+// String implements fmt.Stringer.
+func (v Verb) String() string {
+	return [...]string{"unknown", "get", "list", "watch", "put", "delete"}[min(v, DeleteVerb)]
+}
+
 // Verbs of the object API.
 const (
 	GetVerb Verb = iota + 1
@@ -160,11 +167,12 @@
 	// Log, when set before the first call, tells when calls fail and recover.
 	Log *logrus.Entry
 
-	report  report
-	base    string
-	timeout time.Duration
-	http    *http.Client
-	wire    Wire
+	report   report
+	spending spending
+	base     string
+	timeout  time.Duration
+	http     *http.Client
+	wire     Wire
 }
 
 // Option changes a client.
@@ -282,7 +290,9 @@
 	return l, err
 }
 
-func (c *Client) page(ctx context.Context, o Op, timeout time.Duration) (List, string, error) {
+func (c *Client) page(ctx context.Context, o Op, timeout time.Duration) (l List, more string, err error) {
+	began := time.Now()
+	defer func() { c.spend(o, began, len(l.Objects), err) }()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	e, err := c.wire.Encode(o)
@@ -305,7 +315,7 @@
 	if err != nil {
 		return List{}, "", c.failed(errors.Annotatef(err, "platform answer"))
 	}
-	l, more, err := c.wire.Decode(o, Answer{resp.StatusCode, resp.Header, b})
+	l, more, err = c.wire.Decode(o, Answer{resp.StatusCode, resp.Header, b})
 	var status *StatusError
 	if errors.As(err, &status) {
 		return List{}, "", c.failed(err)
--- /dev/null
+++ b/internal/plat/spend_test.go
@@ -0,0 +1,77 @@
+package plat
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// TestSpending guards the price of calls: a process that repeats calls without
+// news is found, and one whose watches wait or bring changes is not.
+func TestSpending(t *testing.T) {
+	watch := Op{Verb: WatchVerb, Wait: 4 * time.Second}
+	for _, c := range []struct {
+		name    string
+		op      Op
+		every   time.Duration
+		took    time.Duration
+		changes int
+		over    bool
+	}{
+		{"full watches", watch, 4 * time.Second, 4 * time.Second, 0, false},
+		{"storm of changes", watch, 250 * time.Millisecond, 250 * time.Millisecond, 1, false},
+		{"watches that return at once", watch, time.Second, 3 * time.Millisecond, 0, true},
+		{"reads in a loop", Op{Verb: ListVerb}, 1800 * time.Millisecond, 4 * time.Millisecond, 30, true},
+		{"a read every ten seconds", Op{Verb: ListVerb}, 10 * time.Second, 4 * time.Millisecond, 4, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var s spending
+			now, over, lines := time.Unix(1, 0), 0, 0
+			for end := now.Add(time.Minute); now.Before(end); now = now.Add(c.every) {
+				o, log := s.note(now, c.op, c.took, c.changes)
+				if o {
+					over++
+				}
+				if log {
+					lines++
+				}
+			}
+			if (over > 0) != c.over {
+				t.Errorf("want beyond the budget %v, have %d calls", c.over, over)
+			}
+			if lines > 6 || (lines > 0) != c.over {
+				t.Errorf("want at most a line every ten seconds, have %d for %d calls", lines, over)
+			}
+		})
+	}
+}
+
+// TestSpendingLogged guards the line and the counter of calls beyond the budget.
+func TestSpendingLogged(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(List{Version: 7})
+	}))
+	defer server.Close()
+	var out strings.Builder
+	log := logrus.New()
+	log.SetOutput(&out)
+	c := New(server.URL, time.Second)
+	c.Log = logrus.NewEntry(log)
+	for range 30 {
+		if _, err := c.Watch(context.Background(), KindConfig, 7, 10*time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := c.Calls.OverBudget.Load(); n < 9 || !c.OverBudget() {
+		t.Errorf("want 10 calls beyond the budget, have %d (over %v)", n, c.OverBudget())
+	}
+	if n := strings.Count(out.String(), "event=platformBudget"); n != 1 || !strings.Contains(out.String(), "verb=watch") {
+		t.Errorf("want one line, have %q", out.String())
+	}
+}
