front: a balancer that is cut off from all processes is not ready

Cause: readiness told of a configuration and of a stop only.

Change: a balancer that has heard nobody for 0.5 s, and of whose agents at least half do not answer, pings the other balancers. If they are silent for 0.2 s too, it is not ready and logs it (isolated); the first datagram ends that.

Ruled out: agents that are down as the only sign. When all agents are killed every balancer would be out of rotation, and none would serve better. Ruled out as well: resets by such a balancer. Its caller would come back at once to the same balancer and use up its retries.

--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -79,6 +79,7 @@
 	// retries bounds the offers that follow an unanswered one.
 	retries    *budget.Budget
 	rejections rejections
+	isolation  isolation
 	lookups    lookups
 	trials     trials
 	// started is when the balancer started, by the clock of now.
@@ -116,6 +117,7 @@
 		out:     make([]byte, 0, frame.MaxSize),
 	}
 	co.retries = budget.New(retryBudget, clockOf(now))
+	co.isolation.alive(now)
 	co.members.init()
 	co.peers.init(now, s.Seeds)
 	co.announceSelf(now, view.Serving)
@@ -317,6 +319,9 @@
 		c.Counts.Foreign++
 		return
 	}
+	if c.isolation.alive(now) {
+		c.Log.WithField("event", "reachable").WithField("from", from).Info("another process answers again")
+	}
 	c.heard(now, from)
 	switch f.Kind {
 	case frame.Taken:
@@ -370,6 +375,7 @@
 		return
 	}
 	c.housekeeping = now + tickInterval
+	c.checkIsolation(now)
 	c.hints.Sweep(now)
 	c.trials.expire(now, c.self.FlowLifetime)
 	c.exchange(now)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -155,6 +155,7 @@
 		m.Gauge("balancers", float64(1+len(f.core.Peers())))
 		m.Gauge("hints", float64(f.core.hints.Len()))
 		m.Gauge("agents", float64(len(f.core.members.byAddr)))
+		m.Gauge("isolated", oneIf(f.core.Isolated()))
 		m.Gauge("agentsDown", float64(f.core.members.down()))
 		m.Gauge("openingsPending", float64(len(f.core.pending.byKey)))
 	})
@@ -162,6 +163,14 @@
 	m.Shared(f.store, f.out)
 }
 
+// oneIf returns the gauge of a condition.
+func oneIf(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func (f *Front) fromCaller(now time.Duration, b []byte, _ netip.AddrPort) {
 	f.packets++
 	f.core.FromCaller(now, b)
@@ -189,7 +198,9 @@
 // readiness answers whether the balancer may get packets.
 func (f *Front) readiness() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if !f.ready.Load() {
+		isolated := false
+		f.loop.Do(func(time.Duration) { isolated = f.core.Isolated() })
+		if !f.ready.Load() || isolated {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
