soak: harm the datagrams between processes; say why attempts expire

Cause: the soak had faults of signals, store, fabric and upstreams. What passes between balancers and agents was never cut, lost or late, and one-way cuts were tested nowhere.

Change: the processes bind other addresses than those of their settings (--bind) and links passes their datagrams on, as a router with address translation does. The log of an agent tells an attempt that waited for its objective from one that cannot meet its deadline (outcome=objective).

--- a/cmd/bramleyflow/main.go
+++ b/cmd/bramleyflow/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -17,9 +18,10 @@
 type cli struct {
 	Settings string `help:"Settings file." env:"BRAMLEYCOURSE_NODE_FILE" default:"/etc/bramleycourse/settings.conf" type:"path"`
 	// The page is served at the VM's own address.
-	MetricsPort uint16   `help:"Port of the metrics page; 0 for none." default:"0"`
-	Balancer    struct{} `cmd:"" help:"Run a balancer."`
-	Agent       struct{} `cmd:"" help:"Run the agent beside an upstream."`
+	MetricsPort uint16     `help:"Port of the metrics page; 0 for none." default:"0"`
+	Bind        netip.Addr `help:"Address to bind the datagram sockets to, where the addresses of the settings are translated on the way."`
+	Balancer    struct{}   `cmd:"" help:"Run a balancer."`
+	Agent       struct{}   `cmd:"" help:"Run the agent beside an upstream."`
 }
 
 // logFlush bounds how long the last log lines hold up the end of a process.
--- a/cmd/bramleyflow/roles.go
+++ b/cmd/bramleyflow/roles.go
@@ -41,7 +41,7 @@
 	log := out.NewLog("balancer", s.Name)
 	f, err := front.New(front.Settings{
 		Name: s.Name, Place: s.Place, Hop: s.Hop, Ready: s.Ready, Peer: s.Peer, Metrics: c.metrics(&s),
-		Seeds: s.Seeds, FlowLifetime: s.FlowLifetime, StopLimit: s.StopLimit,
+		Bind: c.Bind, Seeds: s.Seeds, FlowLifetime: s.FlowLifetime, StopLimit: s.StopLimit,
 	}, platform.Codec, newStore(s, log), front.ConfigObject{Name: platform.ConfigName, Parse: platform.ParseConfig}, out, log)
 	if err != nil {
 		return err
@@ -56,7 +56,7 @@
 	}
 	log := out.NewLog("agent", s.Name)
 	h, err := hostd.New(hostd.Settings{
-		Name: s.Name, Place: s.Place, Service: s.Service, Hop: s.Hop, Outbound: s.Outbound,
+		Name: s.Name, Place: s.Place, Service: s.Service, Hop: s.Hop, Bind: c.Bind, Outbound: s.Outbound,
 		Upstream: s.Upstream, Reports: s.Reports, Ready: s.Ready, CallerPort: s.Hop.Port(), Metrics: c.metrics(&s),
 		Seeds: s.Seeds, FlowLifetime: s.FlowLifetime, ReportInterval: s.ReportInterval, StopLimit: s.StopLimit,
 	}, platform.Codec, newStore(s, log), out, log)
--- a/cmd/bramleysoak/main.go
+++ b/cmd/bramleysoak/main.go
@@ -21,6 +21,7 @@
 	Loads     int           `help:"Number of callers." default:"40"`
 	Binary    string        `help:"Path of the program." default:"target/bramleyflow" type:"existingfile"`
 	Dir       string        `help:"Folder for settings and logs; a run that fails keeps them." default:"" type:"path"`
+	Links     bool          `help:"Harm datagrams between processes too." default:"true" negatable:""`
 	Plot      bool          `help:"Print the service over time."`
 }
 
@@ -46,7 +47,7 @@
 		at := filepath.Join(dir, fmt.Sprintf("seed%d", seed))
 		r, err := soak.Run(soak.Config{
 			Seed: seed, Duration: c.Duration, Balancers: c.Balancers, Agents: c.Agents,
-			Binary: c.Binary, Dir: at, Loads: c.Loads,
+			Binary: c.Binary, Dir: at, Loads: c.Loads, Links: c.Links,
 		})
 		if err != nil {
 			return failed, err
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -39,6 +39,9 @@
 	// Hop is the address for callers' packets, Ready the one for readiness
 	// checks, Peer the one for other processes (UDP, and TCP for configurations).
 	Hop, Ready, Peer netip.AddrPort
+	// Bind is the address that the sockets of Hop and Peer are bound to, where those
+	// are translated on the way; not valid for their own.
+	Bind netip.Addr
 	// Metrics is the address of the metrics page; none if it is not valid.
 	Metrics      netip.AddrPort
 	Seeds        []netip.AddrPort
@@ -88,10 +91,10 @@
 	}
 	f.parts = node.NewParts(f.loop, log)
 	var err error
-	if f.hop, err = f.parts.Listen(s.Hop); err != nil {
+	if f.hop, err = f.parts.Listen(node.Bound(s.Hop, s.Bind)); err != nil {
 		return nil, errors.Annotatef(err, "packets")
 	}
-	if f.peer, err = f.parts.Listen(s.Peer); err != nil {
+	if f.peer, err = f.parts.Listen(node.Bound(s.Peer, s.Bind)); err != nil {
 		return nil, errors.Annotatef(err, "messages")
 	}
 	f.core = NewCore(f.loop.Now(), Self{
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -51,6 +51,9 @@
 	// Hop is the address for other processes, Outbound the one that the upstream
 	// sends to, Upstream the upstream's own, Reports the one for its reports.
 	Hop, Outbound, Upstream, Reports, Ready netip.AddrPort
+	// Bind is the address that the socket of Hop is bound to, where that one is
+	// translated on the way; not valid for its own.
+	Bind netip.Addr
 	// Metrics is the address of the metrics page; none if it is not valid.
 	Metrics netip.AddrPort
 	// CallerPort is the port of every caller's VM for packets.
@@ -89,7 +92,7 @@
 	}
 	h.parts = node.NewParts(h.loop, log)
 	var err error
-	if h.hop, err = h.parts.Listen(s.Hop); err != nil {
+	if h.hop, err = h.parts.Listen(node.Bound(s.Hop, s.Bind)); err != nil {
 		return nil, errors.Annotatef(err, "packets")
 	}
 	if h.outbound, err = h.parts.Listen(s.Outbound); err != nil {
--- a/internal/hostd/opening.go
+++ b/internal/hostd/opening.go
@@ -85,7 +85,7 @@
 	c.frames[k] = o
 	c.tell(k, f.Balancer)
 	if evicted := c.waiting.Put(now, &item, c.pace()); evicted != nil {
-		c.giveBack(now, "queueFull", []*queue.Item{evicted})
+		c.giveBack(now, "queueFull", evicted)
 	}
 }
 
@@ -162,7 +162,7 @@
 		return
 	}
 	if !c.upstream.accepts() || c.leaving || c.upstream.stalled(now) {
-		c.giveBack(now, "upstreamClosed", c.waiting.Clear())
+		c.giveBack(now, "upstreamClosed", c.waiting.Clear()...)
 		return
 	}
 	for c.free(now, true) {
@@ -174,11 +174,13 @@
 		delete(c.frames, i.Key)
 		c.admit(now, i.Key, o, i.Packet)
 	}
-	c.giveBack(now, "deadline", c.waiting.Expired(now, c.pace()))
+	for _, i := range c.waiting.Expired(now, c.pace()) {
+		c.giveBack(now, string(i.Expired), i)
+	}
 }
 
 // giveBack gives packets that waited in vain back to their balancers.
-func (c *Core) giveBack(now time.Duration, reason string, items []*queue.Item) {
+func (c *Core) giveBack(now time.Duration, reason string, items ...*queue.Item) {
 	for _, i := range items {
 		if c.Sample(true) {
 			c.decision("openingGivenBack", i.Key, reason, now).WithField("age", now-i.Began).Info("opening packet waited in vain")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,6 +107,14 @@
 	Sent, Failed uint64
 }
 
+// Bound returns the address to bind a socket to that others reach at a.
+func Bound(a netip.AddrPort, bind netip.Addr) netip.AddrPort {
+	if !bind.IsValid() {
+		return a
+	}
+	return netip.AddrPortFrom(bind, a.Port())
+}
+
 // Listen opens a socket. Serve reads from it.
 func Listen(a netip.AddrPort) (*Socket, error) {
 	u, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -23,6 +23,8 @@
 	Priority uint8
 	// Packet is the packet itself.
 	Packet []byte
+	// Expired is why the packet has expired; empty if it has not.
+	Expired Reason
 	// queued is when the packet came to the queue.
 	queued time.Duration
 	// late is set once the request can no longer meet its objective.
@@ -103,16 +105,28 @@
 	return q.remove(q.last(now, p))
 }
 
-// end returns when the packet is of no use any more.
-func (i *Item) end() time.Duration {
+// Reason says why a packet left the queue in vain.
+type Reason string
+
+// Reasons for which packets expire.
+const (
+	// Objective means that the attempt has waited for most of its objective.
+	Objective Reason = "objective"
+	// Deadline means that the request cannot meet its deadline, or that the caller
+	// has ended the attempt.
+	Deadline Reason = "deadline"
+)
+
+// end returns when the packet is of no use any more, and why.
+func (i *Item) end() (time.Duration, Reason) {
 	end := i.Attempt + attemptTime
-	if i.Objective > 0 {
-		end = min(end, i.queued+time.Duration(patience*float64(i.Objective)))
-	}
 	if i.Deadline > 0 {
 		end = min(end, i.Began+i.Deadline)
 	}
-	return end
+	if wait := time.Duration(patience * float64(i.Objective)); wait > 0 && i.queued+wait < end {
+		return i.queued + wait, Objective
+	}
+	return end, Deadline
 }
 
 // Next removes and returns the packet that the upstream gets next, or nil if
@@ -207,7 +221,8 @@
 	var gone []*Item
 	kept := q.items[:0]
 	for _, i := range q.items {
-		if now+p.least() > i.end() {
+		if end, why := i.end(); now+p.least() > end {
+			i.Expired = why
 			gone = append(gone, i)
 		} else {
 			kept = append(kept, i)
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -46,7 +46,7 @@
 			now = time.Duration(at) * ms
 		}
 		for _, i := range q.Expired(now, pace) {
-			out = append(out, fmt.Sprintf("expired %d", i.Key[0]))
+			out = append(out, fmt.Sprintf("expired %d %s", i.Key[0], i.Expired))
 		}
 		for i := q.Next(now, pace, false); i != nil; i = q.Next(now, pace, false) {
 			out = append(out, fmt.Sprintf("next %d", i.Key[0]))
