Revert "Try: overdue requests count as failures of the upstream"

What remains are requests of the first half second and requests on flows that were open before; a reset of those would break a flow whose upstream lives.

--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -49,8 +49,6 @@
 	busy                     bool
 	since                    time.Duration
 	callerEnded, serverEnded bool
-	// overdue is set once the present request has been noticed as overdue.
-	overdue bool
 	// lastData is the sequence number of the caller's latest data; valid if hasData.
 	lastData uint32
 	hasData  bool
@@ -168,7 +166,7 @@
 	if p.Size > 0 && e.news(p) {
 		t.setBusy(e, true)
 		if e.since == 0 {
-			e.since, e.overdue = now, false
+			e.since = now
 		}
 		if e.opened > 0 {
 			t.handshake += (now - e.opened - t.handshake) / workSamples
@@ -265,43 +263,30 @@
 	maxWork = 2 * time.Second
 	// workFactor is how many mean times that is for slow upstreams.
 	workFactor = 10
-	// minOverdue is the least time after which a request is overdue: work times
-	// vary by half of their mean, and an upstream that turns slow takes eight times
-	// as long until the mean has followed.
-	minOverdue = 400 * time.Millisecond
 	// releaseInterval is how often such requests are looked for.
-	releaseInterval = 250 * time.Millisecond
+	releaseInterval = 500 * time.Millisecond
 )
 
-// release stops counting requests that have been in progress for too long, and
-// returns how many have become overdue.
-func (t *Table) release(now time.Duration) (overdue int) {
+// release stops counting requests that have been in progress for too long.
+func (t *Table) release(now time.Duration) {
 	t.released = now
-	late, lost := max(minOverdue, workFactor*t.work), max(maxWork, workFactor*t.work)
+	limit := max(maxWork, workFactor*t.work)
 	for _, e := range t.entries {
-		if !e.Requested() {
-			continue
-		}
-		if !e.overdue && now-e.since >= late {
-			e.overdue = true
-			overdue++
-		}
-		if now-e.since >= lost {
+		if e.busy && e.since > 0 && now-e.since >= limit {
 			t.setBusy(e, false)
 			e.since = 0
 		}
 	}
-	return overdue
 }
 
 // Sweep removes flows that have ended, never opened or have been idle for the
-// given time. It returns how many requests have become overdue since the last time.
-func (t *Table) Sweep(now, idle time.Duration) (overdue int) {
+// given time.
+func (t *Table) Sweep(now, idle time.Duration) {
 	if now-t.released >= releaseInterval {
-		overdue = t.release(now)
+		t.release(now)
 	}
 	if now-t.swept < sweepInterval {
-		return overdue
+		return
 	}
 	t.swept = now
 	for k, e := range t.entries {
@@ -316,5 +301,4 @@
 			t.Drop(k)
 		}
 	}
-	return overdue
 }
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -116,7 +116,7 @@
 
 // Counts counts events.
 type Counts struct {
-	Taken, Forwarded, Refused, Foreign, WrongService, Missed, Returned, Recovered, Tried, Reset, Unanswered, Full, Held, Broken, Overdue uint64
+	Taken, Forwarded, Refused, Foreign, WrongService, Missed, Returned, Recovered, Tried, Reset, Unanswered, Full, Held, Broken uint64
 }
 
 // NewCore returns the core of an agent that starts now.
@@ -320,10 +320,7 @@
 			delete(c.trials, k)
 		}
 	}
-	for range c.table.Sweep(now, defaultIdle) {
-		c.Counts.Overdue++
-		c.outcome(now, true)
-	}
+	c.table.Sweep(now, defaultIdle)
 	c.grant(now)
 	if c.upstream.check(now, c.Log) {
 		c.changed(now)
