hostd: answers that come at once count as failures

Cause: an upstream that fails 60% of its requests with good reports answers them in a millisecond, looks like the fastest one and draws new flows. Beside 15% of such upstreams 6 to 8% of all requests failed; the same holds for upstreams that shed load without need. Bodies belong to the two ends, so the agent cannot see which answers are errors.

Change: an answer in less than a tenth of the upstream's usual time counts like a reset, after 64 answers of history, unless a tenth of the answers are like that (a cache). The verdict and its bounds are as they were: new flows go to a failing upstream as probes, never urgent ones, or where all others fail too.

--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -64,6 +64,9 @@
 // answered it nor ended the flow.
 func (e *Entry) Requested() bool { return e.busy && e.since > 0 }
 
+// Took returns how long the request in progress has taken so far; valid if one is.
+func (e *Entry) Took(now time.Duration) time.Duration { return now - e.since }
+
 // Answered reports whether the upstream has answered the opening packet.
 func (e *Entry) Answered() bool { return e.answered }
 
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -101,6 +101,7 @@
 	trials       map[flow.Key]*trial
 	registration registration
 	outcomes     outcomes
+	quick        quick
 	mean         float64
 	meanAt       time.Duration
 	started      time.Duration
@@ -250,9 +251,7 @@
 		c.changed(now)
 	}
 	k := flow.KeyOf(p.To, p.From)
-	if e := c.table.Get(k); e != nil && e.Requested() && (p.Rst || p.Fin || p.Size > 0) {
-		c.outcome(now, p.Rst)
-	}
+	c.judge(now, k, p)
 	e := c.table.FromUpstream(now, k, p)
 	if e == nil && !p.Rst && !p.Syn {
 		e = c.recover(now, k, p)
--- a/internal/hostd/outcomes.go
+++ b/internal/hostd/outcomes.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/bramleycourse/bramleycourse/internal/flow"
 )
 
 const (
@@ -19,8 +21,8 @@
 )
 
 // outcomes judges an upstream by how it ends requests: an upstream that breaks
-// them off at once would look like the least loaded one, whatever it reports
-// about itself. A failing upstream gets new flows only where all other
+// them off or answers them at once would look like the least loaded one, whatever
+// it reports about itself. A failing upstream gets new flows only where all other
 // candidates fail too, and one at a time as a probe.
 type outcomes struct {
 	// share is a moving average of the failures among the requests.
@@ -53,6 +55,16 @@
 // probe notes that a probe begins; its outcome allows the next one.
 func (o *outcomes) probe(now time.Duration) { o.next = now + probeInterval }
 
+// judge takes a packet of the upstream, which may end a request. The end of a flow
+// may overtake the data of its answer.
+func (c *Core) judge(now time.Duration, k flow.Key, p *flow.Packet) {
+	e := c.table.Get(k)
+	if e == nil || !e.Requested() || !p.Rst && !p.Fin && p.Size == 0 {
+		return
+	}
+	c.outcome(now, p.Rst || c.quick.unusual(e.Took(now), c.outcomes.failing))
+}
+
 // outcome takes the end of a request at the upstream.
 func (c *Core) outcome(now time.Duration, failed bool) {
 	if failed {
@@ -67,7 +79,7 @@
 // forgive ends the verdict on an upstream that has started anew.
 func (c *Core) forgive() {
 	failing := c.outcomes.failing
-	c.outcomes = outcomes{}
+	c.outcomes, c.quick = outcomes{}, quick{}
 	if failing {
 		c.logVerdict()
 	}
@@ -76,8 +88,8 @@
 func (c *Core) logVerdict() {
 	l := c.Log.WithFields(logrus.Fields{"upstream": c.upstream.last.ID, "share": c.outcomes.share})
 	if c.outcomes.failing {
-		l.WithField("event", "upstreamFailing").Warn("upstream breaks off requests")
+		l.WithField("event", "upstreamFailing").Warn("upstream breaks off requests or answers them at once")
 	} else {
-		l.WithField("event", "upstreamRecovered").Info("upstream ends its requests again")
+		l.WithField("event", "upstreamRecovered").Info("upstream serves its requests again")
 	}
 }
