--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -55,6 +55,25 @@
 	})
 }
 
+// TestInTime guards placement: packets that are late already do not keep a new one
+// waiting, so they are no part of the depth.
+func TestInTime(t *testing.T) {
+	const ms = time.Millisecond
+	pace := Pace{Work: 40 * ms, Handshake: 10 * ms}
+	q := New(8)
+	for n := range 3 {
+		q.Put(0, &Item{Key: key(n), Began: -time.Duration(n) * 100 * ms, Objective: 250 * ms, Deadline: 1500 * ms}, pace)
+	}
+	for _, c := range []struct {
+		now  time.Duration
+		want int
+	}{{0, 2}, {100 * ms, 1}, {200 * ms, 0}} {
+		if have := q.InTime(c.now, pace); have != c.want {
+			t.Errorf("after %v: want %d packets in time, have %d", c.now, c.want, have)
+		}
+	}
+}
+
 // played is what callers got in a play.
 type played struct{ asked, inTime, late, failed int }
 
