hostd: slow answers with free slots count as failures

Change: an answer that takes more than four times the usual time, 150 ms at least, counts like a reset if slots were free. The verdict is the one for resets. quick is speed now and judges both ways.

Ruled out: judging slow answers while all slots are busy; after a power loss every upstream would count as failing, and the order by depth would be lost.

--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -101,7 +101,7 @@
 	trials       map[flow.Key]*trial
 	registration registration
 	outcomes     outcomes
-	quick        quick
+	speed        speed
 	mean         float64
 	meanAt       time.Duration
 	started      time.Duration
--- a/internal/hostd/outcomes.go
+++ b/internal/hostd/outcomes.go
@@ -21,8 +21,8 @@
 )
 
 // outcomes judges an upstream by how it ends requests: an upstream that breaks
-// them off or answers them at once would look like the least loaded one, whatever
-// it reports about itself. A failing upstream gets new flows only where all other
+// them off, answers them at once or is slow would look like the least loaded one,
+// whatever it reports about itself. A failing upstream gets new flows only where all other
 // candidates fail too, and one at a time as a probe.
 type outcomes struct {
 	// share is a moving average of the failures among the requests.
@@ -62,7 +62,8 @@
 	if e == nil || !e.Requested() || !p.Rst && !p.Fin && p.Size == 0 {
 		return
 	}
-	c.outcome(now, p.Rst || c.quick.unusual(e.Took(now), c.outcomes.failing))
+	free := c.table.Busy(now) <= c.upstream.concurrency()
+	c.outcome(now, p.Rst || c.speed.unusual(e.Took(now), free, c.outcomes.failing))
 }
 
 // outcome takes the end of a request at the upstream.
@@ -79,7 +80,7 @@
 // forgive ends the verdict on an upstream that has started anew.
 func (c *Core) forgive() {
 	failing := c.outcomes.failing
-	c.outcomes, c.quick = outcomes{}, quick{}
+	c.outcomes, c.speed = outcomes{}, speed{}
 	if failing {
 		c.logVerdict()
 	}
@@ -88,7 +89,7 @@
 func (c *Core) logVerdict() {
 	l := c.Log.WithFields(logrus.Fields{"upstream": c.upstream.last.ID, "share": c.outcomes.share})
 	if c.outcomes.failing {
-		l.WithField("event", "upstreamFailing").Warn("upstream breaks off requests or answers them at once")
+		l.WithField("event", "upstreamFailing").Warn("upstream breaks off requests, answers them at once or is slow")
 	} else {
 		l.WithField("event", "upstreamRecovered").Info("upstream serves its requests again")
 	}
