plat: a watch that waited ends the state of being over the budget

Cause, found by reading: OverBudget kept the verdict of the last call that drew on the budget. Full watches do not, so a balancer that had been over its budget once would pause a second before each watch until its next read.

Test: TestSpendingLogged fails without the change (over the budget after a watch that waited).

--- a/internal/plat/spend.go
+++ b/internal/plat/spend.go
@@ -25,7 +25,8 @@
 type spending struct {
 	mu     sync.Mutex
 	budget *budget.Budget
-	// over is set while the budget is used up; logged is when that was last logged.
+	// over is set if the last call was beyond the budget; logged is when that was
+	// last logged.
 	over   bool
 	logged time.Time
 }
@@ -39,6 +40,7 @@
 		s.budget = budget.New(callBudget, now)
 	}
 	if o.Verb == WatchVerb && (changes > 0 || float64(took) >= minWaited*float64(o.Wait)) {
+		s.over = false
 		return false, false
 	}
 	s.over = !s.budget.Retry(now)
--- a/internal/plat/spend_test.go
+++ b/internal/plat/spend_test.go
@@ -71,6 +71,10 @@
 	if n := c.Calls.OverBudget.Load(); n < 9 || !c.OverBudget() {
 		t.Errorf("want 10 calls beyond the budget, have %d (over %v)", n, c.OverBudget())
 	}
+	c.spend(Op{Verb: WatchVerb, Wait: time.Second}, time.Now().Add(-time.Second), 0, nil)
+	if c.OverBudget() {
+		t.Error("over the budget after a watch that waited")
+	}
 	if n := strings.Count(out.String(), "event=platformBudget"); n != 1 || !strings.Contains(out.String(), "verb=watch") {
 		t.Errorf("want one line, have %q", out.String())
 	}
