--- a/review/play/cases.go
+++ b/review/play/cases.go
@@ -97,14 +97,15 @@
 	time.Sleep(time.Second)
 	stop := make(chan struct{})
 	var flows sync.WaitGroup
-	for n := range 30 {
+	for n := range 90 {
 		flows.Add(1)
 		go func() {
 			defer flows.Done()
+			time.Sleep(time.Duration(n) * 50 * time.Millisecond)
 			p.feed(p.clients[n%len(p.clients)], fmt.Sprintf("feed-%d", n), 500*time.Millisecond, stop)
 		}()
 	}
-	time.Sleep(6 * time.Second)
+	time.Sleep(8 * time.Second)
 	if p.trouble {
 		moved := feedRoute
 		moved.service = "fichas"
@@ -153,8 +154,8 @@
 	defer p.lock.Unlock()
 	for _, e := range p.endpoints {
 		if at, ok := e.holds(f.key); ok {
-			p.rec.violation("FLOW: %s on %s is reset by the system; endpoint %s of %s lives and has held it open for %v",
-				id, f.key.client, e.id, e.service, time.Since(at).Round(time.Millisecond))
+			p.rec.violation("FLOW: %s on %s via %s is reset by the system; endpoint %s of %s lives and has held it open for %v",
+				id, f.key.client, f.lastVia, e.id, e.service, time.Since(at).Round(time.Millisecond))
 		}
 	}
 }
--- a/review/play/client.go
+++ b/review/play/client.go
@@ -142,9 +142,10 @@
 	key       flowKey
 	seq, next uint32
 	received  chan *packet
-	// opened is when the first opening packet was sent, via the node that it was sent to.
-	opened time.Time
-	via    string
+	// opened is when the first opening packet was sent, via the node that it was sent to,
+	// and lastVia the node that the last packet was sent to.
+	opened       time.Time
+	via, lastVia string
 }
 
 func startClient(d *deployment, r *routers, zone string, host byte) (*client, error) {
@@ -206,6 +207,7 @@
 	if !ok {
 		return ""
 	}
+	f.lastVia = n.name
 	b := standin.EncodePacket(f.key.client, f.key.route, flags, seq, ack, data)
 	// A datagram that cannot be sent counts as lost.
 	_, _ = f.c.conn.WriteToUDPAddrPort(b, f.c.routers.d.addr(n.host, f.c.routers.d.ports.flow))
--- a/review/play/deployment.go
+++ b/review/play/deployment.go
@@ -25,9 +25,10 @@
 	configBound       = 3 * time.Second
 	reuseAfter        = 2 * time.Second
 	metricsPort       = 9180
-	// restartDelay is the short delay after which the platform starts a process again.
-	restartDelay = time.Second
-	storeHost    = 250
+	// usualRestartDelay is the short delay after which the platform starts a process
+	// again, as the bench has it.
+	usualRestartDelay = 500 * time.Millisecond
+	storeHost         = 250
 )
 
 // ports are the ports of a play; they are the same on all machines.
@@ -42,9 +43,10 @@
 	store     *standin.Store
 	storeHTTP *http.Server
 	rec       *record
-
-	mu        sync.Mutex
-	processes []*process
+	// restartDelay is the time from the end of a process to its next start.
+	restartDelay time.Duration
+	mu           sync.Mutex
+	processes    []*process
 }
 
 // machine is one machine of the deployment with the process that runs there.
@@ -66,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{dir: dir, binary: binary, rec: rec, store: standin.NewStore()}
+	d := &deployment{dir: dir, binary: binary, rec: rec, store: standin.NewStore(), restartDelay: usualRestartDelay}
 	for range 50 {
 		d.a, d.b = byte(64+rand.IntN(128)), byte(1+rand.IntN(250))
 		first := uint16(20000 + rand.IntN(12000))
@@ -171,7 +173,7 @@
 		d.kill(p)
 	}
 	d.rec.add("process %s has ended", p.name)
-	time.Sleep(restartDelay)
+	time.Sleep(d.restartDelay)
 	return d.launch(p)
 }
 
--- a/review/play/main.go
+++ b/review/play/main.go
@@ -23,6 +23,7 @@
 	"moved":    playMoved,
 	"clock":    playClock,
 	"rolls":    playRolls,
+	"twice":    playTwice,
 	"watchers": playWatchers,
 }
 
--- a/review/play/rolls.go
+++ b/review/play/rolls.go
@@ -77,6 +77,17 @@
 // playRolls: edge nodes and nodes beside endpoints are restarted in turn, both at the same
 // time, in a quiet hour. Rule FLOW.
 func playRolls(p *play) error {
+	p.restartDelay = time.Second
+	return p.playQuietHour(1)
+}
+
+// playTwice: the same with the platform's usual delay, but each node beside an endpoint is
+// restarted once more right after its start. Rule FLOW.
+func playTwice(p *play) error { return p.playQuietHour(2) }
+
+// playQuietHour plays a few flows that are mostly idle, while all nodes are restarted in
+// turn. Each node beside an endpoint gets the given number of restarts at a time.
+func (p *play) playQuietHour(restarts int) error {
 	p.putConfig(3, feedRoute, sheetRoute)
 	services := []string{"fichas", "fichas", "fichas", "fichas", "fichas", "fichas", "fichas", "listas"}
 	if err := p.startMachines(smallEdges, services); err != nil {
@@ -102,7 +113,7 @@
 	}
 	time.Sleep(6 * time.Second)
 	if p.trouble {
-		if err := p.rolls(); err != nil {
+		if err := p.rolls(restarts); err != nil {
 			return err
 		}
 	} else {
@@ -116,23 +127,22 @@
 }
 
 // rolls restarts all nodes of both classes in turn, several times.
-func (p *play) rolls() error {
+func (p *play) rolls(restarts int) error {
 	const rounds, gap = 3, 1200 * time.Millisecond
 	results := make(chan error, 2)
-	for _, class := range [][]*process{p.edges, p.sides} {
-		go func() {
-			for range rounds {
-				for _, o := range class {
-					if err := p.restart(o); err != nil {
-						results <- err
-						return
-					}
-					time.Sleep(gap)
+	roll := func(class []*process, restarts int) error {
+		for range rounds {
+			for _, o := range class {
+				if err := p.restartTimes(o, restarts); err != nil {
+					return err
 				}
+				time.Sleep(gap)
 			}
-			results <- nil
-		}()
+		}
+		return nil
 	}
+	go func() { results <- roll(p.edges, 1) }()
+	go func() { results <- roll(p.sides, restarts) }()
 	err := <-results
 	if other := <-results; err == nil {
 		err = other
@@ -140,6 +150,20 @@
 	return err
 }
 
+// restartTimes restarts a process a number of times, each but the first right after the
+// start before.
+func (p *play) restartTimes(o *process, restarts int) error {
+	for n := range restarts {
+		if n > 0 {
+			time.Sleep(200 * time.Millisecond)
+		}
+		if err := p.restart(o); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // sheets keeps a flow open and sends a request on it every few seconds.
 func (p *play) sheets(c *client, number int, stop <-chan struct{}) {
 	for try := 1; ; try++ {
