Settings of the new features: evacuations, measured room, early rejections

Cause: the new deployments ask for parts that the others must not get. Their settings tell them apart: Bounds.EvacuateMs stands only where places are evacuated, and the contract "pressure" only where callers press.

--- a/cmd/bramleyflow/main.go
+++ b/cmd/bramleyflow/main.go
@@ -20,8 +20,10 @@
 	// MetricsPort is a port of the hop address.
 	MetricsPort uint16     `help:"Port of the metrics page; 0 for none." default:"0"`
 	Bind        netip.Addr `help:"Address to bind the datagram sockets to, where the addresses of the settings are translated on the way."`
-	Balancer    struct{}   `cmd:"" help:"Run a balancer."`
-	Agent       struct{}   `cmd:"" help:"Run the agent beside an upstream."`
+	// LearnRoom switches the measurement on where the settings do not.
+	LearnRoom bool     `help:"Measure how many requests the upstream takes well at once, and use that in place of its slots."`
+	Balancer  struct{} `cmd:"" help:"Run a balancer."`
+	Agent     struct{} `cmd:"" help:"Run the agent beside an upstream."`
 }
 
 // logFlushTimeout bounds how long the process waits on exit for the last log lines
--- a/cmd/bramleyflow/roles.go
+++ b/cmd/bramleyflow/roles.go
@@ -42,6 +42,7 @@
 	f, err := front.New(front.Settings{
 		Name: s.Name, Place: s.Place, Hop: s.Hop, Ready: s.Ready, Peer: s.Peer, Metrics: c.metricsAddr(&s),
 		Bind: c.Bind, Seeds: s.Seeds, FlowLifetime: s.FlowLifetime, ConfigLimit: s.ConfigLimit, StopLimit: s.StopLimit,
+		EvacuationLimit: s.EvacuationLimit, RejectEarly: s.Pressure,
 	}, platform.Codec, newStore(s, log), front.ConfigObject{Name: platform.ConfigName, Parse: platform.ParseConfig}, out, log)
 	if err != nil {
 		return err
@@ -59,6 +60,7 @@
 		Name: s.Name, Place: s.Place, Service: s.Service, Hop: s.Hop, Bind: c.Bind, Outbound: s.Outbound,
 		Upstream: s.Upstream, Reports: s.Reports, Ready: s.Ready, CallerPort: s.Hop.Port(), Metrics: c.metricsAddr(&s),
 		Seeds: s.Seeds, FlowLifetime: s.FlowLifetime, ReportInterval: s.ReportInterval, StopLimit: s.StopLimit,
+		EvacuationLimit: s.EvacuationLimit, LearnRoom: s.Pressure || c.LearnRoom, RejectEarly: s.Pressure,
 	}, platform.Codec, newStore(s, log), out, log)
 	if err != nil {
 		return err
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -48,6 +48,11 @@
 	// ConfigLimit is the time within which a change of the configuration on the
 	// platform must be in force; defaultConfigLimit if it is 0.
 	ConfigLimit time.Duration
+	// EvacuationLimit is the time within which the evacuation of a place must be in
+	// force; 0 if places are not evacuated.
+	EvacuationLimit time.Duration
+	// RejectEarly makes the balancer reject requests that no upstream can serve in time.
+	RejectEarly bool
 	// Seeds are the message addresses of balancers that may be running.
 	Seeds []netip.AddrPort
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -58,6 +58,11 @@
 	ConfigLimit time.Duration
 	// StopLimit is the time between the signal to stop and the kill.
 	StopLimit time.Duration
+	// EvacuationLimit is the time within which the evacuation of a place on the platform
+	// must be in force; 0 if places are not evacuated.
+	EvacuationLimit time.Duration
+	// RejectEarly makes the balancer reject requests that no upstream can serve in time.
+	RejectEarly bool
 }
 
 // Balancer is a running balancer process: it connects a Core to the sockets,
@@ -115,6 +120,7 @@
 	b.core = NewCore(b.loop.Now(), CoreConfig{
 		Name: s.Name, Instance: ident.NewInstance(), Place: s.Place, Hop: s.Hop, Peer: s.Peer,
 		Seq: ident.Seq(time.Now().UnixMilli()), FlowLifetime: s.FlowLifetime, ConfigLimit: s.ConfigLimit, Seeds: s.Seeds,
+		EvacuationLimit: s.EvacuationLimit, RejectEarly: s.RejectEarly,
 	}, c)
 	b.core.Log, b.core.Sample = log, out.Sample
 	b.metrics = node.NewMetrics("balancer", b.collectMetrics)
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -62,6 +62,12 @@
 	StartedMillis int64
 	// FlowLifetime is the maximum duration of a flow.
 	FlowLifetime time.Duration
+	// EvacuationLimit is the time within which the evacuation of a place must be in
+	// force; 0 if places are not evacuated.
+	EvacuationLimit time.Duration
+	// LearnRoom makes the agent measure how many requests its upstream takes well at
+	// once. RejectEarly makes it report to balancers how long new flows wait.
+	LearnRoom, RejectEarly bool
 	// Seeds are the peer addresses of balancers that may be running.
 	Seeds []netip.AddrPort
 }
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -69,6 +69,9 @@
 	ReportInterval time.Duration
 	// StopLimit is the time between the signal to stop and the kill.
 	StopLimit time.Duration
+	// EvacuationLimit, LearnRoom and RejectEarly are explained at CoreConfig.
+	EvacuationLimit        time.Duration
+	LearnRoom, RejectEarly bool
 }
 
 // Agent is a running agent.
@@ -108,6 +111,7 @@
 	a.core = NewCore(a.loop.Now(), CoreConfig{
 		Instance: ident.NewInstance(), Place: s.Place, Service: s.Service, Hop: s.Hop, Upstream: s.Upstream,
 		Seq: ident.Seq(time.Now().UnixMilli()), StartedMillis: time.Now().UnixMilli(), ReportInterval: s.ReportInterval, FlowLifetime: s.FlowLifetime, Seeds: s.Seeds,
+		EvacuationLimit: s.EvacuationLimit, LearnRoom: s.LearnRoom, RejectEarly: s.RejectEarly,
 	}, c)
 	a.core.Log, a.core.Sample = log, out.Sample
 	a.metrics = node.NewMetrics("agent", a.collect)
