Limit the new flows of cold upstreams to the configured rate

A place that is taken back, a release, a scale-out and a restart bring upstreams that bear only WarmupPerS requests a second for WarmupS, summed over all balancers. The agent knew that its upstream was cold, but counted it with 0.6 of its slots and read no rate.

Balancers read the rate and announce it in each offer, in bytes that offers do not use. The agent, which all new flows of an upstream pass, keeps to the rate (internal/ramp) and lets it rise for a second after the warm-up. What a cold upstream may not take goes to other candidates.

Ruled out: shares of the rate for each balancer, agents that read the configuration, a field after the candidates, which earlier agents would take for the caller's packet.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -157,6 +158,12 @@
 	flagHinted = 1
 	flagUnsure = 2
 	flagTried  = 4
+	// flagCold announces ColdRate and Warmup on Offer and Placed. The rate takes the
+	// place of TrialsLeft, and the warm-up the upper four bits of the flags, both of
+	// which earlier versions ignore on these kinds.
+	flagCold = 8
+	// coldShift is the position of the warm-up in the flags.
+	coldShift = 4
 
 	version = 0xB1
 	// headerSize is the length of the fixed part of the header in bytes: version,
@@ -191,6 +198,12 @@
 	// returned it.
 	Tried   bool
 	Service ServiceID
+	// ColdRate is the number of requests per second that a cold upstream of the service
+	// bears, and Warmup the time for which it is cold. They are carried by Offer and
+	// Placed only, where ColdRate is 0 if there is no limit. They are encoded roughly:
+	// rates are rounded down by up to 6%, and warm-ups up to the next power of two.
+	ColdRate float64
+	Warmup   time.Duration
 	// Balancer is the address to send replies to.
 	Balancer netip.AddrPort
 	// ObjectiveMillis and TimeoutMillis are the latency objective and the timeout of
@@ -218,7 +231,12 @@
 	if f.Tried {
 		flags |= flagTried
 	}
-	b = append(b, version, byte(f.Kind), byte(f.Position), byte(len(f.Candidates)), f.TrialsLeft, flags)
+	trials := f.TrialsLeft
+	if f.ColdRate > 0 && f.Kind.opens() {
+		trials = encodeRate(f.ColdRate)
+		flags |= flagCold | encodeWarmup(f.Warmup)<<coldShift
+	}
+	b = append(b, version, byte(f.Kind), byte(f.Position), byte(len(f.Candidates)), trials, flags)
 	b = binary.BigEndian.AppendUint32(b, uint32(f.Service))
 	b = appendAddr(b, f.Balancer)
 	b = binary.BigEndian.AppendUint16(b, f.ObjectiveMillis)
@@ -244,6 +262,10 @@
 	}
 	f.Kind, f.Position, f.TrialsLeft, f.Hinted = Kind(b[1]), int(b[2]), b[4], b[5]&flagHinted != 0
 	f.Unsure, f.Tried = b[5]&flagUnsure != 0, b[5]&flagTried != 0
+	f.ColdRate, f.Warmup = 0, 0
+	if b[5]&flagCold != 0 && f.Kind.opens() {
+		f.ColdRate, f.Warmup, f.TrialsLeft = decodeRate(b[4]), decodeWarmup(b[5]>>coldShift), 0
+	}
 	f.Service = ServiceID(binary.BigEndian.Uint32(b[6:]))
 	f.Balancer = parseAddr(b[10:])
 	f.ObjectiveMillis, f.TimeoutMillis = binary.BigEndian.Uint16(b[16:]), binary.BigEndian.Uint16(b[18:])
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"reflect"
 	"testing"
+	"time"
 
 	"github.com/bramleycourse/bramleycourse/internal/flow"
 )
@@ -21,6 +22,7 @@
 			Candidates: []Candidate{{addr("10.0.0.2:8000"), 17}, {addr("10.0.0.3:8000"), DepthClosed}},
 			Payload:    []byte("packet"),
 		},
+		{Kind: Placed, Balancer: addr("10.0.0.1:7000"), ColdRate: 12, Warmup: 2 * time.Second, Payload: []byte("packet")},
 		{Kind: Data, Hinted: true, Tried: true, TrialsLeft: 2, Balancer: addr("10.0.0.1:7000"), Payload: []byte("packet")},
 	} {
 		var have Frame
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -83,9 +83,11 @@
 	// Counts holds the event counters since the start.
 	Counts Counts
 
-	self    CoreConfig
-	codec   flow.Codec
-	rules   *rules.Table
+	self  CoreConfig
+	codec flow.Codec
+	rules *rules.Table
+	// limited holds the services of rules whose cold upstreams bear a limited rate.
+	limited map[frame.ServiceID]rules.Service
 	hints   *flow.Hints
 	agents  agentTable
 	view    *view.View
@@ -131,9 +133,10 @@
 //   - Walked: walks started
 //   - Lost: flows that no agent was found to hold
 //   - Reset: flows reset because their agent is down or no agent holds them
+//   - SkippedServices: services of a configuration whose warm-up is out of range
 //   - Substituted: times that no watcher of the configuration was heard for too long
 type Counts struct {
-	Opened, Carried, Foreign, NoRoute, NoUpstream, Retried, GivenUp, Refused, Missed, Queried, Walked, Lost, Reset, Substituted uint64
+	Opened, Carried, Foreign, NoRoute, NoUpstream, Retried, GivenUp, Refused, Missed, Queried, Walked, Lost, Reset, Substituted, SkippedServices uint64
 }
 
 // NewCore returns the core of a balancer that starts at now.
@@ -170,9 +173,19 @@
 	}
 	c.Log.WithFields(logrus.Fields{
 		"event": "configuration", "generation": t.Generation(), "before": c.rules.Generation(),
-		"routes": t.Len(), "source": source,
+		"routes": t.Len(), "source": source, "limitedServices": len(t.Limited()),
 	}).Info("configuration in force")
+	for _, err := range t.Skipped() {
+		c.Counts.SkippedServices++
+		c.Log.WithError(err).WithFields(logrus.Fields{
+			"event": "serviceSkipped", "generation": t.Generation(), "source": source,
+		}).Warn("the warm-up of a service is not limited")
+	}
 	c.rules = t
+	c.limited = map[frame.ServiceID]rules.Service{}
+	for _, s := range t.Limited() {
+		c.limited[frame.ServiceIDOf(s.Name)] = s
+	}
 	return true
 }
 
--- a/internal/front/offer.go
+++ b/internal/front/offer.go
@@ -143,11 +143,15 @@
 
 // openingFrame returns a frame of the given kind with an opening packet.
 func (c *Core) openingFrame(k frame.Kind, o *pendingOpening) frame.Frame {
-	return frame.Frame{
+	f := frame.Frame{
 		Kind: k, Service: o.service, Balancer: c.self.Peer, Payload: o.packet,
 		AgeMillis:       clampMillis(int(o.age / time.Millisecond)),
 		ObjectiveMillis: clampMillis(o.route.ObjectiveMillis), TimeoutMillis: clampMillis(o.route.TimeoutMillis), Priority: o.route.Priority,
 	}
+	if s, limited := c.limited[o.service]; limited {
+		f.ColdRate, f.Warmup = s.ColdRate, time.Duration(s.WarmupMillis)*time.Millisecond
+	}
+	return f
 }
 
 // clampMillis limits a time in milliseconds to the range of its frame field.
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -14,6 +14,7 @@
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/place"
 	"github.com/bramleycourse/bramleycourse/internal/queue"
+	"github.com/bramleycourse/bramleycourse/internal/ramp"
 )
 
 const (
@@ -144,9 +145,12 @@
 //   - Full: opening packets refused because the flow table was full
 //   - Held: opening packets put into the queue
 //   - Doubted: reports of the upstream that were ignored because they are not newer
+//   - ColdHeld: opening packets put into the queue because of the rate of a cold upstream
+//   - ColdPassed: opening packets passed on because their turn at a cold upstream does
+//     not come in time
 //   - Broken: requests answered by a reset or with an unusual response time
 type Counts struct {
-	Taken, Forwarded, Refused, Foreign, WrongService, Missed, Returned, Recovered, Tried, Reset, Unanswered, Full, Held, Doubted, Broken uint64
+	Taken, Forwarded, Refused, Foreign, WrongService, Missed, Returned, Recovered, Tried, Reset, Unanswered, Full, Held, Doubted, Broken, ColdHeld, ColdPassed uint64
 }
 
 // NewCore returns the core of an agent that starts at the time now.
@@ -165,6 +169,7 @@
 	}
 	co.upstream.service, co.upstream.reportAt = s.Service, now
 	co.upstream.started, co.upstream.expected = now, s.ReportInterval
+	co.upstream.ramp = ramp.New(now, max(s.ReportInterval, defaultReportInterval))
 	co.registration.init(now, s.Seeds)
 	return co
 }
@@ -209,6 +214,7 @@
 		Slots:    c.upstream.slots(now),
 		Busy:     busy,
 		MeanBusy: c.meanBusy,
+		Delay:    float64(c.turn(now)) / float64(max(c.table.Work(), time.Millisecond)),
 		Closed:   !c.upstream.accepts() || c.upstream.stalled(now) || c.leaving,
 		Failing:  c.outcomes.failing,
 	}
@@ -373,6 +379,7 @@
 		}
 	}
 	c.table.Sweep(now, defaultIdle)
+	c.noteWarmth(now)
 	c.admitWaiting(now)
 	released := c.upstream.expireContender(now)
 	if c.upstream.checkAlive(now, c.Log) || released {
--- a/internal/hostd/opening.go
+++ b/internal/hostd/opening.go
@@ -40,7 +40,11 @@
 		c.sendTaken(k, f.Balancer)
 		return
 	}
+	c.announceLimit(now, f)
 	l := c.Load(now)
+	item := c.newItem(now, k, &p, f)
+	tooLate := !l.Closed && !c.mayWait(now, c.turn(now), &item)
+	l.Closed = l.Closed || tooLate
 	if f.Service != c.upstream.id() {
 		c.Counts.WrongService++
 		l.Closed = true
@@ -52,15 +56,31 @@
 		if probe {
 			c.outcomes.probe(now)
 		}
-		c.admitOrQueue(now, k, &p, f)
+		c.admitOrQueue(now, item, f)
 	case admit.Forward:
 		c.Counts.Forwarded++
 		c.send(f, f.Candidates[f.Position].Addr)
 	case admit.Refuse:
+		if tooLate {
+			c.passOn(f)
+			return
+		}
 		c.refuse(f)
 	}
 }
 
+// newItem returns an opening packet as an item of the queue. The item refers to the
+// bytes of the frame.
+func (c *Core) newItem(now time.Duration, k flow.Key, p *flow.Packet, f *frame.Frame) queue.Item {
+	i := queue.Item{
+		Key: k, Attempt: now - copyAge(p), Priority: f.Priority, Packet: f.Payload,
+		Objective: time.Duration(f.ObjectiveMillis) * time.Millisecond,
+		Deadline:  time.Duration(f.TimeoutMillis) * time.Millisecond,
+	}
+	i.Began = i.Attempt - time.Duration(f.AgeMillis)*time.Millisecond
+	return i
+}
+
 // handleRepeatedOpening passes a retransmitted opening packet to the upstream, which
 // got the first copy.
 func (c *Core) handleRepeatedOpening(now time.Duration, k flow.Key, f *frame.Frame) {
@@ -74,25 +94,27 @@
 
 // admitOrQueue passes an opening packet to the upstream, or queues it until a slot
 // is free.
-func (c *Core) admitOrQueue(now time.Duration, k flow.Key, p *flow.Packet, f *frame.Frame) {
+func (c *Core) admitOrQueue(now time.Duration, item queue.Item, f *frame.Frame) {
+	k := item.Key
 	o := &opening{frame: *f, at: now}
 	o.frame.Candidates, o.frame.Payload = slices.Clone(f.Candidates), nil
-	if c.hasRoom(now, queue.UrgencyOf(f.Priority)) {
+	cold := c.turn(now) > 0
+	if !cold && c.hasRoom(now, queue.UrgencyOf(f.Priority)) {
 		c.admit(now, k, o, f.Payload)
 		return
 	}
-	item := queue.Item{
-		Key: k, Attempt: now - copyAge(p), Priority: f.Priority, Packet: slices.Clone(f.Payload),
-		Objective: time.Duration(f.ObjectiveMillis) * time.Millisecond,
-		Deadline:  time.Duration(f.TimeoutMillis) * time.Millisecond,
-	}
-	item.Began = item.Attempt - time.Duration(f.AgeMillis)*time.Millisecond
+	queued := item // Only a packet that waits is allocated.
+	queued.Packet = slices.Clone(f.Payload)
 	c.Counts.Held++
+	if cold {
+		c.Counts.ColdHeld++
+	}
 	c.waitingOpenings[k] = o
 	c.sendTaken(k, f.Balancer)
-	if evicted := c.waiting.Put(now, &item, c.serviceTimes()); evicted != nil {
+	if evicted := c.waiting.Put(now, &queued, c.serviceTimes()); evicted != nil {
 		c.rejectWaiting(now, "queueFull", evicted)
 	}
+	c.wakeForTurn(now)
 }
 
 // serviceTimes returns the present service times of the upstream.
@@ -121,6 +143,7 @@
 		return
 	}
 	c.Counts.Taken++
+	c.upstream.ramp.Take(now)
 	waited := now - o.at
 	c.RecordWait(waited)
 	if c.Sample(waited >= slowWait) {
@@ -153,7 +176,9 @@
 		c.rejectWaiting(now, "upstreamClosed", c.waiting.Clear()...)
 		return
 	}
-	mayTake := func(i *queue.Item) bool { return c.hasRoom(now, i.Urgency()) }
+	mayTake := func(i *queue.Item) bool {
+		return c.upstream.ramp.Wait(now, 0) == 0 && c.hasRoom(now, i.Urgency())
+	}
 	for {
 		i := c.waiting.Next(now, c.serviceTimes(), mayTake)
 		if i == nil {
@@ -166,6 +191,7 @@
 	for _, i := range c.waiting.Expired(now, c.serviceTimes()) {
 		c.rejectWaiting(now, string(i.Expired), i)
 	}
+	c.wakeForTurn(now)
 }
 
 // rejectWaiting refuses packets that have left the queue without being admitted, and
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -10,6 +10,7 @@
 	"github.com/bramleycourse/bramleycourse/internal/flow"
 	"github.com/bramleycourse/bramleycourse/internal/frame"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/ramp"
 	"github.com/bramleycourse/bramleycourse/internal/view"
 )
 
@@ -86,6 +87,10 @@
 	contender *contender
 	// warmupUntil is the end of the warm-up; 0 if there is none.
 	warmupUntil time.Duration
+	// ramp limits the requests while the upstream is cold. warmth is its state that was
+	// logged last.
+	ramp   ramp.Limiter
+	warmth ramp.State
 	// lastPacketAt is when the upstream last sent a packet; 0 if it has not.
 	lastPacketAt time.Duration
 	// unansweredSince is when the upstream got the first opening packet after which
@@ -197,6 +202,9 @@
 func (u *upstream) notePacket(now time.Duration) bool {
 	wasDown := u.down
 	wasDown = wasDown || u.refusing
+	if wasDown {
+		u.expectCold(now)
+	}
 	u.lastPacketAt, u.unansweredSince, u.down, u.absent, u.refusing, u.triedAt = now, 0, false, false, false, 0
 	return wasDown
 }
@@ -293,6 +301,8 @@
 	u.refusing = false
 	u.reported, u.gone, u.down, u.absent, u.last, u.reportAt, u.service = true, false, false, false, r, now, r.Service
 	u.unansweredSince = 0
+	u.ramp.Report(now, r.Warmup)
+	c.noteWarmth(now)
 	u.warmupUntil = now + r.Warmup
 	if r.Warmup <= 0 {
 		u.warmupUntil = 0
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -19,6 +19,9 @@
 	// MeanBusy is a moving average of Busy. It accounts for open flows that are idle
 	// at the moment and will send further requests.
 	MeanBusy float64
+	// Delay is the time until the upstream may get another flow because it is cold, in
+	// multiples of the mean work time. The flow waits as if it were queued for so long.
+	Delay float64
 	// Failing is set while requests to the upstream fail before they complete. A
 	// failing upstream gets a flow only if all other candidates are failing or
 	// closed.
@@ -46,6 +49,9 @@
 		// not lower the load.
 		load = max(load, float64(l.Busy))
 	}
+	if l.Delay > 0 {
+		load = max(load, l.Slots*(1+l.Delay))
+	}
 	return frame.Depth(min(load/l.Slots*float64(frame.DepthFull), float64(frame.DepthClosed-2)))
 }
 
@@ -89,6 +95,22 @@
 	return admit.Take
 }
 
+// Pass rewrites a Placed frame, which the receiver cannot take, for the least loaded of
+// the other candidates. It reports false if none of them takes flows. Each receiver
+// closes itself, so the frame does not come back.
+func Pass(f *frame.Frame) bool {
+	if len(f.Candidates) == 0 {
+		return false
+	}
+	f.Candidates[f.Position].Depth = frame.DepthClosed
+	best := leastLoaded(f)
+	if f.Candidates[best].Depth == frame.DepthClosed {
+		return false
+	}
+	f.Position = best
+	return true
+}
+
 // leastLoaded returns the position of the candidate with the lowest depth. At equal
 // depths it prefers the agent that decides, which is the last candidate, because
 // that saves a hop.
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -93,3 +93,18 @@
 		}
 	}
 }
+
+// TestPass guards a placed packet whose taker has changed its mind: it goes to the least
+// loaded other candidate, and ends once all have closed.
+func TestPass(t *testing.T) {
+	f := newOffer(3)
+	f.Kind, f.Candidates[0].Depth, f.Candidates[1].Depth, f.Candidates[2].Depth = frame.Placed, 10, 30, 20
+	for _, want := range []int{2, 1} {
+		if !Pass(f) || f.Position != want || f.Kind != frame.Placed {
+			t.Errorf("want candidate %d, have %+v", want, f)
+		}
+	}
+	if Pass(f) || Pass(&frame.Frame{Kind: frame.Placed}) {
+		t.Error("all are closed: want it returned")
+	}
+}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -134,6 +134,15 @@
 	return expiry, Deadline
 }
 
+// LastsUntil reports whether a packet that is added to the queue now can still be served
+// in time at a later time.
+func (i *Item) LastsUntil(now, at time.Duration, s ServiceTimes) bool {
+	added := *i
+	added.queued = now
+	expiry, _ := added.expiry()
+	return at+s.minTime() <= expiry
+}
+
 // Next removes and returns the packet to serve next, or nil if none is waiting or if
 // the upstream may not take that packet now.
 func (q *Queue) Next(now time.Duration, s ServiceTimes, mayTake func(*Item) bool) *Item {
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -36,6 +36,35 @@
 	Shares []Share `json:"shares"`
 }
 
+// Service says how many requests the upstreams of a service bear while they are cold.
+type Service struct {
+	Name ident.ServiceName `json:"name"`
+	// ColdRate is the number of requests per second that a cold upstream bears, summed
+	// over all balancers. It is greater than zero.
+	ColdRate float64 `json:"coldRate"`
+	// WarmupMillis is the time for which an upstream is cold after its start.
+	WarmupMillis int64 `json:"warmupMillis,omitempty"`
+}
+
+const (
+	// maxColdRate is above what any upstream can do, so that a higher rate is an error.
+	maxColdRate = 1e6
+	// maxWarmupMillis is one day.
+	maxWarmupMillis = 24 * 60 * 60 * 1000
+)
+
+func (s *Service) check() error {
+	switch {
+	case s.Name == "":
+		return errors.New("service without a name")
+	case !(s.ColdRate > 0 && s.ColdRate <= maxColdRate):
+		return errors.Errorf("service %q: cold rate of %g per second is out of range", s.Name, s.ColdRate)
+	case s.WarmupMillis < 0 || s.WarmupMillis > maxWarmupMillis:
+		return errors.Errorf("service %q: warm-up of %d ms is out of range", s.Name, s.WarmupMillis)
+	}
+	return nil
+}
+
 // Config is a configuration as processes pass it on to each other.
 type Config struct {
 	// Generation is the version of the configuration; it is greater than zero.
@@ -43,6 +72,11 @@
 	// IdleMillis is the time without a packet after which a flow may be discarded.
 	IdleMillis int64   `json:"idleMillis"`
 	Routes     []Route `json:"routes"`
+	// Services holds the services whose cold upstreams bear a limited rate.
+	Services []Service `json:"services,omitempty"`
+	// Skipped are the errors of entries that could not be decoded. They do not make the
+	// configuration invalid.
+	Skipped []error `json:"-"`
 }
 
 // Table is a checked configuration, indexed by address. It is immutable. A nil
@@ -53,12 +87,21 @@
 }
 
 // New checks a configuration and indexes its routes. If several routes have the
-// same address, the first one is used.
+// same address, the first one is used. Services with values out of range are skipped:
+// they are not worth losing the routes.
 func New(c Config) (*Table, error) {
 	if c.Generation == 0 {
 		return nil, errors.New("configuration has no generation")
 	}
 	t := &Table{config: c, routes: make(map[netip.AddrPort]*Route, len(c.Routes))}
+	t.config.Services = nil
+	for _, s := range c.Services {
+		if err := s.check(); err != nil {
+			t.config.Skipped = append(t.config.Skipped, err)
+		} else {
+			t.config.Services = append(t.config.Services, s)
+		}
+	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		if !r.Addr.Addr().Is4() || len(r.Shares) == 0 {
@@ -133,6 +176,12 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
+// Limited returns the services whose cold upstreams bear a limited rate.
+func (t *Table) Limited() []Service { return t.config.Services }
+
+// Skipped returns the errors of the entries that were skipped.
+func (t *Table) Skipped() []error { return t.config.Skipped }
+
 // Route returns the route of an address; nil if there is none.
 func (t *Table) Route(addr netip.AddrPort) *Route {
 	if t == nil {
