Evacuation of places in the datagram programs

Cause: operators ask that nothing more be sent into a place, which the product did not know. The request is an object of kind evacuations in the store. Change: internal/evac holds the places at a version of the store, which never goes back. The balancers that watch the configuration watch this kind too, by the same code (internal/front/watcher.go, confirmation), and tell the others; those tell the agents that announce themselves to them. Digests and announcements carry what a process knows. Balancers leave the place's agents out of new flows, agents refuse by themselves and hand back what waits. Found beside it: a balancer ended by a panic when agents refused a flow of which it had tried more than 58 (offer), and when a watch call began just after the last balancer had left the view (watchWait). Both were there before. Ruled out: the first learner tells all agents (54,000 datagrams at the target size); an own state of the agents' entries (docs/design/evacuations.md).

--- /dev/null
+++ b/internal/evac/evac_test.go
@@ -0,0 +1,89 @@
+package evac
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/plat"
+)
+
+func list(v plat.Version, os ...plat.Object) plat.List { return plat.List{Version: v, Objects: os} }
+
+func want(t *testing.T, s Set, v plat.Version, places ...ident.PlaceName) {
+	t.Helper()
+	if s.Version != v || !slices.Equal(s.Places, places) {
+		t.Errorf("want %q at version %d, have %q at %d", places, v, s.Places, s.Version)
+	}
+}
+
+// TestObjects checks which objects evacuate a place: not those that name none, nor those
+// that are deleted or being deleted, whatever their values.
+func TestObjects(t *testing.T) {
+	odd := []string{"", strings.Repeat("x", maxNameBytes+1), "a\x00", "a\"", "\xff"}
+	l := list(7, plat.Object{Name: "b", Value: json.RawMessage("[")}, plat.Object{Name: "a"}, plat.Object{Name: "c", Deleting: true}, plat.Object{Name: "b"})
+	for _, n := range odd {
+		l.Objects = append(l.Objects, plat.Object{Name: n})
+	}
+	s, n := Listed(l)
+	want(t, s, 7, "a", "b")
+	if n != len(odd) {
+		t.Errorf("want %d odd objects, have %d", len(odd), n)
+	}
+	if !s.Has("a") || s.Has("c") || s.Has("") {
+		t.Errorf("have %q", s.Places)
+	}
+	after, _ := s.Apply(list(9, plat.Object{Name: "a", Deleting: true}, plat.Object{Name: "c"}, plat.Object{Name: "c", Deleted: true}, plat.Object{Name: "d"}))
+	want(t, after, 9, "b", "d")
+	want(t, s, 7, "a", "b")
+}
+
+// TestMerge checks that a set never goes back, and who has to be told of it.
+func TestMerge(t *testing.T) {
+	var s Set
+	s, changed := s.Merge(Set{Version: 5})
+	if want(t, s, 5); changed || s.Tells(0) {
+		t.Errorf("no place: changed %v, tells %v", changed, s.Tells(0))
+	}
+	s, changed = s.Merge(Set{Version: 8, Places: []ident.PlaceName{"a"}})
+	if want(t, s, 8, "a"); !changed || !s.Tells(0) || !s.Tells(7) || s.Tells(8) {
+		t.Errorf("a place: changed %v, since %d", changed, s.Since)
+	}
+	for _, o := range []Set{{Version: 8}, {Version: 7, Places: []ident.PlaceName{"b"}}} {
+		if s, changed = s.Merge(o); changed {
+			t.Errorf("version %d replaces 8", o.Version)
+		}
+	}
+	if s, changed = s.Merge(Set{Version: 20, Places: []ident.PlaceName{"a"}}); changed || s.Tells(8) {
+		t.Errorf("the same place: changed %v, since %d", changed, s.Since)
+	}
+	if s, changed = s.Merge(Set{Version: 21}); !changed || !s.Tells(20) || s.Tells(0) {
+		t.Errorf("taken back: changed %v, since %d", changed, s.Since)
+	}
+}
+
+// TestBound checks that any set fits into a datagram and comes back from it, and that
+// others are refused.
+func TestBound(t *testing.T) {
+	var l plat.List
+	for n := range 200 {
+		l.Objects = append(l.Objects, plat.Object{Name: fmt.Sprint("place", n)})
+	}
+	l.Version = 1 << 60
+	s, dropped := Listed(l)
+	b, _ := json.Marshal(s)
+	if dropped == 0 || len(s.Places)+dropped != 200 || len(b) > 1100 {
+		t.Fatalf("%d places, %d dropped, %d bytes", len(s.Places), dropped, len(b))
+	}
+	if have, ok := Parse(b); !ok || have.Version != s.Version || !slices.Equal(have.Places, s.Places) {
+		t.Errorf("have %v, %+v", ok, have)
+	}
+	for _, bad := range []string{"", "[]", `{}`, `{"places":["a"]}`, `{"version":1,"places":["b","a"]}`, `{"version":1,"places":[""]}`, `{"version":-1}`} {
+		if _, ok := Parse([]byte(bad)); ok {
+			t.Errorf("%s is accepted", bad)
+		}
+	}
+}
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -63,8 +63,11 @@
 	// Trial carries a packet to an agent that has answered Unlikely. The agent passes
 	// it to the upstream; it is not answered unless the upstream holds the flow.
 	Trial
+	// Evacuations carries the evacuated places, to balancers and to agents. The payload is
+	// JSON.
+	Evacuations
 
-	lastKind = Trial
+	lastKind = Evacuations
 )
 
 // Holds is an agent's answer whether it holds a flow.
--- a/internal/front/agents.go
+++ b/internal/front/agents.go
@@ -59,13 +59,16 @@
 	downAt time.Duration
 	// nextPing is when an agent that is down is pinged again.
 	nextPing time.Duration
+	// announcedAt is when the agent last announced itself to this balancer; 0 if it has not.
+	announcedAt time.Duration
 }
 
 // group holds the agents of one service.
 type group struct {
 	// usable holds the agents that may get new flows: the serving ones that are up, or
-	// all serving ones if fewer than minAnsweringShare of them are up. all holds the
-	// agents in any state that are up; those that are down may hold flows too.
+	// all serving ones if fewer than minAnsweringShare of them are up. Agents of evacuated
+	// places are in neither case among them. all holds the agents in any state that are up;
+	// those that are down may hold flows too.
 	usable, all *route.EndpointSet
 	// known holds all agents of the service, whether up or down.
 	known *route.EndpointSet
@@ -97,23 +100,6 @@
 	freed     []freedIndex
 }
 
-// freedIndex is the index of an agent that was removed at a time.
-type freedIndex struct {
-	index int
-	at    time.Duration
-}
-
-// newIndex returns an index for an agent.
-func (t *agentTable) newIndex(now time.Duration) int {
-	if len(t.freed) > 0 && now-t.freed[0].at > 2*searchLifetime {
-		f := t.freed[0]
-		t.freed = t.freed[1:]
-		return f.index
-	}
-	t.lastIndex++
-	return t.lastIndex
-}
-
 var emptyGroup = group{usable: route.NewGroup(nil), all: route.NewGroup(nil), known: route.NewGroup(nil)}
 
 func (t *agentTable) init() {
@@ -183,7 +169,7 @@
 			delete(t.byAddr, a)
 		}
 	}
-	t.regroup(c.self.Place)
+	t.regroup(c)
 }
 
 // update replaces the agent's entry. A new run of an agent that is down is asked at once,
@@ -207,11 +193,12 @@
 	return e.Seq > o.Seq
 }
 
-// regroup derives the groups from byAddr. own is the balancer's place.
-func (t *agentTable) regroup(own ident.PlaceName) {
+// regroup derives the groups from byAddr.
+func (t *agentTable) regroup(c *Core) {
 	type lists struct {
 		usable, all, known []route.Endpoint
-		// serving are the agents in state Serving, whether up or down.
+		// serving are the agents in state Serving outside evacuated places, whether up or
+		// down.
 		serving []route.Endpoint
 		// unreachable are the agents that are down.
 		unreachable []*agentState
@@ -227,8 +214,9 @@
 		}
 		// The instance is left out, so that a restart of an agent does not change
 		// the order.
-		e := route.Endpoint{ID: ident.EndpointID{Addr: a}, Weight: 1, Remote: st.entry.Place != own}
-		if st.entry.State == view.Serving {
+		e := route.Endpoint{ID: ident.EndpointID{Addr: a}, Weight: 1, Remote: st.entry.Place != c.self.Place}
+		open := st.entry.State == view.Serving && !c.evacuations.set.Has(st.entry.Place)
+		if open {
 			l.serving = append(l.serving, e)
 		}
 		l.known = append(l.known, e)
@@ -240,7 +228,7 @@
 		}
 		t.reachable.add(st.index)
 		l.all = append(l.all, e)
-		if st.entry.State == view.Serving {
+		if open {
 			l.usable = append(l.usable, e)
 		}
 	}
@@ -287,7 +275,7 @@
 	if st.downAt > 0 {
 		c.Log.WithField("event", "agentUp").WithField("agent", a).WithField("downFor", now-st.downAt).Info("agent answers again")
 		st.downAt = 0
-		c.agents.regroup(c.self.Place)
+		c.agents.regroup(c)
 	}
 }
 
@@ -395,6 +383,6 @@
 		}
 	}
 	if changed {
-		t.regroup(c.self.Place)
+		t.regroup(c)
 	}
 }
--- a/internal/front/agentset.go
+++ b/internal/front/agentset.go
@@ -3,6 +3,7 @@
 import (
 	"iter"
 	"math/bits"
+	"time"
 )
 
 // agentSet is a set of agents by their index.
@@ -46,3 +47,20 @@
 	}
 	return n
 }
+
+// freedIndex is the index of an agent that was removed at a time.
+type freedIndex struct {
+	index int
+	at    time.Duration
+}
+
+// newIndex returns an index for an agent.
+func (t *agentTable) newIndex(now time.Duration) int {
+	if len(t.freed) > 0 && now-t.freed[0].at > 2*searchLifetime {
+		f := t.freed[0]
+		t.freed = t.freed[1:]
+		return f.index
+	}
+	t.lastIndex++
+	return t.lastIndex
+}
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -5,6 +5,7 @@
 package front
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/bramleycourse/bramleycourse/internal/flow"
 	"github.com/bramleycourse/bramleycourse/internal/frame"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/plat"
 	"github.com/bramleycourse/bramleycourse/internal/route"
 	"github.com/bramleycourse/bramleycourse/internal/rules"
 	"github.com/bramleycourse/bramleycourse/internal/view"
@@ -70,6 +72,8 @@
 	// InterruptWatch ends a watch call that waits for a change, because an answer of
 	// the platform is overdue. WatchWait is then 0.
 	InterruptWatch func()
+	// InterruptEvacuationWatch is InterruptWatch for evacuations.
+	InterruptEvacuationWatch func()
 	// OnAgentGone is called with the address of an agent that has been down for
 	// agentForgetTime and has been marked as gone.
 	OnAgentGone func(agent netip.AddrPort)
@@ -106,6 +110,7 @@
 	nextHousekeeping, lastTick time.Duration
 	peers                      peerExchange
 	confirmed                  confirmation
+	evacuations                evacuations
 	// out, frame and ids are buffers that are reused for each datagram.
 	out   []byte
 	frame frame.Frame
@@ -131,9 +136,12 @@
 //   - Walked: walks started
 //   - Lost: flows that no agent was found to hold
 //   - Reset: flows reset because their agent is down or no agent holds them
-//   - Substituted: times that no watcher of the configuration was heard for too long
+//   - Substituted: times that no watcher of the configuration, or of evacuations, was
+//     heard for too long
+//   - Evacuations: changes of the evacuated places
+//   - OddEvacuations: objects read that evacuate nothing because they name no place
 type Counts struct {
-	Opened, Carried, Foreign, NoRoute, NoUpstream, Retried, GivenUp, Refused, Missed, Queried, Walked, Lost, Reset, Substituted uint64
+	Opened, Carried, Foreign, NoRoute, NoUpstream, Retried, GivenUp, Refused, Missed, Queried, Walked, Lost, Reset, Substituted, Evacuations, OddEvacuations uint64
 }
 
 // NewCore returns the core of a balancer that starts at now.
@@ -149,8 +157,9 @@
 		out:     make([]byte, 0, frame.MaxSize),
 	}
 	co.retries = budget.New(retryBudget, budgetTime(now))
-	co.InterruptWatch = func() {}
-	co.confirmed.init(now, s.ConfigLimit)
+	co.InterruptWatch, co.InterruptEvacuationWatch = func() {}, func() {}
+	co.confirmed.init(now, plat.KindConfig, cmp.Or(s.ConfigLimit, defaultConfigLimit), meanWatchInterval)
+	co.evacuations.confirmed.init(now, plat.KindEvacuation, s.EvacuationLimit, s.EvacuationLimit/evacuationPolls)
 	co.isolation.markAgent(now)
 	co.agents.init()
 	co.searches.init()
@@ -296,7 +305,7 @@
 		c.handleRejected(now, f)
 	case frame.Holding:
 		c.handleHolding(now, f, from)
-	case frame.Announce, frame.Digest, frame.Entries, frame.Generation:
+	case frame.Announce, frame.Digest, frame.Entries, frame.Generation, frame.Evacuations:
 		c.handleGossip(now, f, from)
 	default:
 		c.Counts.Foreign++
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -81,11 +81,8 @@
 	metrics      *node.Metrics
 	parts        *node.Parts
 	// ready is set while the balancer has a configuration and is not stopping.
-	ready, stopping atomic.Bool
-	// cancelWatch cancels the watch call in progress.
-	cancelWatch atomic.Pointer[context.CancelFunc]
-	// wake ends the pause of a balancer that does not watch. It holds one signal.
-	wake chan struct{}
+	ready, stopping              atomic.Bool
+	configWatch, evacuationWatch *watcher
 	// packets counts packets from callers; it is accessed only in the loop.
 	packets uint64
 }
@@ -107,7 +104,6 @@
 		store:    store,
 		config:   o,
 		http:     &http.Client{Transport: node.Transport()},
-		wake:     make(chan struct{}, 1),
 	}
 	b.parts = node.NewParts(b.loop, log)
 	var err error
@@ -134,7 +130,10 @@
 			go b.removeAgent(agent)
 		}
 	}
-	b.core.InterruptWatch = b.interruptWatch
+	b.configWatch = newWatcher(b, &b.core.confirmed, b.applyConfigs)
+	b.core.InterruptWatch = b.configWatch.interrupt
+	b.evacuationWatch = newWatcher(b, &b.core.evacuations.confirmed, b.applyEvacuations)
+	b.core.InterruptEvacuationWatch = b.evacuationWatch.interrupt
 	b.core.FetchConfig = func(from netip.AddrPort) { go b.fetchNewer(from) }
 	return b, nil
 }
@@ -156,7 +155,10 @@
 	b.loop.Attach(node.Ticker{Tick: b.core.Tick, Due: b.core.Due})
 	b.parts.Spawn(func() { b.loop.Serve(b.callerSocket, b.handleCallerPacket) })
 	b.parts.Spawn(func() { b.loop.Serve(b.peerSocket, b.core.FromAgent) })
-	b.parts.Spawn(func() { b.watchConfig(ctx) })
+	b.parts.Spawn(func() { b.configWatch.run(ctx) })
+	if s := b.settings; s.EvacuationLimit > 0 {
+		b.parts.Spawn(func() { b.evacuationWatch.run(ctx) })
+	}
 	b.parts.Spawn(func() { b.register(ctx) })
 	b.log.WithFields(logrus.Fields{
 		"event": "start", "place": b.settings.Place, "hop": b.settings.Hop, "peer": b.settings.Peer, "seeds": b.settings.Seeds,
@@ -178,6 +180,7 @@
 		m.Counter("sendFailures", b.callerSocket.Failed+b.peerSocket.Failed)
 		m.Gauge("generation", float64(b.core.Rules().Generation()))
 		m.Gauge("balancers", float64(1+len(b.core.Peers())))
+		m.Gauge("evacuatedPlaces", float64(len(b.core.Evacuations().Places)))
 		m.Gauge("hints", float64(b.core.hints.Len()))
 		m.Gauge("members", float64(b.core.MemberCount()))
 		m.Gauge("agents", float64(b.core.AgentCount()))
--- a/internal/front/offer.go
+++ b/internal/front/offer.go
@@ -155,7 +155,7 @@
 
 // offer sends the packet to agents that have not been tried yet.
 func (c *Core) offer(now time.Duration, o *pendingOpening) {
-	n := c.agents.group(o.service).usable.Rank(o.key.Hash(), maxLocalCandidates, c.ids[:maxOfferCandidates+len(o.tried)])
+	n := c.agents.group(o.service).usable.Rank(o.key.Hash(), maxLocalCandidates, c.ids[:min(maxOfferCandidates+len(o.tried), len(c.ids))])
 	f := c.openingFrame(frame.Offer, o)
 	o.offered = o.offered[:0]
 	for _, id := range c.ids[:n] {
@@ -203,7 +203,7 @@
 // or that one agent rejected because it is full, because its upstream no longer
 // takes flows, or because the packet expired in its queue. It offers the packet to
 // the remaining agents if no listed candidate takes flows at all, and rejects the
-// flow otherwise.
+// flow otherwise. An agent whose place is evacuated lists none: the others were not asked.
 func (c *Core) handleRefused(now time.Duration, f *frame.Frame, from netip.AddrPort) {
 	c.Counts.Refused++
 	p, ok := c.codec.Decode(f.Payload)
@@ -226,7 +226,10 @@
 	}
 	if o := c.pending.byKey[k]; o != nil {
 		again.offerCount = o.offerCount
-		again.tried = append(append(again.tried, o.tried...), o.offered...)
+		again.tried = append(again.tried, o.tried...)
+		if len(f.Candidates) > 0 {
+			again.tried = append(again.tried, o.offered...)
+		}
 	}
 	c.pending.drop(k)
 	c.hints.Drop(k, from)
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -8,8 +8,10 @@
 	"slices"
 	"time"
 
+	"github.com/bramleycourse/bramleycourse/internal/evac"
 	"github.com/bramleycourse/bramleycourse/internal/frame"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/plat"
 	"github.com/bramleycourse/bramleycourse/internal/view"
 )
 
@@ -63,6 +65,9 @@
 	// ConfirmedMillis is the time since the last answer of the platform about the
 	// configuration that the sender knows of, plus one. Only earlier versions read it.
 	ConfirmedMillis int64 `json:"confirmedMillis,omitempty"`
+	// Evacuations is the version of the evacuated places that the sender knows; 0 if it
+	// knows of none.
+	Evacuations plat.Version `json:"evacuations,omitempty"`
 	// Answer is set on a Digest that answers another one; it gets no answer itself.
 	Answer bool `json:"answer,omitempty"`
 }
@@ -167,7 +172,7 @@
 	}
 	c.sendJSON(frame.Digest, digestBody{
 		Self: self, Generation: c.rules.Generation(), Buckets: buckets, Answer: answer,
-		ConfirmedMillis: 1 + (now - c.confirmed.at).Milliseconds(),
+		ConfirmedMillis: 1 + (now - c.confirmed.at).Milliseconds(), Evacuations: c.evacuations.set.Version,
 	}, to)
 }
 
@@ -204,7 +209,7 @@
 	}
 }
 
-// handleGossip handles messages about views and generations.
+// handleGossip handles messages about views, generations and evacuations.
 func (c *Core) handleGossip(now time.Duration, f *frame.Frame, from netip.AddrPort) {
 	switch f.Kind {
 	case frame.Generation:
@@ -228,13 +233,16 @@
 			return
 		}
 		c.mergeItems(now, items)
+	case frame.Evacuations:
+		c.handleEvacuations(now, f, from)
 	case frame.Announce:
-		var i view.Item
-		if json.Unmarshal(f.Payload, &i) != nil || i.Key.IsBalancer() {
+		var a announcement
+		if json.Unmarshal(f.Payload, &a) != nil || a.Key.IsBalancer() {
 			c.Counts.Foreign++
 			return
 		}
-		c.handleAnnounce(now, i, from)
+		c.handleAnnounce(now, a.Item, from)
+		c.noteAnnounced(now, a.Evacuations, from)
 	}
 }
 
@@ -254,6 +262,7 @@
 		c.sendDigest(now, from, true)
 	}
 	c.noteGeneration(now, d.Generation, from)
+	c.tellEvacuations(d.Evacuations, from)
 }
 
 // noteGeneration schedules reading a newer configuration. A balancer that watches the
@@ -285,6 +294,13 @@
 	p.newerGeneration = 0
 }
 
+// announcement is the payload of an Announce.
+type announcement struct {
+	view.Item
+	// Evacuations are the evacuated places that the agent knows; nil if it was told of none.
+	Evacuations *evac.Set `json:"evacuations"`
+}
+
 // handleAnnounce handles the announcement of an agent. Other entries at its
 // address belong to processes that have ended.
 func (c *Core) handleAnnounce(now time.Duration, i view.Item, from netip.AddrPort) {
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -59,125 +59,28 @@
 	noPeersInterval = 10 * time.Second
 )
 
-// watchConfig keeps the configuration up to date with the platform.
-func (b *Balancer) watchConfig(ctx context.Context) {
-	var since plat.Version
-	retry, patient := minRetry, false
-	for ctx.Err() == nil {
-		if b.store.OverBudget() {
-			sleep(ctx, overBudgetPause)
-		}
-		if since > 0 && !b.watches() {
-			b.pause(ctx, watcherCheckInterval)
-			continue
-		}
-		v, err := b.pollConfig(ctx, since, patient, platformSource)
-		if err == nil {
-			since, retry, patient = v, minRetry, false
-			continue
-		}
-		patient = !patient && b.overdue()
-		var gone *plat.GoneError
-		if errors.As(err, &gone) && since > 0 {
-			since = 0
-			continue
-		}
-		if errors.Is(err, errInterrupted) {
-			continue
-		}
-		sleep(ctx, retry/2+rand.N(retry))
-		retry = min(2*retry, maxRetry)
-	}
-}
-
-// errInterrupted is the result of a watch call that was ended by interruptWatch.
-var errInterrupted = errors.New("watch call interrupted")
-
-// interruptWatch ends the watch call that waits for a change, or the pause of a balancer
-// that does not watch.
-func (b *Balancer) interruptWatch() {
-	if interrupt := b.cancelWatch.Swap(nil); interrupt != nil {
-		(*interrupt)()
-	}
-	select {
-	case b.wake <- struct{}{}:
-	default:
-	}
-}
-
-// pause sleeps until interruptWatch is called.
-func (b *Balancer) pause(ctx context.Context, d time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, d)
-	defer cancel()
-	select {
-	case <-b.wake:
-	case <-ctx.Done():
+// applyConfigs handles an answer of the platform about the configuration to a watcher.
+func (b *Balancer) applyConfigs(l plat.List, _ bool) {
+	before := b.Generation()
+	b.applyList(l, platformSource)
+	if b.Generation() > before || b.configWatch.watching() {
+		b.loop.Do(func(time.Duration) { b.core.AnnounceGeneration() })
 	}
 }
 
-// overdue reports whether an answer of the platform is overdue.
-func (b *Balancer) overdue() (overdue bool) {
-	b.loop.Do(func(now time.Duration) { overdue = b.core.confirmed.overdue(now) })
-	return overdue
-}
-
-// watches reports whether this balancer is to watch the configuration.
-func (b *Balancer) watches() (watches bool) {
-	b.loop.Do(func(now time.Duration) { watches = b.core.Watches(now) })
-	return watches
-}
-
-// pollConfig reads the configuration if since is zero, and otherwise waits for a
-// change; patiently if the last call has failed. It returns the version to continue from, which is the version of the
-// list: the configuration's own version may be older than the store's history.
-func (b *Balancer) pollConfig(ctx context.Context, since plat.Version, patient bool, source string) (plat.Version, error) {
-	var (
-		l   plat.List
-		err error
-	)
-	switch {
-	case since == 0:
-		l, err = b.store.List(ctx, plat.KindConfig)
-	case patient:
-		l, err = b.store.Watch(ctx, plat.KindConfig, since, patientWait)
-	default:
-		l, err = b.watchOnce(ctx, since)
-	}
-	if err != nil {
-		return 0, err
-	}
-	before := b.Generation()
+// applyList puts the configuration in a list in force.
+func (b *Balancer) applyList(l plat.List, source string) {
 	b.loop.Do(b.core.NoteConfirmed)
 	for _, o := range l.Objects {
 		if o.Name == b.config.Name && !o.Deleted {
 			b.applyObject(o, source)
 		}
 	}
-	if source == platformSource && (b.Generation() > before || b.watches()) {
-		b.loop.Do(func(time.Duration) { b.core.AnnounceGeneration() })
-	}
-	return max(since, l.Version), nil
 }
 
-// watchOnce waits for a change. The call is canceled when a configuration is read from a
-// peer, because the watch has then missed it, and when an answer of the platform is
-// overdue.
-func (b *Balancer) watchOnce(ctx context.Context, since plat.Version) (plat.List, error) {
-	var wait time.Duration
-	b.loop.Do(func(now time.Duration) { wait = b.core.WatchWait(now) })
-	if wait == 0 {
-		ctx, cancel := context.WithTimeout(ctx, overdueTimeout)
-		defer cancel()
-		return b.store.Watch(ctx, plat.KindConfig, since, minWatchWait)
-	}
-	waiting, interrupt := context.WithTimeout(ctx, wait+watchSlack)
-	defer interrupt()
-	b.cancelWatch.Store(&interrupt)
-	l, err := b.store.Watch(waiting, plat.KindConfig, since, wait)
-	if err != nil && errors.Is(waiting.Err(), context.Canceled) && ctx.Err() == nil {
-		err = errInterrupted
-	}
-	return l, err
+// applyEvacuations handles an answer of the platform about evacuations.
+func (b *Balancer) applyEvacuations(l plat.List, complete bool) {
+	b.loop.Do(func(now time.Duration) { b.core.NoteEvacuations(now, l, complete) })
 }
 
 // applyObject puts the operator's configuration in force. If it cannot be
@@ -212,12 +115,15 @@
 // balancer that has announced it is asked.
 func (b *Balancer) fetchNewer(from netip.AddrPort) {
 	before := b.Generation()
-	if !b.watches() {
+	if !b.configWatch.watching() {
 		ctx, cancel := context.WithTimeout(context.Background(), announcedTimeout)
 		defer cancel()
 		// The client logs when calls begin to fail.
-		if _, err := b.pollConfig(ctx, 0, false, announcedSource); err == nil && b.Generation() > before {
-			return
+		if l, err := b.store.List(ctx, plat.KindConfig); err == nil {
+			b.applyList(l, announcedSource)
+			if b.Generation() > before {
+				return
+			}
 		}
 	}
 	b.fetchFromPeer(from)
@@ -239,7 +145,7 @@
 		return
 	}
 	b.applyConfig(t, from.String())
-	b.interruptWatch()
+	b.configWatch.interrupt()
 }
 
 func (b *Balancer) readPeerConfig(ctx context.Context, from netip.AddrPort) (*rules.Table, error) {
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/plat"
 	"github.com/bramleycourse/bramleycourse/internal/view"
 )
 
@@ -36,10 +37,14 @@
 	watcherCheckInterval = 500 * time.Millisecond
 )
 
-// confirmation records when the platform last answered a balancer about the
-// configuration. The watchers tell all balancers of each answer, so a longer silence
+// confirmation records when the platform last answered a balancer about one kind of
+// objects: the configuration or the evacuations. The watchers tell all balancers of each answer, so a longer silence
 // means that they have failed, have lost the platform, or are not heard.
 type confirmation struct {
+	// kind is the kind of the objects.
+	kind plat.Kind
+	// interval is the mean time between two watch calls of all watchers together.
+	interval time.Duration
 	// at is the time of the latest answer; the start of the balancer before the first.
 	at time.Duration
 	// limit is the age of the latest answer from which on it is overdue.
@@ -50,10 +55,9 @@
 	substitute bool
 }
 
-func (c *confirmation) init(now, configLimit time.Duration) {
-	configLimit = cmp.Or(configLimit, defaultConfigLimit)
-	c.at = now
-	c.limit = time.Duration((minOverdueShare + maxOverdueSpread*rand.Float64()) * float64(configLimit))
+func (c *confirmation) init(now time.Duration, k plat.Kind, limit, interval time.Duration) {
+	c.kind, c.at, c.interval = k, now, interval
+	c.limit = time.Duration((minOverdueShare + maxOverdueSpread*rand.Float64()) * float64(limit))
 }
 
 // overdue reports whether there was no answer for too long.
@@ -79,64 +83,97 @@
 	return append(watchers, others[:min(missing, len(others))]...)
 }
 
-// Watches reports whether this balancer is to watch the configuration on the platform:
-// if it is a watcher, or stands in for watchers of which nothing is heard. A balancer
-// that has just started first gets to know the others.
-func (c *Core) Watches(now time.Duration) bool {
+// Watches reports whether this balancer is to watch the configuration on the platform.
+func (c *Core) Watches(now time.Duration) bool { return c.watches(now, &c.confirmed) }
+
+// WatchesEvacuations reports whether this balancer is to watch the evacuations on the
+// platform.
+func (c *Core) WatchesEvacuations(now time.Duration) bool {
+	return c.watches(now, &c.evacuations.confirmed)
+}
+
+// watches reports whether this balancer is to watch objects on the platform: if it is a
+// watcher, or stands in for watchers of which nothing is heard. A balancer that has just
+// started first gets to know the others.
+func (c *Core) watches(now time.Duration, o *confirmation) bool {
 	if len(c.view.Balancers()) == 1 && now-c.started < meetTime {
 		return false
 	}
-	return c.confirmed.substitute || c.confirmed.overdue(now) || c.isWatcher()
+	return o.substitute || o.overdue(now) || c.isWatcher()
 }
 
 func (c *Core) isWatcher() bool { return slices.Contains(watchersOf(c.view.Balancers()), c.ownKey()) }
 
-// WatchWait returns how long the next watch call is to wait for a change. The wait is
+// WatchWait returns how long the next watch call for the configuration is to wait for a
+// change. If an answer of the platform is overdue, the result is 0.
+func (c *Core) WatchWait(now time.Duration) time.Duration { return c.watchWait(now, &c.confirmed) }
+
+// EvacuationWait returns how long the next watch call for evacuations is to wait.
+func (c *Core) EvacuationWait(now time.Duration) time.Duration {
+	return c.watchWait(now, &c.evacuations.confirmed)
+}
+
+// watchWait returns how long the next watch call is to wait for a change. The wait is
 // random to spread the calls of the watchers over time. If an answer of the platform is
 // overdue, the result is 0.
-func (c *Core) WatchWait(now time.Duration) time.Duration {
-	if c.confirmed.overdue(now) {
+func (c *Core) watchWait(now time.Duration, o *confirmation) time.Duration {
+	if o.overdue(now) {
 		return 0
 	}
-	watchers := len(watchersOf(c.view.Balancers()))
-	wait := min(time.Duration(watchers)*meanWatchInterval, maxWatchWait)
-	if c.confirmed.substitute {
-		wait = min(wait, c.confirmed.limit/2)
+	watchers := max(1, len(watchersOf(c.view.Balancers()))) // None after the stop of the last one.
+	wait := min(time.Duration(watchers)*o.interval, maxWatchWait)
+	if o.substitute {
+		wait = min(wait, o.limit/2)
 	}
 	return wait/2 + rand.N(wait)
 }
 
-// checkOverdue makes this balancer a substitute if an answer of the platform is overdue.
+// checkOverdue makes this balancer a substitute for the watchers of each kind of which an
+// answer of the platform is overdue.
 func (c *Core) checkOverdue(now time.Duration) {
-	if !c.confirmed.overdue(now) || c.stopped {
+	c.replaceWatchers(now, &c.confirmed, c.InterruptWatch)
+	if c.Evacuates() {
+		c.replaceWatchers(now, &c.evacuations.confirmed, c.InterruptEvacuationWatch)
+	}
+}
+
+// replaceWatchers makes this balancer a substitute if an answer of the platform is overdue.
+func (c *Core) replaceWatchers(now time.Duration, o *confirmation, interrupt func()) {
+	if !o.overdue(now) || c.stopped {
 		return
 	}
-	if !c.confirmed.substitute {
-		c.confirmed.substitute = true
+	if !o.substitute {
+		o.substitute = true
 		c.Counts.Substituted++
 		c.Log.WithFields(logrus.Fields{
-			"event": "watchersSilent", "silentFor": now - c.confirmed.at, "watcher": c.isWatcher(), "balancers": 1 + len(c.Peers()),
-		}).Warn("no balancer reports an answer of the platform; reading the configuration")
+			"event": "watchersSilent", "kind": o.kind, "silentFor": now - o.at, "watcher": c.isWatcher(), "balancers": 1 + len(c.Peers()),
+		}).Warn("no balancer reports an answer of the platform; reading it")
 	}
-	c.InterruptWatch()
+	interrupt()
 }
 
 // NoteConfirmed records that the platform has answered this balancer about the
 // configuration.
 func (c *Core) NoteConfirmed(now time.Duration) { c.confirmed.at = now }
 
-// noteWatcher records that the platform has answered another balancer.
+// noteWatcher records that the platform has answered another balancer about the
+// configuration.
 func (c *Core) noteWatcher(now time.Duration, peer netip.AddrPort) {
-	c.confirmed.at = now
-	if !c.confirmed.substitute {
+	c.noteAnswer(now, &c.confirmed, peer)
+}
+
+// noteAnswer records that the platform has answered another balancer.
+func (c *Core) noteAnswer(now time.Duration, o *confirmation, peer netip.AddrPort) {
+	o.at = now
+	if !o.substitute {
 		return
 	}
 	bs := c.view.Balancers()
 	watchers := watchersOf(bs)
 	for _, e := range bs {
 		if e.Peer == peer && slices.Contains(watchers, e.Key) {
-			c.confirmed.substitute = false
-			c.Log.WithFields(logrus.Fields{"event": "watchersHeard", "watcher": peer}).Info("a watcher has an answer of the platform again")
+			o.substitute = false
+			c.Log.WithFields(logrus.Fields{"event": "watchersHeard", "kind": o.kind, "watcher": peer}).Info("a watcher has an answer of the platform again")
 			return
 		}
 	}
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/bramleycourse/bramleycourse/internal/evac"
 	"github.com/bramleycourse/bramleycourse/internal/flow"
 	"github.com/bramleycourse/bramleycourse/internal/frame"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
@@ -112,8 +113,10 @@
 	// flow is not in the table.
 	trials       map[flow.Key]*trial
 	registration registration
-	outcomes     outcomes
-	latency      latency
+	// evacuations are the evacuated places that the agent knows.
+	evacuations evac.Set
+	outcomes    outcomes
+	latency     latency
 	// meanBusy is a moving average of the load, last updated at meanBusyAt.
 	meanBusy   float64
 	meanBusyAt time.Duration
@@ -145,8 +148,11 @@
 //   - Held: opening packets put into the queue
 //   - Doubted: reports of the upstream that were ignored because they are not newer
 //   - Broken: requests answered by a reset or with an unusual response time
+//   - Evacuated: times that the agent learned that its place is evacuated
+//   - HandedBack: opening packets that waited when the place was evacuated, returned to
+//     their balancers
 type Counts struct {
-	Taken, Forwarded, Refused, Foreign, WrongService, Missed, Returned, Recovered, Tried, Reset, Unanswered, Full, Held, Doubted, Broken uint64
+	Taken, Forwarded, Refused, Foreign, WrongService, Missed, Returned, Recovered, Tried, Reset, Unanswered, Full, Held, Doubted, Broken, Evacuated, HandedBack uint64
 }
 
 // NewCore returns the core of an agent that starts at the time now.
@@ -194,6 +200,8 @@
 		c.send(&frame.Frame{Kind: frame.Pong}, from)
 	case frame.Entries:
 		c.registration.handleEntries(now, f.Payload, from, c)
+	case frame.Evacuations:
+		c.handleEvacuations(now, f, from)
 	default:
 		c.Counts.Foreign++
 	}
@@ -209,7 +217,7 @@
 		Slots:    c.upstream.slots(now),
 		Busy:     busy,
 		MeanBusy: c.meanBusy,
-		Closed:   !c.upstream.accepts() || c.upstream.stalled(now) || c.leaving,
+		Closed:   !c.upstream.accepts() || c.upstream.stalled(now) || c.leaving || c.evacuated(),
 		Failing:  c.outcomes.failing,
 	}
 }
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -266,6 +266,7 @@
 		m.Gauge("brokenShare", a.core.outcomes.failureShare)
 		m.Gauge("depth", float64(l.Depth()))
 		m.Gauge("workSeconds", a.core.table.Work().Seconds())
+		m.Gauge("evacuated", boolGauge(a.core.evacuated()))
 		m.Gauge("balancersKnown", float64(len(a.core.registration.balancers)))
 		m.Gauge("reportAgeSeconds", (now - a.core.upstream.reportAt).Seconds())
 	})
@@ -273,6 +274,14 @@
 	m.Shared(a.store, a.out)
 }
 
+// boolGauge returns 1 for true and 0 for false.
+func boolGauge(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // control handles signals until the agent may exit. If the upstream has
 // deregistered, it waits for the removal of the entry from the platform's list.
 func (a *Agent) control(signals <-chan os.Signal, reload func() ([]netip.AddrPort, bool)) {
--- a/internal/hostd/opening.go
+++ b/internal/hostd/opening.go
@@ -57,6 +57,10 @@
 		c.Counts.Forwarded++
 		c.send(f, f.Candidates[f.Position].Addr)
 	case admit.Refuse:
+		if f.Kind == frame.Placed && c.evacuated() {
+			// The agent was chosen while it was open. Another one may still take the flow.
+			f.Candidates = nil
+		}
 		c.refuse(f)
 	}
 }
@@ -149,6 +153,10 @@
 	if c.waiting.Len() == 0 {
 		return
 	}
+	if c.evacuated() {
+		c.handBackWaiting(now)
+		return
+	}
 	if !c.upstream.accepts() || c.leaving || c.upstream.stalled(now) {
 		c.rejectWaiting(now, "upstreamClosed", c.waiting.Clear()...)
 		return
--- a/internal/hostd/registration.go
+++ b/internal/hostd/registration.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/bramleycourse/bramleycourse/internal/evac"
 	"github.com/bramleycourse/bramleycourse/internal/flow"
 	"github.com/bramleycourse/bramleycourse/internal/frame"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
@@ -132,13 +133,29 @@
 	return addrs
 }
 
+// announcement is the payload of an Announce.
+type announcement struct {
+	view.Item
+	// Evacuations are the evacuated places that the agent knows; nil if it was told of none.
+	Evacuations *evac.Set `json:"evacuations,omitempty"`
+}
+
+// knownEvacuations returns the evacuated places to announce; nil if the agent knows nothing
+// of the platform.
+func (c *Core) knownEvacuations() *evac.Set {
+	if c.evacuations.Version == 0 {
+		return nil
+	}
+	return &c.evacuations
+}
+
 func (c *Core) announce(now time.Duration) {
 	r := &c.registration
 	e := view.Entry{
 		Key:   view.Key{Hop: c.self.Hop, Instance: c.self.Instance},
 		State: r.state, Seq: r.seq, Service: c.upstream.service, Place: c.self.Place,
 	}
-	b, err := json.Marshal(view.Item{Entry: e})
+	b, err := json.Marshal(announcement{view.Item{Entry: e}, c.knownEvacuations()})
 	if err != nil {
 		c.Log.WithError(err).Error("announcement cannot be encoded")
 		return
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -24,6 +24,9 @@
 	KindConfig   Kind = "config"
 	KindEndpoint Kind = "endpoint"
 	KindBalancer Kind = "balancer"
+	// KindEvacuation is the kind of the objects with which operators evacuate places. An
+	// object is named after its place.
+	KindEvacuation Kind = "evacuation"
 )
 
 // Version is the version of an object or of the whole store; each write to the
@@ -37,6 +40,8 @@
 	Value   json.RawMessage `json:"value,omitempty"`
 	// Deleted marks the removal of an object in a watch result.
 	Deleted bool `json:"deleted,omitempty"`
+	// Deleting marks an object that is to be removed once others have finished with it.
+	Deleting bool `json:"deleting,omitempty"`
 }
 
 // List is the result of a list or watch call.
