Evacuate a place in the HTTP/3 product

Cause: operators had no way to keep new flows out of a place. A share of weight 0 is per service, only balancers obey it, and it overwrites the weight. Change: the declaration gets the field evacuated. Balancers leave endpoints of such places out before they look at health, so that no fallback brings them back. Agents refuse by themselves, with the path of a drain, and answer probes as draining. A service that has endpoints only there is refused at once with CONNECTION_REFUSED by the balancer, which needs no certificate for it. apply warns about such services. Open flows go on; no GOAWAY is sent, because an agent does not know whether the service has an upstream elsewhere. Ruled out: sending flows into the place to be refused there, as an agent with an older configuration would take them.

--- a/cmd/bramleycourse/apply.go
+++ b/cmd/bramleycourse/apply.go
@@ -72,6 +72,9 @@
 	defer cancel()
 	a := apply{applyCmd: c, next: d}
 	client := plat.New(c.Platform, platformTimeout)
+	for _, w := range evacuationWarnings(ctx, client, d) {
+		fmt.Fprintln(c.out, "warning:", w)
+	}
 	v, err := client.PutOnce(ctx, plat.KindConfig, d.Name, a.nextObject)
 	if err == nil {
 		fmt.Fprintf(c.out, "configuration %q: generation %d accepted at version %d\n", d.Name, a.base+1, v)
--- a/cmd/bramleycourse/apply_test.go
+++ b/cmd/bramleycourse/apply_test.go
@@ -143,3 +143,33 @@
 		t.Errorf("want status %d, have %d and %q", exitUnknown, status, out)
 	}
 }
+
+// TestApplyEvacuation guards against an evacuation that leaves a service without
+// upstreams and is applied without a warning, and against one that is refused.
+func TestApplyEvacuation(t *testing.T) {
+	_, url := startPlatform(t, nil)
+	client := plat.New(url, time.Second)
+	for name, value := range map[string]string{
+		"e1": `{"state": "serving", "service": "map", "place": "namur-a"}`,
+		"e2": `{"state": "draining", "service": "map", "place": "namur-b"}`,
+		"e3": `{"state": "serving", "service": "trek", "place": "namur-a"}`,
+		"e4": `{"state": "serving", "service": "trek", "place": "namur-b"}`,
+	} {
+		if _, err := client.Put(t.Context(), plat.KindEndpoint, name, json.RawMessage(value), 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	const at = `"services": [`
+	out, status := runApply(t, applyCmd{Platform: url}, at, `"evacuated": ["namur-a"], `+at)
+	if status != 0 || !strings.Contains(out, "warning: service map: all 1 serving upstreams are in evacuated places") || strings.Contains(out, "service trek: all") {
+		t.Errorf("want a warning about map only, have status %d and %q", status, out)
+	}
+	out, status = runApply(t, applyCmd{Platform: url}, at, `"evacuated": ["namur-a", "namur-b", "liege-c"], `+at)
+	if status != 0 || strings.Count(out, "warning:") != 2 || !strings.Contains(out, "~ place liege-c: evacuated no -> yes") {
+		t.Errorf("want a warning for each service, have status %d and %q", status, out)
+	}
+	out, status = runApply(t, applyCmd{Platform: url}, "", "")
+	if status != 0 || strings.Contains(out, "warning:") || !strings.Contains(out, "~ place namur-a: evacuated yes -> no") {
+		t.Errorf("want the place taken back without a warning, have status %d and %q", status, out)
+	}
+}
--- a/cmd/bramleycourse/status.go
+++ b/cmd/bramleycourse/status.go
@@ -44,8 +44,11 @@
 	AgeSeconds *float64 `json:"ageSeconds"`
 	// Behind is true if a higher generation is accepted by the platform or in
 	// force on another process.
-	Behind bool   `json:"behind"`
-	Error  string `json:"error,omitempty"`
+	Behind bool `json:"behind"`
+	// Evacuated is true if the agent takes no new flows because its place is
+	// evacuated.
+	Evacuated bool   `json:"evacuated,omitempty"`
+	Error     string `json:"error,omitempty"`
 }
 
 // report is the status of all processes.
@@ -88,6 +91,7 @@
 	State   string `json:"state"`
 	Service string `json:"service"`
 	Place   string `json:"place"`
+	Group   string `json:"group"`
 	Admin   string `json:"admin"`
 }
 
@@ -147,6 +151,7 @@
 type stateDump struct {
 	State         string            `json:"state"`
 	Service       string            `json:"service"`
+	Evacuated     bool              `json:"evacuated"`
 	Generation    *ident.Generation `json:"generation"`
 	Configuration *struct {
 		Generation ident.Generation `json:"generation"`
@@ -170,6 +175,7 @@
 	}
 	age := id.UptimeSeconds
 	p.Role, p.AgeSeconds, p.Generation = id.Role, &age, d.Generation
+	p.Evacuated = d.Evacuated
 	if p.Name == unknownName {
 		// An agent reports its service as its name, so the unique name from the
 		// platform is preferred.
@@ -214,6 +220,9 @@
 		if p.AgeSeconds != nil {
 			age = time.Duration(*p.AgeSeconds * float64(time.Second)).Round(time.Second).String()
 		}
+		if p.Evacuated {
+			note = "evacuated"
+		}
 		if p.Behind {
 			note = "behind"
 		}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -55,6 +55,9 @@
 	// configured is false until the first configuration arrives. Until then the
 	// limits and the stream paths are unknown, and a feed would occupy a slot.
 	configured atomic.Bool
+	// evacuated is true while the configuration in force evacuates the agent's
+	// place.
+	evacuated  atomic.Bool
 	started    time.Time
 	announcer  *announcer
 	handshakes handshakes
@@ -155,16 +158,32 @@
 	a.handler.configure(decl.Service{Name: a.settings.Service})
 }
 
+// accept puts a configuration in force.
+func (a *Agent) accept(c *config.Accepted) {
+	a.Configure(c.Declaration)
+	a.configured.Store(true)
+	evacuated := c.Declaration.Evacuates(decl.PlaceName(a.settings.Place))
+	if a.evacuated.Swap(evacuated) != evacuated {
+		log := a.process.Log.WithField("place", a.settings.Place).WithField("generation", c.Generation)
+		if evacuated {
+			log.Warn("place evacuated: no new flows")
+		} else {
+			log.Info("place taken back")
+		}
+	}
+	a.updateDraining()
+}
+
 // serving reports whether probe answers and the state dump show the agent as
 // serving. The announced entry does not depend on it.
 func (a *Agent) serving() bool {
-	return view.State(a.state.Load()) == view.Serving && a.configured.Load() && a.health.healthy()
+	return view.State(a.state.Load()) == view.Serving && a.configured.Load() && !a.evacuated.Load() && a.health.healthy()
 }
 
 // updateDraining sets whether the gate is draining: it is unless this agent can
 // serve new flows.
 func (a *Agent) updateDraining() {
-	a.admission.setDraining(view.State(a.state.Load()) != view.Serving || !a.configured.Load() || !a.health.reachable())
+	a.admission.setDraining(view.State(a.state.Load()) != view.Serving || !a.configured.Load() || a.evacuated.Load() || !a.health.reachable())
 }
 
 // configWait is how long after its start an agent without a configuration drops
@@ -230,9 +249,11 @@
 	Generation ident.Generation `json:"generation"`
 	State      string           `json:"state"`
 	Serving    bool             `json:"serving"`
-	Service    string           `json:"service"`
-	Requests   uint64           `json:"requests"`
-	Admission  admit.Stats      `json:"admission"`
+	// Evacuated is true while the agent's place is evacuated.
+	Evacuated bool        `json:"evacuated,omitempty"`
+	Service   string      `json:"service"`
+	Requests  uint64      `json:"requests"`
+	Admission admit.Stats `json:"admission"`
 	// ConnectionsByKey counts the open connections by the number of the key
 	// that was current when they were opened. A key may be dropped when its
 	// count is 0.
@@ -254,6 +275,7 @@
 		Sessions:         a.announcer.State(),
 		State:            view.State(a.state.Load()).String(),
 		Serving:          a.serving(),
+		Evacuated:        a.evacuated.Load(),
 		Service:          a.settings.Service,
 		Requests:         a.handler.requests.Load(),
 		Admission:        a.admission.stats(),
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -161,11 +161,7 @@
 	if err != nil {
 		return err
 	}
-	n.OnConfig = func(c *config.Accepted) {
-		a.Configure(c.Declaration)
-		a.configured.Store(true)
-		a.updateDraining()
-	}
+	n.OnConfig = a.accept
 	n.OnBalancers = a.setBalancers
 	a.announcer = n
 	a.setState = n.SetState
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -9,6 +9,7 @@
 	"github.com/bramleycourse/bramleycourse/internal/config"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/plat"
+	"github.com/bramleycourse/bramleycourse/pkg/decl"
 )
 
 // Values of the log field source of a configuration.
@@ -47,7 +48,8 @@
 	log = log.WithField("generation", c.Generation)
 	b.confMu.Lock()
 	defer b.confMu.Unlock()
-	if old := b.conf.Load(); old != nil && old.Generation >= c.Generation {
+	old := b.conf.Load()
+	if old != nil && old.Generation >= c.Generation {
 		if old.Generation == c.Generation && !bytes.Equal(old.Value, c.Value) {
 			b.configConflict(c.Generation)
 		}
@@ -58,6 +60,26 @@
 	b.members.node.SetConfig(c.Generation, c.Value)
 	b.members.requestRebuild(true)
 	log.Info("configuration in force")
+	b.logEvacuations(old, c)
+}
+
+// logEvacuations logs which places a configuration evacuates or takes back.
+func (b *Balancer) logEvacuations(old, next *config.Accepted) {
+	before := &decl.Declaration{}
+	if old != nil {
+		before = old.Declaration
+	}
+	log := b.frame.Log.WithField("generation", next.Generation)
+	for _, p := range next.Declaration.Evacuated {
+		if !before.Evacuates(p) {
+			log.WithField("place", p).Warn("place evacuated")
+		}
+	}
+	for _, p := range before.Evacuated {
+		if !next.Declaration.Evacuates(p) {
+			log.WithField("place", p).Info("place taken back")
+		}
+	}
 }
 
 func (b *Balancer) configConflict(g ident.Generation) {
--- a/internal/relay/counters.go
+++ b/internal/relay/counters.go
@@ -28,6 +28,7 @@
 	wrongService
 	foreignNetwork
 	noEndpoint
+	evacuated
 	noSuchPort
 	replyTooLong
 	replyAddress
@@ -47,6 +48,7 @@
 	established: "established", newFlow: "newFlows", reply: "replies", ping: "pings", probeAnswer: "probeAnswers",
 	malformed: "malformed", tooLong: "tooLong", unknownID: "unknownID", unknownKey: "unknownKey",
 	wrongService: "wrongService", foreignNetwork: "foreignNetwork", noEndpoint: "noEndpoint",
+	evacuated:  "evacuated",
 	noSuchPort: "noSuchPort", replyTooLong: "replyTooLong", replyAddress: "replyAddress",
 	hopKind: "hopKind", hopTruncated: "hopTruncated", hopVersion: "hopVersion", hopList: "hopCandidateList",
 	hopKey: "hopUnknownKey", hopCheck: "hopCheck", eventOverflow: "eventOverflow",
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -67,7 +67,7 @@
 // callerPackets returns the number of packets received from callers.
 func (b *Balancer) callerPackets() uint64 {
 	var n uint64
-	for _, o := range []outcome{established, newFlow, malformed, tooLong, unknownID, unknownKey, wrongService, foreignNetwork, noEndpoint} {
+	for _, o := range []outcome{established, newFlow, malformed, tooLong, unknownID, unknownKey, wrongService, foreignNetwork, noEndpoint, evacuated} {
 		n += b.counts.totals[o].Load()
 	}
 	return n
--- a/internal/relay/port.go
+++ b/internal/relay/port.go
@@ -54,6 +54,9 @@
 	conn    *batch.Conn
 	// done is closed when the port's reader has ended.
 	done chan struct{}
+	// refuser tells callers that their flows are refused; nil until the first. It
+	// belongs to the port's reader.
+	refuser *refuser
 }
 
 // openPort opens the address of a service and starts its reader.
@@ -73,6 +76,17 @@
 func (p *port) close() {
 	p.conn.Close()
 	<-p.done
+	if p.refuser != nil {
+		p.refuser.close()
+	}
+}
+
+// refuse tells a caller that the flow is refused. The packet is copied.
+func (p *port) refuse(packet []byte, to netip.AddrPort) {
+	if p.refuser == nil {
+		p.refuser = newRefuser(p.conn.WriteTo)
+	}
+	p.refuser.refuse(packet, to)
 }
 
 // publishPorts publishes a copy of the open ports to the hop reader.
--- a/internal/relay/portforwarder.go
+++ b/internal/relay/portforwarder.go
@@ -60,6 +60,9 @@
 			o = tooLong
 		}
 		f.count.add(o, f.header.Caller)
+		if o == evacuated {
+			f.port.refuse(m.Packet(i), f.header.Caller)
+		}
 		if o.refused() {
 			continue
 		}
@@ -109,8 +112,12 @@
 // the hop header and returns the address of the first candidate.
 func (f *portForwarder) routeNewFlow(id []byte) (netip.AddrPort, outcome) {
 	h := &f.header
-	f.b.table.Load().Candidates(f.port.service, id, h)
+	t := f.b.table.Load()
+	t.Candidates(f.port.service, id, h)
 	if h.Count == 0 {
+		if t.Refuses(f.port.service) {
+			return netip.AddrPort{}, evacuated
+		}
 		return netip.AddrPort{}, noEndpoint
 	}
 	h.Kind, h.Service, h.Balancer = encap.NewFlow, f.port.service, f.b.hopAddr
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -7,6 +7,7 @@
 	"github.com/bramleycourse/bramleycourse/internal/config"
 	"github.com/bramleycourse/bramleycourse/internal/peer"
 	"github.com/bramleycourse/bramleycourse/internal/view"
+	"github.com/bramleycourse/bramleycourse/pkg/decl"
 )
 
 // State is the state dump that a balancer's admin server returns.
@@ -29,6 +30,9 @@
 	// go to usable endpoints, or to all serving endpoints of a service that has
 	// no usable one. An endpoint of weight 0 gets none in either case.
 	Usable bool `json:"usable"`
+	// Evacuated is true if the endpoint's place is evacuated. Such an endpoint gets
+	// no new flows.
+	Evacuated bool `json:"evacuated,omitempty"`
 }
 
 // State returns the current state dump.
@@ -43,13 +47,14 @@
 		Control:       b.controlCounts(),
 	}
 	entries := b.members.node.Entries()
+	d := b.declaration()
 	b.members.mu.Lock()
 	defer b.members.mu.Unlock()
 	for _, e := range entries {
 		if e.Key.IsBalancer() {
 			st.Balancers = append(st.Balancers, e)
 		} else {
-			st.Endpoints = append(st.Endpoints, EndpointState{e, b.members.tableInput.usable[e.Key]})
+			st.Endpoints = append(st.Endpoints, EndpointState{e, b.members.tableInput.usable[e.Key], d != nil && d.Evacuates(decl.PlaceName(e.Place))})
 		}
 	}
 	return st
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -161,31 +161,25 @@
 	return &agentStat{}
 }
 
-// buildTable builds the routing table. If none of the serving endpoints of a
-// service is usable, all of them are used: a wrong verdict on all endpoints
-// must not stop the service, and flows to dead endpoints are lost either way.
+// buildTable builds the routing table.
 func (m *membership) buildTable() *route.Table {
-	w := newWeights(m.b.declaration(), ident.PlaceName(m.b.settings.Place))
-	usable := map[ident.ServiceTag][]route.Endpoint{}
-	unusable := map[ident.ServiceTag][]route.Endpoint{}
+	d := m.b.declaration()
+	w := newWeights(d, ident.PlaceName(m.b.settings.Place))
+	choices := map[ident.ServiceTag]*choice{}
 	for k, e := range m.tableInput.entries {
 		if e.State != view.Serving {
 			continue
 		}
 		tag := ident.TagOf(e.Service)
-		r := route.Endpoint{ID: k.Endpoint(), Weight: w.endpointWeight(e), Remote: w.remote(e.Place)}
-		if m.tableInput.usable[k] {
-			usable[tag] = append(usable[tag], r)
-		} else {
-			unusable[tag] = append(unusable[tag], r)
-		}
-	}
-	for tag, es := range unusable {
-		if len(usable[tag]) == 0 {
-			usable[tag] = es
+		c := choices[tag]
+		if c == nil {
+			c = &choice{}
+			choices[tag] = c
 		}
+		r := route.Endpoint{ID: k.Endpoint(), Weight: w.endpointWeight(e), Remote: w.remote(e.Place)}
+		c.add(r, d != nil && d.Evacuates(decl.PlaceName(e.Place)), m.tableInput.usable[k])
 	}
-	return route.NewTable(usable)
+	return tableOf(choices)
 }
 
 // weights computes the weights of endpoints for new flows from a declaration.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -46,8 +46,24 @@
 // immutable.
 type Table struct {
 	services map[ident.ServiceTag]serviceEndpoints
+	// refused holds the services whose callers are told that a flow is refused if
+	// there is no endpoint for it.
+	refused map[ident.ServiceTag]bool
 }
 
+// Refuse makes the table answer Refuses for the services that it holds no endpoint
+// of, and returns the table. It is called before the table is shared.
+func (t *Table) Refuse(tags ...ident.ServiceTag) *Table {
+	t.refused = make(map[ident.ServiceTag]bool, len(tags))
+	for _, tag := range tags {
+		t.refused[tag] = t.Len(tag) == 0
+	}
+	return t
+}
+
+// Refuses reports whether the new flows of a service are to be refused.
+func (t *Table) Refuses(tag ident.ServiceTag) bool { return t.refused[tag] }
+
 // NewTable builds a table. It leaves out endpoints without a positive, finite
 // weight, endpoints whose address is not IPv4, and duplicates.
 func NewTable(services map[ident.ServiceTag][]Endpoint) *Table {
--- a/pkg/decl/build.go
+++ b/pkg/decl/build.go
@@ -12,6 +12,12 @@
 	return d
 }
 
+// Evacuate adds places whose upstreams get no new flows and returns d.
+func (d *Declaration) Evacuate(places ...PlaceName) *Declaration {
+	d.Evacuated = append(d.Evacuated, places...)
+	return d
+}
+
 // Service declares a service at the IPv4 address and UDP port "ip:port" and
 // returns d.
 func (d *Declaration) Service(name, address string, opts ...ServiceOption) *Declaration {
--- a/pkg/decl/decl.go
+++ b/pkg/decl/decl.go
@@ -2,6 +2,8 @@
 // load balancer, the places that run them, and how traffic is shared.
 package decl
 
+import "slices"
+
 // Declaration is the whole configuration of one deployment.
 type Declaration struct {
 	// Name is the name of the configuration object on the platform. It must not
@@ -10,11 +12,38 @@
 	// Places lists every place that shares or settings may refer to. Names are
 	// unique.
 	Places []Place `json:"places"`
+	// Evacuated lists the places whose upstreams get no new flows. Each is in
+	// Places, and none occurs twice.
+	Evacuated []PlaceName `json:"evacuated,omitempty"`
 	// Services lists the services. Their names, the 16-bit tags that packets carry
 	// for the names, and their addresses are unique.
 	Services []Service `json:"services"`
 }
 
+// PlaceName is the name of a place.
+type PlaceName string
+
+// Evacuates reports whether a place is evacuated.
+func (d *Declaration) Evacuates(p PlaceName) bool { return slices.Contains(d.Evacuated, p) }
+
+// Unserved returns the names of the services that an evacuation leaves without a
+// place: each declared place is evacuated or has the weight 0 for the service. New
+// flows of such a service are refused.
+func (d *Declaration) Unserved() []string {
+	if len(d.Evacuated) == 0 {
+		return nil
+	}
+	var names []string
+	for _, s := range d.Services {
+		if !slices.ContainsFunc(d.Places, func(p Place) bool {
+			return !d.Evacuates(PlaceName(p.Name)) && s.Weight(p.Name, "") > 0
+		}) {
+			names = append(names, s.Name)
+		}
+	}
+	return names
+}
+
 // Place is one availability zone.
 type Place struct {
 	Name string `json:"name"`
@@ -38,6 +67,18 @@
 	Limits Limits `json:"limits"`
 }
 
+// Weight returns the declared weight of an upstream: that of its place times that
+// of its group, each 1 if it is not declared.
+func (s *Service) Weight(place, group string) float64 {
+	w := 1.0
+	for _, h := range s.Shares {
+		if h.Place != "" && h.Place == place || h.Group != "" && h.Group == group {
+			w *= h.Weight
+		}
+	}
+	return w
+}
+
 // Share is the weight of the upstreams of a place or of a group. Exactly one
 // of Place and Group is set.
 type Share struct {
--- a/pkg/decl/decl_test.go
+++ b/pkg/decl/decl_test.go
@@ -35,6 +35,11 @@
 		{`"/feeds/"`, `null`, "services[0].streamPaths[0]", "must be a string"},
 		{`"10.0.0.1:443"`, `"[::1]:443"`, "services[0].address", "IPv4"},
 		{`"main"`, `"a/b"`, "name", "letters"},
+		{`"services"`, `"evacuated": "recife", "services"`, "evacuated", "must be a list"},
+		{`"services"`, `"evacuated": [1], "services"`, "evacuated[0]", "must be a string"},
+		{`"services"`, `"evacuated": ["recife", "olinda"], "services"`, "evacuated[1]", "not declared"},
+		{`"services"`, `"evacuated": ["recife", "recife"], "services"`, "evacuated[1]", "twice"},
+		{`"services"`, `"evacuated": [""], "services"`, "evacuated[0]", "empty"},
 		{`"main"`, `"a" "b"`, "declaration", "not valid JSON"},
 		{`"nordeste"`, `"nordeste`, "places[0].region", "not valid JSON"},
 	} {
@@ -104,6 +109,42 @@
 	}
 }
 
+// TestEvacuated guards against an evacuation that the difference does not show or
+// that the JSON form loses, and against services that are left without a place
+// unnoticed.
+func TestEvacuated(t *testing.T) {
+	next := sampleDeclaration().Evacuate("recife")
+	b, err := next.JSON()
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed, err := Parse(b)
+	if err != nil || !parsed.Evacuates("recife") || parsed.Evacuates("olinda") {
+		t.Errorf("want recife evacuated, have %v, %v", parsed, err)
+	}
+	if want, have := []string{"~ place recife: evacuated no -> yes"}, Differences(sampleDeclaration(), next); !slices.Equal(want, have) {
+		t.Errorf("want %q, have %q", want, have)
+	}
+	if want, have := []string{"~ place recife: evacuated yes -> no"}, Differences(next, sampleDeclaration()); !slices.Equal(want, have) {
+		t.Errorf("want %q, have %q", want, have)
+	}
+	for _, c := range []struct {
+		d    *Declaration
+		want []string
+	}{
+		{sampleDeclaration(), nil},
+		{next, []string{"listas"}},
+		{sampleDeclaration().Place("olinda", "nordeste").Evacuate("recife"), nil},
+		{sampleDeclaration().Place("olinda", "nordeste").Evacuate("olinda"), nil},
+		{New("main").Place("recife", "r").Place("olinda", "r").Evacuate("recife").
+			Service("listas", "10.0.0.1:443", PlaceShare("olinda", 0)).Service("fichas", "10.0.0.2:443"), []string{"listas"}},
+	} {
+		if have := c.d.Unserved(); !slices.Equal(c.want, have) {
+			t.Errorf("evacuated %v: want %q unserved, have %q", c.d.Evacuated, c.want, have)
+		}
+	}
+}
+
 // FuzzParse checks that Parse does not panic, that its errors have a path, and
 // that parsing the canonical form of a declaration yields the same declaration.
 func FuzzParse(f *testing.F) {
--- a/pkg/decl/diff.go
+++ b/pkg/decl/diff.go
@@ -36,7 +36,12 @@
 
 type attribute struct{ name, value string }
 
-const noValue = "none"
+const (
+	noValue = "none"
+	// evacuatedName is the attribute of an evacuated place. Other places do not
+	// have it.
+	evacuatedName = "evacuated"
+)
 
 func (i *item) attrValue(name string) string {
 	for _, a := range i.attributes {
@@ -44,6 +49,9 @@
 			return a.value
 		}
 	}
+	if name == evacuatedName {
+		return "no"
+	}
 	return noValue
 }
 
@@ -89,7 +97,11 @@
 	}
 	var items []*item
 	for _, p := range d.Places {
-		items = append(items, &item{"place " + p.Name, []attribute{{"region", p.Region}}})
+		i := &item{"place " + p.Name, []attribute{{"region", p.Region}}}
+		if d.Evacuates(PlaceName(p.Name)) {
+			i.attributes = append(i.attributes, attribute{evacuatedName, "yes"})
+		}
+		items = append(items, i)
 	}
 	for _, s := range d.Services {
 		l := s.Limits.WithDefaults()
--- a/pkg/decl/validate.go
+++ b/pkg/decl/validate.go
@@ -38,9 +38,30 @@
 		}
 		places[p.Name] = true
 	}
+	if err := d.validateEvacuated(places); err != nil {
+		return err
+	}
 	return d.validateServices(places)
 }
 
+func (d *Declaration) validateEvacuated(places map[string]bool) error {
+	seen := map[PlaceName]bool{}
+	for i, p := range d.Evacuated {
+		path := fmt.Sprintf("evacuated[%d]", i)
+		if err := checkName(path, string(p)); err != nil {
+			return err
+		}
+		switch {
+		case !places[string(p)]:
+			return &FieldError{path, fmt.Sprintf("place %q is not declared", p)}
+		case seen[p]:
+			return &FieldError{path, fmt.Sprintf("place %q occurs twice", p)}
+		}
+		seen[p] = true
+	}
+	return nil
+}
+
 func (d *Declaration) validateServices(places map[string]bool) error {
 	names := map[string]bool{}
 	addresses := map[string]bool{}
