The verb check in both programs

Cause: operators asked for one small tool that checks a configuration before it is sent: errors with file, line and field, entries that can never match, limits that contradict each other, and what differs from the version in force. Ruled out: the errors of encoding/json, which have neither line nor index; a schema language, which cannot compare two limits.

--- a/cmd/bramleycourse/evacuate.go
+++ b/cmd/bramleycourse/evacuate.go
@@ -21,13 +21,23 @@
 		return nil
 	}
 	var warnings []string
-	unserved := d.Unserved()
-	for _, name := range unserved {
+	for _, name := range d.Unserved() {
 		warnings = append(warnings, unservedWarning(name))
 	}
+	return append(warnings, upstreamWarnings(ctx, client, d)...)
+}
+
+// upstreamWarnings describes the services whose upstreams, as the platform lists
+// them, are all in evacuated places. Services without a declared place are left out.
+func upstreamWarnings(ctx context.Context, client *plat.Client, d *decl.Declaration) []string {
+	if len(d.Evacuated) == 0 {
+		return nil
+	}
+	unserved := d.Unserved()
+	var warnings []string
 	l, err := client.List(ctx, plat.KindEndpoint)
 	if err != nil {
-		return append(warnings, fmt.Sprintf("the upstreams outside the evacuated places are not known: %v", err))
+		return []string{fmt.Sprintf("the upstreams outside the evacuated places are not known: %v", err)}
 	}
 	for _, s := range d.Services {
 		evacuated, others := countUpstreams(l.Objects, d, &s)
--- a/cmd/bramleycourse/main.go
+++ b/cmd/bramleycourse/main.go
@@ -13,6 +13,7 @@
 	Balancer balancerCmd `cmd:"" help:"Run a balancer."`
 	Agent    agentCmd    `cmd:"" help:"Run the agent beside an upstream."`
 	Print    printCmd    `cmd:"" help:"Check a declaration and print its canonical form."`
+	Check    checkCmd    `cmd:"" help:"Check a declaration before it is applied, and show what differs."`
 	Apply    applyCmd    `cmd:"" help:"Put a declaration in force."`
 	Status   statusCmd   `cmd:"" help:"Show the processes and the generation that each has in force."`
 	Dump     dumpCmd     `cmd:"" help:"Print the state dump of a process."`
--- a/cmd/bramleyflow/main.go
+++ b/cmd/bramleyflow/main.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -24,6 +25,7 @@
 	LearnRoom bool     `help:"Measure how many requests the upstream takes well at once, and use that in place of its slots."`
 	Balancer  struct{} `cmd:"" help:"Run a balancer."`
 	Agent     struct{} `cmd:"" help:"Run the agent beside an upstream."`
+	Check     checkCmd `cmd:"" help:"Check a configuration before it is sent, and show what differs."`
 }
 
 // logFlushTimeout bounds how long the process waits on exit for the last log lines
@@ -33,6 +35,10 @@
 func main() {
 	var c cli
 	k := kong.Parse(&c, kong.Name("bramleyflow"), kong.Description("Balancer and agent of datagram flows."), kong.UsageOnError())
+	if strings.HasPrefix(k.Command(), "check") {
+		k.FatalIfErrorf(c.Check.run(c.Settings, os.Stdout))
+		return
+	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	out := node.NewOutput(os.Stdout)
--- a/pkg/decl/parse.go
+++ b/pkg/decl/parse.go
@@ -18,6 +18,19 @@
 // unknown, repeated and null fields, wrong types and trailing data. Errors are
 // of type *FieldError.
 func Parse(b []byte) (*Declaration, error) {
+	d, err := Decode(b)
+	if err != nil {
+		return nil, err
+	}
+	if err := d.Validate(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Decode is Parse without the validation of the values. Problems returns what is
+// wrong with them.
+func Decode(b []byte) (*Declaration, error) {
 	var d Declaration
 	c := typeChecker{json.NewDecoder(bytes.NewReader(b))}
 	c.UseNumber()
@@ -30,9 +43,6 @@
 	if err := json.Unmarshal(b, &d); err != nil {
 		return nil, &FieldError{rootPath, err.Error()}
 	}
-	if err := d.Validate(); err != nil {
-		return nil, err
-	}
 	return &d, nil
 }
 
--- a/pkg/decl/validate.go
+++ b/pkg/decl/validate.go
@@ -21,95 +21,96 @@
 
 // Validate returns a *FieldError for the first invalid field, or nil.
 func (d *Declaration) Validate() error {
-	if err := checkName("name", d.Name); err != nil {
-		return err
+	if ps := d.Problems(); len(ps) > 0 {
+		return ps[0]
 	}
+	return nil
+}
+
+// Problems returns an error for each invalid field.
+func (d *Declaration) Problems() []*FieldError {
+	var ps problems
+	ps.checkName("name", d.Name)
 	places := map[string]bool{}
 	for i, p := range d.Places {
 		path := fmt.Sprintf("places[%d]", i)
-		if err := checkName(path+".name", p.Name); err != nil {
-			return err
-		}
-		if err := checkName(path+".region", p.Region); err != nil {
-			return err
-		}
+		ps.checkName(path+".name", p.Name)
+		ps.checkName(path+".region", p.Region)
 		if places[p.Name] {
-			return &FieldError{path + ".name", fmt.Sprintf("place %q occurs twice", p.Name)}
+			ps.add(path+".name", "place %q occurs twice", p.Name)
 		}
 		places[p.Name] = true
 	}
-	if err := d.validateEvacuated(places); err != nil {
-		return err
-	}
-	return d.validateServices(places)
+	ps.checkEvacuated(d.Evacuated, places)
+	ps.checkServices(d.Services, places)
+	return ps
+}
+
+// problems collects the invalid fields of a declaration.
+type problems []*FieldError
+
+func (ps *problems) add(path, format string, args ...any) {
+	*ps = append(*ps, &FieldError{path, fmt.Sprintf(format, args...)})
 }
 
-func (d *Declaration) validateEvacuated(places map[string]bool) error {
+func (ps *problems) checkEvacuated(evacuated []PlaceName, places map[string]bool) {
 	seen := map[PlaceName]bool{}
-	for i, p := range d.Evacuated {
+	for i, p := range evacuated {
 		path := fmt.Sprintf("evacuated[%d]", i)
-		if err := checkName(path, string(p)); err != nil {
-			return err
-		}
 		switch {
+		case p == "":
+			ps.add(path, "must not be empty")
 		case !places[string(p)]:
-			return &FieldError{path, fmt.Sprintf("place %q is not declared", p)}
+			ps.add(path, "place %q is not declared", p)
 		case seen[p]:
-			return &FieldError{path, fmt.Sprintf("place %q occurs twice", p)}
+			ps.add(path, "place %q occurs twice", p)
 		}
 		seen[p] = true
 	}
-	return nil
 }
 
-func (d *Declaration) validateServices(places map[string]bool) error {
+func (ps *problems) checkServices(services []Service, places map[string]bool) {
 	names := map[string]bool{}
 	addresses := map[string]bool{}
 	tags := map[ident.ServiceTag]string{}
-	for i, s := range d.Services {
+	for i, s := range services {
 		path := fmt.Sprintf("services[%d]", i)
 		tag := ident.TagOf(ident.ServiceName(s.Name))
-		if err := checkName(path+".name", s.Name); err != nil {
-			return err
-		}
+		ps.checkName(path+".name", s.Name)
 		switch {
 		case names[s.Name]:
-			return &FieldError{path + ".name", fmt.Sprintf("service %q occurs twice", s.Name)}
+			ps.add(path+".name", "service %q occurs twice", s.Name)
 		case tags[tag] != "":
-			return &FieldError{path + ".name", fmt.Sprintf("has the same packet tag as service %q; choose another name", tags[tag])}
-		case addresses[s.Address]:
-			return &FieldError{path + ".address", fmt.Sprintf("address %q is used by two services", s.Address)}
+			ps.add(path+".name", "has the same packet tag as service %q; choose another name", tags[tag])
 		}
-		if a, err := netip.ParseAddrPort(s.Address); err != nil || !a.Addr().Is4() || a.Port() == 0 {
-			return &FieldError{path + ".address", fmt.Sprintf("%q is not an IPv4 address and port", s.Address)}
+		if addresses[s.Address] {
+			ps.add(path+".address", "address %q is used by two services", s.Address)
+		} else if a, err := netip.ParseAddrPort(s.Address); err != nil || !a.Addr().Is4() || a.Port() == 0 {
+			ps.add(path+".address", "%q is not an IPv4 address and port", s.Address)
 		}
 		names[s.Name], addresses[s.Address], tags[tag] = true, true, s.Name
-		if err := s.validate(path, places); err != nil {
-			return err
-		}
+		ps.checkService(path, &s, places)
 	}
-	return nil
 }
 
 // validName restricts names to what is safe in URL paths, logs and metrics.
 var validName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
 
-func checkName(path, name string) error {
+func (ps *problems) checkName(path, name string) {
 	switch {
 	case name == "":
-		return &FieldError{path, "must not be empty"}
+		ps.add(path, "must not be empty")
 	case !validName.MatchString(name):
-		return &FieldError{path, fmt.Sprintf("%q is not 1 to 63 letters, digits, dots, hyphens or underscores that begin with a letter or digit", name)}
+		ps.add(path, "%q is not 1 to 63 letters, digits, dots, hyphens or underscores that begin with a letter or digit", name)
 	}
-	return nil
 }
 
 const maxWeight = 1000
 
-func (s *Service) validate(path string, places map[string]bool) error {
+func (ps *problems) checkService(path string, s *Service, places map[string]bool) {
 	for i, p := range s.StreamPaths {
 		if len(p) == 0 || p[0] != '/' {
-			return &FieldError{fmt.Sprintf("%s.streamPaths[%d]", path, i), fmt.Sprintf("%q does not begin with a slash", p)}
+			ps.add(fmt.Sprintf("%s.streamPaths[%d]", path, i), "%q does not begin with a slash", p)
 		}
 	}
 	seen := map[string]bool{}
@@ -117,20 +118,20 @@
 		sharePath := fmt.Sprintf("%s.shares[%d]", path, i)
 		switch {
 		case (h.Place == "") == (h.Group == ""):
-			return &FieldError{sharePath, "must have exactly one of place and group"}
+			ps.add(sharePath, "must have exactly one of place and group")
 		case h.Place != "" && !places[h.Place]:
-			return &FieldError{sharePath + ".place", fmt.Sprintf("place %q is not declared", h.Place)}
+			ps.add(sharePath+".place", "place %q is not declared", h.Place)
 		case !(h.Weight >= 0 && h.Weight <= maxWeight):
-			return &FieldError{sharePath + ".weight", fmt.Sprintf("%v is not in 0 to %d", h.Weight, maxWeight)}
+			ps.add(sharePath+".weight", "%v is not in 0 to %d", h.Weight, maxWeight)
 		case seen[h.label()]:
-			return &FieldError{sharePath, h.label() + " occurs twice"}
+			ps.add(sharePath, "%s occurs twice", h.label())
 		}
 		seen[h.label()] = true
 	}
-	return s.Limits.validate(path + ".limits")
+	ps.checkLimits(path+".limits", &s.Limits)
 }
 
-func (l *Limits) validate(path string) error {
+func (ps *problems) checkLimits(path string, l *Limits) {
 	for _, f := range []struct {
 		name       string
 		value, max int64
@@ -141,8 +142,7 @@
 		{"requestBytes", l.RequestBytes, 1 << 30},
 	} {
 		if f.value < 0 || f.value > f.max {
-			return &FieldError{path + "." + f.name, fmt.Sprintf("%d is not in 1 to %d", f.value, f.max)}
+			ps.add(path+"."+f.name, "%d is not in 1 to %d", f.value, f.max)
 		}
 	}
-	return nil
 }
