--- a/internal/hostd/opening.go
+++ b/internal/hostd/opening.go
@@ -42,13 +42,13 @@
 	}
 	c.announceLimit(now, f)
 	l := c.Load(now)
-	item := c.newItem(now, k, &p, f)
-	tooLate := !l.Closed && !c.mayWait(now, c.turn(now), &item)
-	l.Closed = l.Closed || tooLate
 	if f.Service != c.upstream.id() {
 		c.Counts.WrongService++
 		l.Closed = true
 	}
+	item := c.newItem(now, k, &p, f)
+	tooLate := !l.Closed && !c.mayWait(now, c.turn(now), &item)
+	l.Closed = l.Closed || tooLate
 	probe := l.Failing && c.outcomes.mayProbe(now, queue.Urgent(f.Priority))
 	l.Failing = l.Failing && !probe
 	switch place.Decide(l, f) {
