platform: check reads evacuations as the processes do

The verb check came with a kind of its own for evacuations, because both parts were written at the same time.

--- a/cmd/bramleyflow/check.go
+++ b/cmd/bramleyflow/check.go
@@ -24,7 +24,7 @@
 			}
 			url = s.Store
 		}
-		store := plat.New(url, storeTimeout, plat.WithWire(platform.CheckWire), plat.WithTransport(node.Transport()))
+		store := plat.New(url, storeTimeout, plat.WithWire(platform.Wire), plat.WithTransport(node.Transport()))
 		return platform.ConfigInForce(ctx, store, file)
 	}
 	f := lint.Format{Check: platform.CheckConfig, ReadInForce: inForce, Compare: platform.CompareConfigs}
