--- a/cmd/bramleycourse/trial.go
+++ b/cmd/bramleycourse/trial.go
@@ -12,6 +12,7 @@
 	All    bool   `help:"Run every scenario, not only the standard one."`
 	JSON   bool   `name:"json" help:"Print JSON."`
 	Outage bool   `help:"Play the return after a power loss and compare with an oracle."`
+	Speeds bool   `help:"Play upstreams of different speeds, and compare with a policy that knows the speeds."`
 
 	Plot string `help:"Write a chart of the standard scenario to this file, for example trial.svg."`
 }
@@ -25,6 +26,13 @@
 		}
 		return trial.WriteOutages(os.Stdout, ts)
 	}
+	if c.Speeds {
+		ts := trial.RunSpeeds(trial.SpeedScenarios(), c.Seed)
+		if c.JSON {
+			return printJSON(os.Stdout, ts)
+		}
+		return trial.WriteSpeeds(os.Stdout, ts)
+	}
 	scenarios := trial.Scenarios()
 	if !c.All {
 		scenarios = scenarios[:1]
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -11,8 +11,10 @@
 type Table struct {
 	entries map[Key]*Entry
 	limit   int
-	// busy counts the entries with a request in progress.
-	busy int
+	// busy counts the entries with a request in progress or expected soon, running those
+	// whose request has arrived, and ended the requests that have ended.
+	busy, running int
+	ended         uint64
 	// releasedAt is when requests without an end were last searched for.
 	releasedAt time.Duration
 	// awaited holds the flows whose first request is expected soon, oldest first.
@@ -52,6 +54,14 @@
 	busy                         bool
 	requestAt                    time.Duration
 	callerClosed, upstreamClosed bool
+	// Class tells kinds of requests apart.
+	Class uint8
+	// running is set while a request that has arrived is in progress. atOnce is the
+	// number of them when it arrived, itself included, and endedBefore the number that
+	// had ended.
+	running     bool
+	atOnce      int
+	endedBefore uint64
 	// lastData is the highest sequence number of data from the caller; valid if hasData.
 	lastData uint32
 	hasData  bool
@@ -196,6 +206,7 @@
 		t.setBusy(e, true)
 		if e.requestAt == 0 {
 			e.requestAt = now
+			t.begin(e)
 		}
 		if e.openedAt > 0 {
 			t.handshake += (now - e.openedAt - t.handshake) / averageSamples
@@ -278,10 +289,33 @@
 	}
 }
 
+// begin counts a request that has arrived.
+func (t *Table) begin(e *Entry) {
+	if e.running {
+		return
+	}
+	e.running = true
+	t.running++
+	e.atOnce, e.endedBefore = t.running, t.ended
+}
+
+// AtOnce returns the number of requests in progress when the one in progress arrived,
+// itself included; valid if Requested.
+func (e *Entry) AtOnce() int { return e.atOnce }
+
+// EndsFirst reports whether no request has ended since the one in progress arrived; valid
+// if Requested.
+func (t *Table) EndsFirst(e *Entry) bool { return e.endedBefore == t.ended }
+
 func (t *Table) setBusy(e *Entry, busy bool) {
 	if e.busy == busy {
 		return
 	}
+	if e.running && !busy {
+		e.running = false
+		t.running--
+		t.ended++
+	}
 	e.busy = busy
 	if busy {
 		t.busy++
--- /dev/null
+++ b/internal/gauge/gauge.go
@@ -0,0 +1,245 @@
+// Package gauge measures how long an upstream works on a request, and how many
+// requests it takes well at once, from the times of its answers alone. What the
+// upstream says about its capacity or load is only the starting point.
+//
+// It is used by one agent for one upstream, at up to some hundred answers a second.
+package gauge
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// maxRoom is the highest number of requests at once that is measured.
+	maxRoom = 64
+	// classes is the number of kinds of requests that are told apart.
+	classes = 4
+	// maxDeviation bounds the influence of one sample: the logarithm of 3. A share of
+	// requests that take much longer than others then moves the means by a few percent.
+	maxDeviation = 1.1
+	// steadySamples is the number of samples that the mean in use covers, and
+	// steadyTime its time constant if samples are rare.
+	steadySamples = 1024
+	steadyTime    = 8 * time.Second
+	// movingSamples is the number of samples after a change in which the means follow
+	// faster, because the change may go on.
+	movingSamples = 16
+	// minSamples is the number of samples before a change counts.
+	minSamples = 32
+)
+
+// detectors are means over few samples. A difference between one of them and the mean in
+// use that is four times its usual error counts as a change of speed: a factor of 1.4
+// within some 16 samples, one of 1.2 within 64.
+var detectors = [...]detector{
+	{samples: 16, constant: time.Second, rareWeight: 0.25, changed: 0.35},
+	{samples: 64, constant: 4 * time.Second, rareWeight: 0.06, changed: 0.2},
+}
+
+// detector describes a mean that detects changes.
+type detector struct {
+	samples int
+	// constant is the time constant if samples are rare, and rareWeight the most that one
+	// of them weighs: a single long request is no change.
+	constant   time.Duration
+	rareWeight float64
+	// changed is the difference, as a logarithm, that counts as a change.
+	changed float64
+}
+
+// Sample is one answered request.
+type Sample struct {
+	// Took is the time from the request to its answer.
+	Took time.Duration
+	// AtOnce is the number of requests in progress when this one arrived, itself
+	// included.
+	AtOnce int
+	// First is set if no other request was answered in between. An upstream that
+	// serves in order then worked on all AtOnce requests at the same time.
+	First bool
+	// Class tells kinds of requests apart whose work may differ.
+	Class uint8
+}
+
+// Gauge holds the measurements of one upstream. The zero value is ready for use.
+type Gauge struct {
+	// steady is the mean of the logarithm of the work time in seconds, without the part
+	// that is explained by the class and by the number at once. recent holds the same
+	// over fewer samples, one for each detector.
+	steady  float64
+	recent  [len(detectors)]float64
+	samples int
+	// sinceChange is the number of samples since the last change of speed.
+	sinceChange int
+	sampledAt   time.Duration
+	// offsets are the deviations of the classes from the mean, and shares the shares
+	// of the classes. The sum of their products is zero.
+	offsets, shares [classes]float64
+	curve           curve
+	peers           peers
+	// triedAt is when the last trial began.
+	triedAt time.Duration
+}
+
+func clip(x float64) float64 { return max(-maxDeviation, min(maxDeviation, x)) }
+
+// weight returns the weight of a sample that arrives d after the previous one.
+func weight(samples int, constant, d time.Duration, most float64) float64 {
+	rare := 1 - math.Exp(-float64(d)/float64(constant))
+	return max(1/float64(samples), min(most, rare))
+}
+
+// Add adds a sample. slots is the declared number of slots. It reports whether the speed
+// has changed notably.
+func (g *Gauge) Add(now time.Duration, s Sample, slots int) bool {
+	n, class := max(1, min(s.AtOnce, maxRoom)), min(s.Class, classes-1)
+	y := math.Log(max(s.Took, 10*time.Microsecond).Seconds())
+	if g.samples == 0 {
+		g.shift(y)
+	}
+	g.samples++
+	g.sinceChange++
+	since := now - g.sampledAt
+	g.sampledAt = now
+	withoutLevel := y - g.curve.excess(now, n, slots)
+	x := withoutLevel - g.offsets[class]
+	g.shift(g.curve.add(now, n, slots, clip(y-g.offsets[class]-g.steady), s.First))
+	steady := min(g.sinceChange, steadySamples)
+	if g.samples > minSamples && g.sinceChange < movingSamples {
+		steady = movingSamples / 2
+	}
+	g.steady += clip(x-g.steady) * weight(steady, steadyTime, since, 1.0/movingSamples)
+	calm := true
+	for i, d := range detectors {
+		k := min(g.samples, d.samples)
+		if g.sinceChange < movingSamples {
+			k = min(k, movingSamples/2)
+		}
+		g.recent[i] += clip(x-g.recent[i]) * weight(k, d.constant, since, d.rareWeight)
+		calm = calm && math.Abs(g.recent[i]-g.steady) < d.changed/2
+	}
+	if calm {
+		g.learnClass(int(class), clip(withoutLevel-g.steady))
+	}
+	return g.detect()
+}
+
+// shift moves all means.
+func (g *Gauge) shift(by float64) {
+	g.steady += by
+	for i := range g.recent {
+		g.recent[i] += by
+	}
+}
+
+// detect reports whether the speed has changed, and adopts the new one.
+func (g *Gauge) detect() bool {
+	if g.samples < minSamples {
+		return false
+	}
+	for i, d := range detectors {
+		if math.Abs(g.recent[i]-g.steady) < d.changed {
+			continue
+		}
+		g.steady, g.sinceChange = g.recent[i], 0
+		for j := range g.recent {
+			g.recent[j] = g.steady
+		}
+		g.curve.forgetNew()
+		return true
+	}
+	return false
+}
+
+// classSamples is the number of samples that the offsets of the classes cover.
+const classSamples = 256
+
+// learnClass adjusts the offset of a class.
+func (g *Gauge) learnClass(class int, deviation float64) {
+	k := float64(min(g.samples, classSamples))
+	g.offsets[class] += (deviation - g.offsets[class]) / k
+	mean := 0.0
+	for c := range g.offsets {
+		present := 0.0
+		if c == class {
+			present = 1
+		}
+		g.shares[c] += (present - g.shares[c]) / k
+		mean += g.shares[c] * g.offsets[c]
+	}
+	for c := range g.offsets {
+		g.offsets[c] -= mean
+	}
+	g.shift(mean)
+}
+
+// Work returns the typical time in which the upstream answers a request if it does
+// not have to wait; 0 if it is unknown.
+func (g *Gauge) Work() time.Duration {
+	if g.samples < movingSamples {
+		return 0
+	}
+	return time.Duration(math.Exp(g.steady) * float64(time.Second))
+}
+
+// Room returns the number of requests that the upstream takes well at once. It is at
+// least 1. slots is the declared number, which applies as far as nothing else is measured.
+func (g *Gauge) Room(now time.Duration, slots int) int { return g.curve.room(now, slots) }
+
+// Restricted reports whether the room is less than what the upstream declares. Further
+// requests would then not wait at the upstream but make it slower.
+func (g *Gauge) Restricted() bool { return g.curve.restricted() }
+
+const (
+	// trialInterval is the time without an answer after which a slow upstream gets a
+	// request although others are faster. Two requests a second are few, and enough to
+	// notice a recovery within two seconds.
+	trialInterval = 500 * time.Millisecond
+)
+
+// TrialDue reports whether the measurement is old.
+func (g *Gauge) TrialDue(now time.Duration) bool {
+	return now-g.sampledAt >= trialInterval && now-g.triedAt >= trialInterval
+}
+
+// Tried records the start of a trial.
+func (g *Gauge) Tried(now time.Duration) { g.triedAt = now }
+
+// Reset discards what was measured of the upstream.
+func (g *Gauge) Reset() { *g = Gauge{peers: g.peers} }
+
+const (
+	// peerSamples is the number of observations that the mean of the other upstreams
+	// covers, and peerTime how long it is valid after the last one.
+	peerSamples = 32
+	peerTime    = 2 * time.Second
+)
+
+// peers holds what was seen of other upstreams of the service.
+type peers struct {
+	mean  float64
+	count int
+	at    time.Duration
+}
+
+// SawPeer records the time in which another upstream of the service expects to serve
+// a request.
+func (g *Gauge) SawPeer(now, expected time.Duration) {
+	p := &g.peers
+	if now-p.at >= peerTime {
+		p.count = 0
+	}
+	p.count++
+	p.at = now
+	p.mean += (float64(expected) - p.mean) / float64(min(p.count, peerSamples))
+}
+
+// Peers returns the mean time in which others expect to serve a request; 0 if it is
+// unknown.
+func (g *Gauge) Peers(now time.Duration) time.Duration {
+	if g.peers.count < 4 || now-g.peers.at >= peerTime {
+		return 0
+	}
+	return time.Duration(g.peers.mean)
+}
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -114,6 +114,7 @@
 	registration registration
 	outcomes     outcomes
 	latency      latency
+	learning     learning
 	// meanBusy is a moving average of the load, last updated at meanBusyAt.
 	meanBusy   float64
 	meanBusyAt time.Duration
@@ -145,8 +146,10 @@
 //   - Held: opening packets put into the queue
 //   - Doubted: reports of the upstream that were ignored because they are not newer
 //   - Broken: requests answered by a reset or with an unusual response time
+//   - Remeasured: offers for which a slow upstream was not compared with others, to
+//     measure it again
 type Counts struct {
-	Taken, Forwarded, Refused, Foreign, WrongService, Missed, Returned, Recovered, Tried, Reset, Unanswered, Full, Held, Doubted, Broken uint64
+	Taken, Forwarded, Refused, Foreign, WrongService, Missed, Returned, Recovered, Tried, Reset, Unanswered, Full, Held, Doubted, Broken, Remeasured uint64
 }
 
 // NewCore returns the core of an agent that starts at the time now.
@@ -206,7 +209,7 @@
 	c.meanBusy += (float64(busy) - c.meanBusy) * share
 	c.meanBusyAt = now
 	return place.Load{
-		Slots:    c.upstream.slots(now),
+		Slots:    c.capacity(now),
 		Busy:     busy,
 		MeanBusy: c.meanBusy,
 		Closed:   !c.upstream.accepts() || c.upstream.stalled(now) || c.leaving,
@@ -374,6 +377,7 @@
 	}
 	c.table.Sweep(now, defaultIdle)
 	c.admitWaiting(now)
+	c.logRoom(now)
 	released := c.upstream.expireContender(now)
 	if c.upstream.checkAlive(now, c.Log) || released {
 		c.announceChange(now)
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -265,6 +265,8 @@
 		m.Gauge("slots", l.Slots)
 		m.Gauge("brokenShare", a.core.outcomes.failureShare)
 		m.Gauge("depth", float64(l.Depth()))
+		m.Gauge("learnedRoom", float64(a.core.room(now)))
+		m.Gauge("measuredWorkSeconds", a.core.learning.gauge.Work().Seconds())
 		m.Gauge("workSeconds", a.core.table.Work().Seconds())
 		m.Gauge("balancersKnown", float64(len(a.core.registration.balancers)))
 		m.Gauge("reportAgeSeconds", (now - a.core.upstream.reportAt).Seconds())
--- a/internal/hostd/opening.go
+++ b/internal/hostd/opening.go
@@ -45,6 +45,7 @@
 		c.Counts.WrongService++
 		l.Closed = true
 	}
+	c.compare(now, f, &l)
 	probe := l.Failing && c.outcomes.mayProbe(now, queue.Urgent(f.Priority))
 	l.Failing = l.Failing && !probe
 	switch place.Decide(l, f) {
@@ -110,16 +111,18 @@
 
 // hasRoom reports whether the upstream may get another flow.
 func (c *Core) hasRoom(now time.Duration, u queue.Urgency) bool {
-	return queue.HasRoom(c.upstream.concurrency(), c.table.Busy(now), u, c.serviceTimes())
+	return queue.HasRoom(c.room(now), c.table.Busy(now), c.spareUrgency(u), c.serviceTimes())
 }
 
 // admit passes an opening packet to the upstream.
 func (c *Core) admit(now time.Duration, k flow.Key, o *opening, packet []byte) {
-	if c.table.AddOpening(now, k, o.frame.Balancer) == nil {
+	e := c.table.AddOpening(now, k, o.frame.Balancer)
+	if e == nil {
 		c.Counts.Full++
 		c.refuseOpening(o, packet)
 		return
 	}
+	e.Class = o.frame.Priority
 	c.Counts.Taken++
 	waited := now - o.at
 	c.RecordWait(waited)
--- a/internal/hostd/outcomes.go
+++ b/internal/hostd/outcomes.go
@@ -65,8 +65,12 @@
 	if e == nil || !e.Requested() || !p.Rst && !p.Fin && p.Size == 0 {
 		return
 	}
-	free := c.table.Busy(now) <= c.upstream.concurrency()
-	c.recordOutcome(now, p.Rst || c.latency.unusual(e.Elapsed(now), free, c.outcomes.failing))
+	free := c.table.Busy(now) <= c.room(now)
+	failed := p.Rst || c.latency.unusual(e.Elapsed(now), free, c.outcomes.failing)
+	if !p.Rst {
+		c.measure(now, e, failed)
+	}
+	c.recordOutcome(now, failed)
 }
 
 // recordOutcome records whether a request failed and logs a change of the state.
@@ -84,6 +88,7 @@
 func (c *Core) resetOutcomes() {
 	failing := c.outcomes.failing
 	c.outcomes, c.latency = outcomes{}, latency{}
+	c.learning.gauge.Reset()
 	if failing {
 		c.logFailing()
 	}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -4,6 +4,8 @@
 package place
 
 import (
+	"time"
+
 	"github.com/bramleycourse/bramleycourse/internal/admit"
 	"github.com/bramleycourse/bramleycourse/internal/frame"
 )
@@ -25,6 +27,10 @@
 	Failing bool
 	// Closed is set while the upstream takes no new flows.
 	Closed bool
+	// Work is the measured time in which the upstream answers a request; 0 if it is not
+	// measured, and depths then are shares of the slots. Peers is the time in which
+	// others of the service expect to serve a request; 0 if unknown.
+	Work, Peers time.Duration
 }
 
 // immediateTakeDepth is the depth below which an agent takes a flow without
@@ -40,13 +46,22 @@
 	if l.Failing {
 		return frame.DepthClosed - 1
 	}
+	return limited(l.load() / l.Slots * float64(frame.DepthFull))
+}
+
+// load returns the number of requests in progress that placement assumes.
+func (l Load) load() float64 {
 	load := (float64(l.Busy) + l.MeanBusy) / 2
 	if float64(l.Busy) >= l.Slots {
 		// Requests are queued, and the flow would wait behind them, so the mean must
 		// not lower the load.
 		load = max(load, float64(l.Busy))
 	}
-	return frame.Depth(min(load/l.Slots*float64(frame.DepthFull), float64(frame.DepthClosed-2)))
+	return load
+}
+
+func limited(depth float64) frame.Depth {
+	return frame.Depth(min(depth, float64(frame.DepthClosed-2)))
 }
 
 // Decide returns what an agent with load l does with an Offer or Placed frame. For
@@ -59,9 +74,12 @@
 		return admit.Take
 	}
 	depth := l.Depth()
-	if depth < immediateTakeDepth {
+	if depth < immediateTakeDepth && !l.Slow() {
 		return admit.Take
 	}
+	if l.Work > 0 && depth < frame.DepthClosed-1 {
+		depth = l.timeDepth(f)
+	}
 	if len(f.Candidates) == 0 {
 		return decideAlone(depth)
 	}
