--- a/internal/gauge/curve.go
+++ b/internal/gauge/curve.go
@@ -8,9 +8,9 @@
 const (
 	// levelSamples is the number of samples that the mean of a level covers, and
 	// enoughSamples the number from which it counts.
-	levelSamples, enoughSamples = 64, 32
+	levelSamples, enoughSamples = 128, 32
 	// levelTime is the time without a sample after which a level is forgotten.
-	levelTime = 10 * time.Second
+	levelTime = 30 * time.Second
 	// minHold and maxHold bound the time after which one more request at once is allowed
 	// than was measured to be good. Each trial without success doubles it.
 	minHold, maxHold = 5 * time.Second, time.Minute
@@ -21,6 +21,11 @@
 	// enoughFirst is the number of first answers that prove a level above the declared
 	// slots; packets overtaking one another may fake a few.
 	enoughFirst = 6
+	// proofTime is the time constant with which old proofs count less.
+	proofTime = time.Minute
+	// spread is the assumed standard deviation of the logarithm of work times, and
+	// certainty the number of standard errors by which a level must be worse.
+	spread, certainty = 0.55, 1.5
 )
 
 // level holds the deviation of the work time of requests that arrived as the n-th
@@ -57,13 +62,13 @@
 func (c *curve) add(now time.Duration, n, slots int, deviation float64, first bool) float64 {
 	l := &c.levels[n]
 	if now-l.at >= levelTime {
-		*l = level{}
+		l.count, l.mean = 0, 0
 	}
 	l.count++
 	l.at = now
 	l.mean += (deviation - l.mean) / float64(min(l.count, levelSamples))
 	if first {
-		l.firsts = l.firsts*math.Exp(-float64(now-l.firstAt)/float64(levelTime)) + 1
+		l.firsts = l.firsts*math.Exp(-float64(now-l.firstAt)/float64(proofTime)) + 1
 		l.firstAt = now
 	}
 	sum, weights := 0.0, 0.0
@@ -122,7 +127,7 @@
 }
 
 // compute returns the smallest number of requests at once beyond which more of them
-// bring little throughput.
+// certainly bring little throughput.
 func (c *curve) compute(now time.Duration, slots int) int {
 	top := c.highest(now, slots)
 	if top > maxRoom {
@@ -130,7 +135,8 @@
 	}
 	if c.ceiling > 0 && now >= c.trialAt && !c.trying {
 		c.trying = true
-		c.levels[min(c.ceiling+1, maxRoom)] = level{}
+		l := &c.levels[min(c.ceiling+1, maxRoom)]
+		l.count, l.mean = 0, 0
 	}
 	if c.ceiling > 0 && c.trying {
 		top = min(top, c.ceiling+1)
@@ -167,42 +173,46 @@
 	return slots
 }
 
-// measured returns the room up to a number of requests at once. Levels without enough
-// samples count as equal to the ones below.
+// measured returns the room up to a number of requests at once: the lowest known level
+// that no higher one beats, or all if there is none.
 func (c *curve) measured(now time.Duration, top int) int {
-	var throughput [maxRoom + 1]float64
-	deviation, lowest := 0.0, 0
-	for n := 1; n <= top; n++ {
-		if c.known(now, n) {
-			if lowest == 0 {
-				lowest = n
-			}
-			deviation = c.levels[n].mean
-		}
-		throughput[n] = float64(n) * math.Exp(-deviation)
-	}
-	for m := max(1, lowest); lowest > 0 && m < top; m++ {
-		if c.sufficient(&throughput, m, top) {
+	for m := 1; m < top; m++ {
+		if c.known(now, m) && c.sufficient(now, m, top) {
 			return m
 		}
 	}
 	return top
 }
 
-// sufficient reports whether no level above m brings notably more throughput.
-func (c *curve) sufficient(throughput *[maxRoom + 1]float64, m, top int) bool {
+// sufficient reports whether there are known levels above m, and none of them brings
+// notably more throughput.
+func (c *curve) sufficient(now time.Duration, m, top int) bool {
+	higher := 0
 	for n := m + 1; n <= top; n++ {
-		if throughput[n] >= throughput[m]*(1+minGrowth*float64(n-m)/float64(m)) {
+		if !c.known(now, n) {
+			continue
+		}
+		higher++
+		a, b := &c.levels[m], &c.levels[n]
+		growth := float64(n) / float64(m) * math.Exp(a.mean-b.mean+certainty*standardError(a.count, b.count))
+		if growth >= 1+minGrowth*float64(n-m)/float64(m) {
 			return false
 		}
 	}
-	return true
+	return higher > 0
+}
+
+// standardError returns the standard error of the difference of two levels with the given
+// numbers of samples.
+func standardError(a, b int) float64 {
+	share := func(n int) float64 { return 1 / float64(min(n, levelSamples)) }
+	return spread * math.Sqrt(share(a)+share(b))
 }
 
 // proved reports whether the upstream has worked on n requests at once.
 func (c *curve) proved(now time.Duration, n int) bool {
 	l := &c.levels[n]
-	return l.firsts*math.Exp(-float64(now-l.firstAt)/float64(levelTime)) >= enoughFirst && now-l.at < levelTime
+	return l.firsts*math.Exp(-float64(now-l.firstAt)/float64(proofTime)) >= enoughFirst
 }
 
 // restricted reports whether the room was measured to be less than declared.
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -25,16 +25,19 @@
 	// movingSamples is the number of samples after a change in which the means follow
 	// faster, because the change may go on.
 	movingSamples = 16
-	// minSamples is the number of samples before a change counts.
+	// minSamples is the number of samples before the mean and changes of it count.
 	minSamples = 32
+	// maxExcess is the multiple of the room beyond which a sample says too little about
+	// the work, since most of its time is a wait.
+	maxExcess = 2
 )
 
 // detectors are means over few samples. A difference between one of them and the mean in
-// use that is four times its usual error counts as a change of speed: a factor of 1.4
-// within some 16 samples, one of 1.2 within 64.
+// use that is four times its usual error counts as a change of speed: a factor of 1.6
+// within some 16 samples, one of 1.3 within 64.
 var detectors = [...]detector{
-	{samples: 16, constant: time.Second, rareWeight: 0.25, changed: 0.35},
-	{samples: 64, constant: 4 * time.Second, rareWeight: 0.06, changed: 0.2},
+	{samples: 16, constant: time.Second, rareWeight: 0.25, changed: 0.45},
+	{samples: 64, constant: 4 * time.Second, rareWeight: 0.06, changed: 0.25},
 }
 
 // detector describes a mean that detects changes.
@@ -102,6 +105,9 @@
 	g.sinceChange++
 	since := now - g.sampledAt
 	g.sampledAt = now
+	if n > maxExcess*g.curve.room(now, slots) {
+		return false
+	}
 	withoutLevel := y - g.curve.excess(now, n, slots)
 	x := withoutLevel - g.offsets[class]
 	g.shift(g.curve.add(now, n, slots, clip(y-g.offsets[class]-g.steady), s.First))
@@ -177,7 +183,7 @@
 // Work returns the typical time in which the upstream answers a request if it does
 // not have to wait; 0 if it is unknown.
 func (g *Gauge) Work() time.Duration {
-	if g.samples < movingSamples {
+	if g.samples < minSamples {
 		return 0
 	}
 	return time.Duration(math.Exp(g.steady) * float64(time.Second))
--- a/internal/hostd/learn.go
+++ b/internal/hostd/learn.go
@@ -102,13 +102,11 @@
 	l.loggedRoom, l.roomAt = room, now
 }
 
-// workTime returns the time in which the upstream probably answers a request.
-func (c *Core) workTime(now time.Duration) time.Duration {
-	if w := c.learning.gauge.Work(); w > 0 {
-		return w
-	}
+// assumedWork returns the work time that is assumed before it is measured. It has an upper
+// bound that does not depend on others: they may assume theirs from it.
+func (c *Core) assumedWork(now time.Duration) time.Duration {
 	if p := c.learning.gauge.Peers(now); p > 0 {
-		return time.Duration(peerWorkShare * float64(p))
+		return min(time.Duration(peerWorkShare*float64(p)), c.table.Work())
 	}
 	return c.table.Work()
 }
@@ -122,7 +120,10 @@
 	}
 	g := &c.learning.gauge
 	place.PeerTimes(f, func(d time.Duration) { g.SawPeer(now, d) })
-	l.Work, l.Peers = c.workTime(now), g.Peers(now)
+	l.Work, l.Peers = g.Work(), g.Peers(now)
+	if l.Work == 0 {
+		l.Work, l.Peers = c.assumedWork(now), 0
+	}
 	if l.Slow() && g.TrialDue(now) && !queue.Urgent(f.Priority) {
 		g.Tried(now)
 		l.Peers = 0
