--- a/internal/flow/table_test.go
+++ b/internal/flow/table_test.go
@@ -180,3 +180,34 @@
 		t.Error("the hint is not dropped")
 	}
 }
+
+// TestAtOnce checks how many requests are in progress beside one, and whether it ends
+// before those, from which the room of the upstream is measured. Flows without a request
+// do not count.
+func TestAtOnce(t *testing.T) {
+	f := openTable(t, 0)
+	request, answer := &Packet{Ack: true, Seq: 8, Acked: 1001, Size: 100}, &Packet{Ack: true, Seq: 1001, Size: 50}
+	other, idle := KeyOf(testCaller, testPeer), KeyOf(testPeer, testRoute)
+	for _, k := range []Key{other, idle} {
+		f.AddOpening(0, k, testPeer)
+		f.FromUpstream(0, k, &Packet{Syn: true, Ack: true, Seq: 1000})
+	}
+	f.FromCaller(ms, testKey, request, testPeer)
+	f.FromCaller(2*ms, other, request, testPeer)
+	a, b := f.Get(testKey), f.Get(other)
+	if a.AtOnce() != 1 || b.AtOnce() != 2 {
+		t.Errorf("want 1 and 2 at once, have %d and %d", a.AtOnce(), b.AtOnce())
+	}
+	if !f.EndsFirst(b) {
+		t.Error("want the second request to end first")
+	}
+	f.FromUpstream(3*ms, testKey, answer)
+	if f.EndsFirst(b) {
+		t.Error("want the second request not to end first after the end of the other")
+	}
+	f.FromUpstream(4*ms, other, answer)
+	f.FromCaller(5*ms, other, &Packet{Ack: true, Seq: 108, Acked: 1051, Size: 100}, testPeer)
+	if b.AtOnce() != 1 || !f.EndsFirst(b) {
+		t.Errorf("a further request alone: want 1 at once and first, have %d", b.AtOnce())
+	}
+}
--- a/internal/hostd/learn.go
+++ b/internal/hostd/learn.go
@@ -25,9 +25,8 @@
 // is set. Otherwise it is not used.
 type learning struct {
 	gauge gauge.Gauge
-	// loggedWork and loggedRoom are the values in the latest log lines, written at
-	// workAt and roomAt.
-	loggedWork     time.Duration
+	// loggedRoom is the room in the latest log line about it. The latest lines about the
+	// speed and the room were written at workAt and roomAt.
 	loggedRoom     int
 	workAt, roomAt time.Duration
 }
@@ -73,12 +72,13 @@
 		return
 	}
 	s := gauge.Sample{Took: e.Elapsed(now), AtOnce: e.AtOnce(), First: c.table.EndsFirst(e), Class: e.Class}
+	before := g.Work()
 	if g.Add(now, s, c.upstream.concurrency()) && now-c.learning.workAt >= learnLogInterval {
 		c.Log.WithFields(logrus.Fields{
-			"event": "upstreamSpeed", "upstream": c.upstream.last.ID, "work": g.Work(), "before": c.learning.loggedWork,
+			"event": "upstreamSpeed", "upstream": c.upstream.last.ID, "work": g.Work(), "before": before,
 			"others": g.Peers(now), "busy": c.table.Busy(now), "room": c.room(now),
 		}).Info("the work time of the upstream has changed")
-		c.learning.loggedWork, c.learning.workAt = g.Work(), now
+		c.learning.workAt = now
 	}
 }
 
