--- a/internal/gauge/curve.go
+++ b/internal/gauge/curve.go
@@ -45,6 +45,8 @@
 	// limit is the room for declared slots, computed at limitAt.
 	limit, declared int
 	limitAt         time.Duration
+	// centred is the room within which the mean deviation is zero.
+	centred int
 	// ceiling is the room once it has been measured to be less than declared; 0 before.
 	// It holds until trialAt, and hold is the length of that time. From then on one more
 	// request at once is allowed, and trying is set.
@@ -57,8 +59,8 @@
 // limitInterval is the time between two computations of the room.
 const limitInterval = 100 * time.Millisecond
 
-// add adds a sample and returns by how much the mean deviation within the room has
-// moved. It is subtracted from all levels, so that it stays zero.
+// add adds a sample. It keeps the mean deviation within the room at zero. If it moves
+// because the room has changed, add returns by how much.
 func (c *curve) add(now time.Duration, n, slots int, deviation float64, first bool) float64 {
 	l := &c.levels[n]
 	if now-l.at >= levelTime {
@@ -81,11 +83,16 @@
 		return 0
 	}
 	mean := sum / weights
+	moved := c.centred != c.limit
+	c.centred = c.limit
 	for n := range c.levels {
 		if c.levels[n].count > 0 {
 			c.levels[n].mean -= mean
 		}
 	}
+	if !moved {
+		return 0
+	}
 	return mean
 }
 
