--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -27,6 +27,9 @@
 	movingSamples = 16
 	// minSamples is the number of samples before the mean and changes of it count.
 	minSamples = 32
+	// quickDeviation is the deviation, a factor of 0.67, from which an answer of a slow
+	// upstream is quick: one in five is without a change.
+	quickDeviation = 0.4
 	// maxExcess is the multiple of the room beyond which a sample says too little about
 	// the work, since most of its time is a wait.
 	maxExcess = 2
@@ -81,8 +84,11 @@
 	offsets, shares [classes]float64
 	curve           curve
 	peers           peers
-	// triedAt is when the last trial began.
-	triedAt time.Duration
+	// triedAt is when the last trial began, and shownAt when others were last to see the
+	// expected time.
+	triedAt, shownAt time.Duration
+	// quick is set if the last answer was quick.
+	quick bool
 }
 
 func clip(x float64) float64 { return max(-maxDeviation, min(maxDeviation, x)) }
@@ -111,6 +117,7 @@
 	withoutLevel := y - g.curve.excess(now, n, slots)
 	x := withoutLevel - g.offsets[class]
 	g.shift(g.curve.add(now, n, slots, clip(y-g.offsets[class]-g.steady), s.First))
+	g.quick = x-g.steady < -quickDeviation
 	steady := min(g.sinceChange, steadySamples)
 	if g.samples > minSamples && g.sinceChange < movingSamples {
 		steady = movingSamples / 2
@@ -198,35 +205,56 @@
 func (g *Gauge) Restricted() bool { return g.curve.restricted() }
 
 const (
+	// showInterval is the time after which an agent passes an offer on that it could take
+	// at once, so that others see its time also at little load.
+	showInterval = time.Second
 	// trialInterval is the time without an answer after which a slow upstream gets a
 	// request although others are faster. Two requests a second are few, and enough to
 	// notice a recovery within two seconds.
 	trialInterval = 500 * time.Millisecond
 )
 
-// TrialDue reports whether the measurement is old.
+// TrialDue reports whether the measurement is old, or the last answer was quick, which may
+// be a recovery.
 func (g *Gauge) TrialDue(now time.Duration) bool {
+	if g.quick {
+		return now-g.triedAt >= trialInterval/10
+	}
 	return now-g.sampledAt >= trialInterval && now-g.triedAt >= trialInterval
 }
 
+// ShowDue reports whether it is time to show others the expected time, and takes note of it.
+func (g *Gauge) ShowDue(now time.Duration) bool {
+	if now-g.shownAt < showInterval {
+		return false
+	}
+	g.shownAt = now
+	return true
+}
+
 // Tried records the start of a trial.
-func (g *Gauge) Tried(now time.Duration) { g.triedAt = now }
+func (g *Gauge) Tried(now time.Duration) { g.triedAt, g.quick = now, false }
 
 // Reset discards what was measured of the upstream.
 func (g *Gauge) Reset() { *g = Gauge{peers: g.peers} }
 
 const (
-	// peerSamples is the number of observations that the mean of the other upstreams
-	// covers, and peerTime how long it is valid after the last one.
-	peerSamples = 32
-	peerTime    = 2 * time.Second
+	// peerSamples is the number of observations that the average of the other upstreams
+	// covers, minPeers how many it needs, and peerTime how long it is valid after the
+	// last one.
+	peerSamples, minPeers = 32, 4
+	peerTime              = 4 * time.Second
+	// slowPeerDoubt is how much less a time above the average counts: if a third of the
+	// upstreams are slow, the average is to be near the time of the others.
+	slowPeerDoubt = 3
 )
 
 // peers holds what was seen of other upstreams of the service.
 type peers struct {
-	mean  float64
-	count int
-	at    time.Duration
+	// typical is a moving average in which lower times count more.
+	typical float64
+	count   int
+	at      time.Duration
 }
 
 // SawPeer records the time in which another upstream of the service expects to serve
@@ -238,14 +266,18 @@
 	}
 	p.count++
 	p.at = now
-	p.mean += (float64(expected) - p.mean) / float64(min(p.count, peerSamples))
+	k := float64(min(p.count, peerSamples))
+	if float64(expected) > p.typical && p.count > 1 {
+		k *= slowPeerDoubt
+	}
+	p.typical += (float64(expected) - p.typical) / k
 }
 
-// Peers returns the mean time in which others expect to serve a request; 0 if it is
+// Peers returns the typical time in which others expect to serve a request; 0 if it is
 // unknown.
 func (g *Gauge) Peers(now time.Duration) time.Duration {
-	if g.peers.count < 4 || now-g.peers.at >= peerTime {
+	if g.peers.count < minPeers || now-g.peers.at >= peerTime {
 		return 0
 	}
-	return time.Duration(g.peers.mean)
+	return time.Duration(g.peers.typical)
 }
--- a/internal/gauge/gauge_test.go
+++ b/internal/gauge/gauge_test.go
@@ -207,6 +207,10 @@
 	if trials < 19 || trials > 20 {
 		t.Errorf("want 20 trials in 10 s, have %d", trials)
 	}
+	s.g.Add(s.now, Sample{Took: work / 3, AtOnce: 1}, 4)
+	if s.now += 50 * time.Millisecond; !s.g.TrialDue(s.now) {
+		t.Error("want another trial soon after a quick answer")
+	}
 }
 
 // TestRareRecovery checks that a slow upstream that gets two requests a second is seen to
@@ -267,8 +271,8 @@
 	if have := g.Peers(2 * time.Second); have != 40*time.Millisecond {
 		t.Errorf("want 40ms, have %v", have)
 	}
-	if have := g.Peers(3 * time.Second); have != 0 {
-		t.Errorf("two seconds later: want 0, have %v", have)
+	if have := g.Peers(5 * time.Second); have != 0 {
+		t.Errorf("four seconds later: want 0, have %v", have)
 	}
 }
 
--- a/internal/hostd/learn.go
+++ b/internal/hostd/learn.go
@@ -113,7 +113,7 @@
 
 // compare adds to the load of an offer what is known about the speed of the upstream and
 // of others. A slow upstream gets a request that is not urgent from time to time, so that
-// a recovery is noticed.
+// a recovery is noticed. Once a second an offer is passed on to show others the time.
 func (c *Core) compare(now time.Duration, f *frame.Frame, l *place.Load) {
 	if !c.self.LearnRoom {
 		return
@@ -128,5 +128,7 @@
 		g.Tried(now)
 		l.Peers = 0
 		c.Counts.Remeasured++
+		return
 	}
+	l.Show = !queue.Urgent(f.Priority) && f.Position+1 < len(f.Candidates) && g.ShowDue(now)
 }
--- a/internal/hostd/learn_test.go
+++ b/internal/hostd/learn_test.go
@@ -58,7 +58,7 @@
 	c, now := newLearner(true, &bytes.Buffer{}, 60*time.Millisecond)
 	load := func(priority uint8, others frame.Depth) place.Load {
 		f := &frame.Frame{Kind: frame.Offer, Priority: priority, Position: 1, ObjectiveMillis: 256}
-		f.Candidates = []frame.Candidate{{Depth: others}, {}}
+		f.Candidates = []frame.Candidate{{Depth: others}, {}, {}}
 		l := c.Load(now)
 		c.compare(now, f, &l)
 		return l
@@ -79,6 +79,11 @@
 	if l := load(2, 60); !l.Slow() {
 		t.Error("want one trial at a time")
 	}
+	now += time.Second
+	load(2, 60) // A trial.
+	if load(1, 60).Show || !load(2, 60).Show || load(2, 60).Show {
+		t.Error("want one offer that is not urgent passed on in a second to show the time")
+	}
 }
 
 // TestLearnLogs checks that a change of speed is logged, at most once a second.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -31,6 +31,9 @@
 	// measured, and depths then are shares of the slots. Peers is the time in which
 	// others of the service expect to serve a request; 0 if unknown.
 	Work, Peers time.Duration
+	// Show is set if others are to see the expected time, even if the flow could be taken
+	// at once.
+	Show bool
 }
 
 // immediateTakeDepth is the depth below which an agent takes a flow without
@@ -74,7 +77,7 @@
 		return admit.Take
 	}
 	depth := l.Depth()
-	if depth < immediateTakeDepth && !l.Slow() {
+	if depth < immediateTakeDepth && !l.Slow() && !l.Show {
 		return admit.Take
 	}
 	if l.Work > 0 && depth < frame.DepthClosed-1 {
--- a/internal/trial/speeds.go
+++ b/internal/trial/speeds.go
@@ -188,7 +188,9 @@
 	if l.Slow() && a.gauge.TrialDue(m.now) && !queue.Urgent(r.class) {
 		a.gauge.Tried(m.now)
 		l.Peers = 0
+		return l
 	}
+	l.Show = !queue.Urgent(r.class) && f.Position+1 < len(f.Candidates) && a.gauge.ShowDue(m.now)
 	return l
 }
 
@@ -268,7 +270,7 @@
 func SpeedScenarios() []Speeds {
 	var ss []Speeds
 	uneven, even := []float64{0.55, 1.2, 1.2, 1.2}, []float64{1, 1, 1, 1}
-	for _, load := range []float64{0.7, 0.9} {
+	for _, load := range []float64{0.3, 0.7, 0.9} {
 		ss = append(ss, Speeds{Name: "one slow", Speeds: uneven, Slots: 3, Declared: 3, Load: load},
 			Speeds{Name: "even", Speeds: even, Slots: 3, Declared: 3, Load: load})
 	}
