--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -118,6 +118,7 @@
 	evacuations evac.Set
 	outcomes    outcomes
 	latency     latency
+	learning    learning
 	// meanBusy is a moving average of the load, last updated at meanBusyAt.
 	meanBusy   float64
 	meanBusyAt time.Duration
@@ -155,9 +156,11 @@
 //   - Evacuated: times that the agent learned that its place is evacuated
 //   - HandedBack: opening packets that waited when the place was evacuated, returned to
 //     their balancers
+//   - Remeasured: offers for which a slow upstream was not compared with others, to
+//     measure it again
 type Counts struct {
 	Taken, Forwarded, Refused, Foreign, WrongService, Missed, Returned, Recovered, Tried, Reset, Unanswered, Full, Held, Doubted, Broken uint64
-	ColdHeld, ColdPassed, Evacuated, HandedBack                                                                                          uint64
+	ColdHeld, ColdPassed, Evacuated, HandedBack, Remeasured                                                                              uint64
 }
 
 // NewCore returns the core of an agent that starts at the time now.
@@ -220,7 +223,7 @@
 	c.meanBusy += (float64(busy) - c.meanBusy) * share
 	c.meanBusyAt = now
 	return place.Load{
-		Slots:    c.upstream.slots(now),
+		Slots:    c.capacity(now),
 		Busy:     busy,
 		MeanBusy: c.meanBusy,
 		Delay:    float64(c.turn(now)) / float64(max(c.table.Work(), time.Millisecond)),
@@ -390,6 +393,7 @@
 	c.table.Sweep(now, defaultIdle)
 	c.noteWarmth(now)
 	c.admitWaiting(now)
+	c.logRoom(now)
 	released := c.upstream.expireContender(now)
 	if c.upstream.checkAlive(now, c.Log) || released {
 		c.announceChange(now)
--- a/internal/hostd/opening.go
+++ b/internal/hostd/opening.go
@@ -49,6 +49,7 @@
 	item := c.newItem(now, k, &p, f)
 	tooLate := !l.Closed && !c.mayWait(now, c.turn(now), &item)
 	l.Closed = l.Closed || tooLate
+	c.compare(now, f, &l)
 	probe := l.Failing && c.outcomes.mayProbe(now, queue.Urgent(f.Priority))
 	l.Failing = l.Failing && !probe
 	switch place.Decide(l, f) {
@@ -61,15 +62,22 @@
 		c.Counts.Forwarded++
 		c.send(f, f.Candidates[f.Position].Addr)
 	case admit.Refuse:
-		if f.Kind == frame.Placed && c.evacuated() {
-			// The agent was chosen while it was open. Another one may still take the flow.
-			f.Candidates = nil
-		} else if tooLate {
-			c.passOn(f)
-			return
-		}
-		c.refuse(f)
+		c.refuseOffer(f, tooLate)
+	}
+}
+
+// refuseOffer returns an offer that the upstream does not get. tooLate is set if the only
+// reason is that its turn at the cold upstream does not come in time.
+func (c *Core) refuseOffer(f *frame.Frame, tooLate bool) {
+	if tooLate {
+		c.passOn(f)
+		return
+	}
+	if f.Kind == frame.Placed && c.evacuated() {
+		// The agent was chosen while it was open. Another one may still take the flow.
+		f.Candidates = nil
 	}
+	c.refuse(f)
 }
 
 // newItem returns an opening packet as an item of the queue. The item refers to the
@@ -135,16 +143,18 @@
 
 // hasRoom reports whether the upstream may get another flow.
 func (c *Core) hasRoom(now time.Duration, u queue.Urgency) bool {
-	return queue.HasRoom(c.upstream.concurrency(), c.table.Busy(now), u, c.serviceTimes())
+	return queue.HasRoom(c.room(now), c.table.Busy(now), c.spareUrgency(u), c.serviceTimes())
 }
 
 // admit passes an opening packet to the upstream.
 func (c *Core) admit(now time.Duration, k flow.Key, o *opening, packet []byte) {
-	if c.table.AddOpening(now, k, o.frame.Balancer) == nil {
+	e := c.table.AddOpening(now, k, o.frame.Balancer)
+	if e == nil {
 		c.Counts.Full++
 		c.refuseOpening(o, packet)
 		return
 	}
+	e.Class = o.frame.Priority
 	c.Counts.Taken++
 	c.upstream.ramp.Take(now)
 	waited := now - o.at
