--- a/internal/hostd/learn_test.go
+++ b/internal/hostd/learn_test.go
@@ -91,7 +91,7 @@
 	var logs bytes.Buffer
 	c, now := newLearner(true, &logs, 30*time.Millisecond)
 	for i := range 40 {
-		now = answerAll(c, now, 30, time.Duration(2+4*(i%2))*time.Millisecond)
+		now = answerAll(c, now, 60, time.Duration(2+8*(i%2))*time.Millisecond)
 	}
 	n := strings.Count(logs.String(), "upstreamSpeed")
 	if most := int(now/time.Second) + 1; n < 2 || n > most {
