--- a/cmd/bramleysoak/main.go
+++ b/cmd/bramleysoak/main.go
@@ -14,16 +14,17 @@
 )
 
 type cli struct {
-	Seed      uint64        `help:"First seed." default:"1"`
-	Count     int           `help:"Number of seeds." default:"1"`
-	Duration  time.Duration `help:"Time with faults of each run." default:"20s"`
-	Balancers int           `help:"Number of balancers." default:"3"`
-	Agents    int           `help:"Number of agents." default:"7"`
-	Loads     int           `help:"Number of callers." default:"40"`
-	Binary    string        `help:"Path of the program." default:"target/bramleyflow" type:"existingfile"`
-	Dir       string        `help:"Folder for settings and logs; a run that fails keeps them." default:"" type:"path"`
-	Links     bool          `help:"Harm datagrams between processes too." default:"true" negatable:""`
-	Plot      bool          `help:"Print the service over time."`
+	Seed        uint64        `help:"First seed." default:"1"`
+	Count       int           `help:"Number of seeds." default:"1"`
+	Duration    time.Duration `help:"Time with faults of each run." default:"20s"`
+	Balancers   int           `help:"Number of balancers." default:"3"`
+	Agents      int           `help:"Number of agents." default:"7"`
+	Loads       int           `help:"Number of callers." default:"40"`
+	Binary      string        `help:"Path of the program." default:"target/bramleyflow" type:"existingfile"`
+	Dir         string        `help:"Folder for settings and logs; a run that fails keeps them." default:"" type:"path"`
+	Links       bool          `help:"Harm datagrams between processes too." default:"true" negatable:""`
+	Evacuations bool          `help:"Evacuate places too."`
+	Plot        bool          `help:"Print the service over time."`
 }
 
 func main() {
@@ -50,7 +51,7 @@
 		runDir := filepath.Join(dir, fmt.Sprintf("seed%d", seed))
 		r, err := soak.Run(soak.Config{
 			Seed: seed, Duration: c.Duration, Balancers: c.Balancers, Agents: c.Agents,
-			Binary: c.Binary, Dir: runDir, Loads: c.Loads, Links: c.Links,
+			Binary: c.Binary, Dir: runDir, Loads: c.Loads, Links: c.Links, Evacuations: c.Evacuations,
 		})
 		if err != nil {
 			return failed, err
--- a/internal/plat/callbudget.go
+++ b/internal/plat/callbudget.go
@@ -14,7 +14,7 @@
 // callBudget is the rate and the burst of calls of a process above which calls are
 // counted as over budget and logged. No call is held back. Watches that return
 // changes cost nothing. Neither do watches that last long enough, see minWaitShare.
-// A start makes up to five other calls; an outage of the platform makes about one a
+// A start makes up to six other calls; an outage of the platform makes about one a
 // second.
 var callBudget = budget.Config{FloorPerSecond: 0.2, Burst: 20}
 
