--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -157,6 +157,9 @@
 	flagHinted = 1
 	flagUnsure = 2
 	flagTried  = 4
+	// flagWaits and flagPressing leave 8 to other kinds.
+	flagWaits    = 16
+	flagPressing = 32
 
 	version = 0xB1
 	// headerSize is the length of the fixed part of the header in bytes: version,
@@ -180,7 +183,8 @@
 	Position int
 	// TrialsLeft is the number of agents that may still pass the packet to their
 	// upstream although the flow is not in their table. They may have lost the table in a
-	// restart.
+	// restart. In Offer, Placed, Refused and Rejected it is the number of resets that the
+	// request has had, if the balancer rejects early.
 	TrialsLeft uint8
 	// Hinted is set on Data if the agent had told the balancer that it holds the flow.
 	Hinted bool
@@ -189,12 +193,19 @@
 	Unsure bool
 	// Tried is set by an agent that has passed the packet to its upstream, which
 	// returned it.
-	Tried   bool
-	Service ServiceID
+	Tried bool
+	// Waits is set on Taken and Refused if ObjectiveMillis and TimeoutMillis hold the
+	// time in which the sender would answer a new request that is not urgent, and one
+	// that is; zero if it has room.
+	Waits bool
+	// Pressing is set on Offer and Placed if the caller's client account sends more than
+	// its share while the service is overloaded.
+	Pressing bool
+	Service  ServiceID
 	// Balancer is the address to send replies to.
 	Balancer netip.AddrPort
 	// ObjectiveMillis and TimeoutMillis are the latency objective and the timeout of
-	// the requests of the flow; zero if unknown. Priority is their priority; 0 is
+	// the requests of the flow; zero if unknown; see Waits. Priority is their priority; 0 is
 	// the highest.
 	ObjectiveMillis, TimeoutMillis uint16
 	// AgeMillis is the time from the start of the request to this attempt or, if an
@@ -218,6 +229,12 @@
 	if f.Tried {
 		flags |= flagTried
 	}
+	if f.Waits {
+		flags |= flagWaits
+	}
+	if f.Pressing {
+		flags |= flagPressing
+	}
 	b = append(b, version, byte(f.Kind), byte(f.Position), byte(len(f.Candidates)), f.TrialsLeft, flags)
 	b = binary.BigEndian.AppendUint32(b, uint32(f.Service))
 	b = appendAddr(b, f.Balancer)
@@ -244,6 +261,7 @@
 	}
 	f.Kind, f.Position, f.TrialsLeft, f.Hinted = Kind(b[1]), int(b[2]), b[4], b[5]&flagHinted != 0
 	f.Unsure, f.Tried = b[5]&flagUnsure != 0, b[5]&flagTried != 0
+	f.Waits, f.Pressing = b[5]&flagWaits != 0, b[5]&flagPressing != 0
 	f.Service = ServiceID(binary.BigEndian.Uint32(b[6:]))
 	f.Balancer = parseAddr(b[10:])
 	f.ObjectiveMillis, f.TimeoutMillis = binary.BigEndian.Uint16(b[16:]), binary.BigEndian.Uint16(b[18:])
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -21,6 +21,8 @@
 			Candidates: []Candidate{{addr("10.0.0.2:8000"), 17}, {addr("10.0.0.3:8000"), DepthClosed}},
 			Payload:    []byte("packet"),
 		},
+		{Kind: Refused, Waits: true, ObjectiveMillis: 180, TimeoutMillis: 40, Balancer: addr("10.0.0.1:7000")},
+		{Kind: Placed, Pressing: true, Balancer: addr("10.0.0.1:7000")},
 		{Kind: Data, Hinted: true, Tried: true, TrialsLeft: 2, Balancer: addr("10.0.0.1:7000"), Payload: []byte("packet")},
 	} {
 		var have Frame
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -21,6 +21,9 @@
 	Objective, Deadline time.Duration
 	// Priority is the priority of the request; 0 is the highest.
 	Priority uint8
+	// Patient is set if the request may wait beyond its objective until the caller ends
+	// the attempt, because its deadline leaves time for another one.
+	Patient bool
 	// Packet is the encoded opening packet.
 	Packet []byte
 	// Expired is the reason why the packet has expired; empty if it has not.
@@ -56,9 +59,9 @@
 	Work, Handshake time.Duration
 }
 
-// leadTime returns how long before the end of its objective a request has to be passed
+// LeadTime returns how long before the end of its objective a request has to be passed
 // to the upstream.
-func (s ServiceTimes) leadTime() time.Duration {
+func (s ServiceTimes) LeadTime() time.Duration {
 	return time.Duration(workMargin*float64(s.Work)) + 2*s.Handshake
 }
 
@@ -77,6 +80,9 @@
 	// lastMissed is when a packet last missed its objective; valid if hasMissed.
 	lastMissed time.Duration
 	hasMissed  bool
+	// OldestFirst keeps the oldest packets first in overload, too. It is set if only
+	// packets are added that will meet their objective in this order.
+	OldestFirst bool
 }
 
 // New returns an empty queue that holds up to limit packets.
@@ -99,6 +105,19 @@
 	return n
 }
 
+// CountAhead returns the number of packets that can still meet their objective and are
+// served before a new one of the given priority, if requests are served in their order.
+func (q *Queue) CountAhead(now time.Duration, s ServiceTimes, priority uint8) int {
+	q.markLate(now, s)
+	n := 0
+	for _, i := range q.items {
+		if !i.late && i.Priority <= priority {
+			n++
+		}
+	}
+	return n
+}
+
 // Put adds a packet. If the queue is full, it removes and returns the packet that
 // would be served last.
 func (q *Queue) Put(now time.Duration, i *Item, s ServiceTimes) (evicted *Item) {
@@ -128,7 +147,7 @@
 	if i.Deadline > 0 {
 		expiry = min(expiry, i.Began+i.Deadline)
 	}
-	if wait := time.Duration(maxWaitShare * float64(i.Objective)); wait > 0 && i.queued+wait < expiry {
+	if wait := time.Duration(maxWaitShare * float64(i.Objective)); wait > 0 && !i.Patient && i.queued+wait < expiry {
 		return i.queued + wait, Objective
 	}
 	return expiry, Deadline
@@ -210,7 +229,7 @@
 	if x.Priority != y.Priority {
 		return x.Priority < y.Priority
 	}
-	if !x.late && q.Overloaded(now) {
+	if !x.late && !q.OldestFirst && q.Overloaded(now) {
 		return a > b
 	}
 	return a < b
@@ -219,7 +238,7 @@
 // canMeetObjective reports whether the request can meet its objective if its packet is
 // passed to the upstream now.
 func (i *Item) canMeetObjective(now time.Duration, s ServiceTimes) bool {
-	return i.Objective == 0 || now+s.leadTime() <= i.Began+i.Objective
+	return i.Objective == 0 || now+s.LeadTime() <= i.Began+i.Objective
 }
 
 // Expired removes and returns the packets whose requests can no longer be served in
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -77,6 +77,44 @@
 	}
 }
 
+// TestPatient checks that a request whose deadline leaves time for another attempt waits
+// for the whole of this one, and others for a part of their objective.
+func TestPatient(t *testing.T) {
+	const ms = time.Millisecond
+	times := ServiceTimes{Work: 40 * ms, Handshake: 10 * ms}
+	q := New(8)
+	for n, patient := range []bool{false, true} {
+		q.Put(0, &Item{Key: key(n), Objective: 250 * ms, Deadline: 10 * time.Second, Patient: patient}, times)
+	}
+	for _, c := range []struct {
+		now  time.Duration
+		want int
+	}{{100 * ms, 0}, {200 * ms, 1}, {1300 * ms, 0}, {1400 * ms, 1}} {
+		if have := len(q.Expired(c.now, times)); have != c.want {
+			t.Errorf("after %v: want %d expired, have %d", c.now, c.want, have)
+		}
+	}
+}
+
+// TestOldestFirst checks the order in overload if the queue only gets what it can serve.
+func TestOldestFirst(t *testing.T) {
+	const ms = time.Millisecond
+	times := ServiceTimes{Work: 40 * ms, Handshake: 10 * ms}
+	for _, oldestFirst := range []bool{false, true} {
+		q := New(8)
+		q.OldestFirst = oldestFirst
+		for n, began := range []time.Duration{-400 * ms, -20 * ms, -10 * ms} {
+			q.Put(0, &Item{Key: key(n), Began: began, Objective: 250 * ms, Deadline: 1500 * ms}, times)
+		}
+		if have := q.Next(0, times, always).Key == key(1); have != oldestFirst {
+			t.Errorf("oldest first %v: the oldest in time is served first: %v", oldestFirst, have)
+		}
+		if have := q.CountAhead(0, times, 0); have != 1 {
+			t.Errorf("want 1 request before a new one, have %d", have)
+		}
+	}
+}
+
 // burstResult counts the requests of a simulated burst by their outcome.
 type burstResult struct{ requests, inTime, late, failed int }
 
