front, hostd: reject requests that cannot be served in time at once

Cause: an agent queued each opening packet and rejected the excess after three quarters of its objective, three times for each request.

Change, only with RejectEarly: the agent refuses a first copy at once if the request would miss its objective and not be served late either. The balancer offers it once more to agents that have reported less, and otherwise resets it; it rejects without asking what exceeds 1.25 times what agents take. Accounts over their fair share are marked, and may wait for a quarter of the time. The number of resets of a request travels along, so that the next request of the caller after a third reset does not inherit its age.

--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -16,6 +16,7 @@
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/route"
 	"github.com/bramleycourse/bramleycourse/internal/rules"
+	"github.com/bramleycourse/bramleycourse/internal/shed"
 	"github.com/bramleycourse/bramleycourse/internal/view"
 )
 
@@ -91,11 +92,15 @@
 	view    *view.View
 	pending pendingOpenings
 	// retries limits the offers that are repeated after an unanswered one.
-	retries    *budget.Budget
-	rejections rejections
-	isolation  isolation
-	searches   searches
-	trials     trials
+	retries *budget.Budget
+	// urgentRetries does so for urgent requests; nil if all share one budget.
+	urgentRetries *budget.Budget
+	rejections    rejections
+	// gate decides which requests are rejected at their first packet.
+	gate      shed.Gate
+	isolation isolation
+	searches  searches
+	trials    trials
 	// started is when the balancer started, on the same clock as now.
 	started time.Duration
 	stopped bool
@@ -123,6 +128,9 @@
 //   - Foreign: datagrams that could not be decoded or were not expected
 //   - NoRoute: packets without a route or service
 //   - NoUpstream: new flows rejected because no agent takes them or an agent rejected them
+//   - EarlyRejected: first packets of attempts rejected without an offer, because agents take fewer requests
+//   - OfferedElsewhere: refused openings offered to agents that had reported less load
+//   - Pressed: opening packets of client accounts over their share
 //   - Retried: offers repeated after a timeout
 //   - GivenUp: packets dropped: too many openings or searches, or no retry left
 //   - Refused: Refused frames from agents
@@ -133,22 +141,27 @@
 //   - Reset: flows reset because their agent is down or no agent holds them
 //   - Substituted: times that no watcher of the configuration was heard for too long
 type Counts struct {
-	Opened, Carried, Foreign, NoRoute, NoUpstream, Retried, GivenUp, Refused, Missed, Queried, Walked, Lost, Reset, Substituted uint64
+	Opened, Carried, Foreign, NoRoute, NoUpstream, EarlyRejected, OfferedElsewhere, Pressed, Retried, GivenUp, Refused, Missed, Queried, Walked, Lost, Reset, Substituted uint64
 }
 
 // NewCore returns the core of a balancer that starts at now.
 func NewCore(now time.Duration, s CoreConfig, c flow.Codec) *Core {
 	co := &Core{
-		self:    s,
-		codec:   c,
-		hints:   flow.NewHints(s.FlowLifetime, hintLinger, maxHints),
-		view:    view.New(),
-		pending: pendingOpenings{byKey: map[flow.Key]*pendingOpening{}},
-		trials:  trials{},
-		started: now,
-		out:     make([]byte, 0, frame.MaxSize),
+		self:       s,
+		codec:      c,
+		hints:      flow.NewHints(s.FlowLifetime, hintLinger, maxHints),
+		view:       view.New(),
+		pending:    pendingOpenings{byKey: map[flow.Key]*pendingOpening{}},
+		trials:     trials{},
+		rejections: rejections{gap: retryGap},
+		started:    now,
+		out:        make([]byte, 0, frame.MaxSize),
 	}
 	co.retries = budget.New(retryBudget, budgetTime(now))
+	if s.RejectEarly {
+		co.rejections.gap = earlyRetryGap
+		co.urgentRetries = budget.New(retryBudget, budgetTime(now))
+	}
 	co.InterruptWatch = func() {}
 	co.confirmed.init(now, s.ConfigLimit)
 	co.isolation.markAgent(now)
@@ -318,6 +331,7 @@
 			}).Info("an agent has taken the flow")
 		}
 	}
+	c.noteTaken(now, k, f, from)
 	h := flow.Hint{Agent: from, Service: uint32(f.Service)}
 	c.hints.Put(now, k, h)
 	c.trials.forget(k)
--- a/internal/front/offer.go
+++ b/internal/front/offer.go
@@ -60,6 +60,10 @@
 	// deadline is when the last offer times out.
 	deadline time.Duration
 	done     bool
+	// pressing is set if the client account sends more than its share.
+	pressing bool
+	// resets is the number of resets of the request before.
+	resets uint8
 }
 
 // pendingOpenings holds opening packets in the order of their last offers. The
@@ -135,19 +139,27 @@
 		c.Counts.GivenUp++
 		return
 	}
+	start, resets := c.rejections.take(now, requesterOf(k))
+	o.age, o.resets = now-start, resets
+	if c.rejectEarly(now, o, p) {
+		return
+	}
 	c.pending.byKey[k] = o
-	o.age = now - c.rejections.takeStart(now, requesterOf(k))
-	c.retries.Request(budgetTime(now))
+	c.retriesOf(o).Request(budgetTime(now))
 	c.offer(now, o)
 }
 
 // openingFrame returns a frame of the given kind with an opening packet.
 func (c *Core) openingFrame(k frame.Kind, o *pendingOpening) frame.Frame {
-	return frame.Frame{
-		Kind: k, Service: o.service, Balancer: c.self.Peer, Payload: o.packet,
+	f := frame.Frame{
+		Kind: k, Service: o.service, Balancer: c.self.Peer, Payload: o.packet, Pressing: o.pressing,
 		AgeMillis:       clampMillis(int(o.age / time.Millisecond)),
 		ObjectiveMillis: clampMillis(o.route.ObjectiveMillis), TimeoutMillis: clampMillis(o.route.TimeoutMillis), Priority: o.route.Priority,
 	}
+	if c.self.RejectEarly {
+		f.TrialsLeft = o.resets
+	}
+	return f
 }
 
 // clampMillis limits a time in milliseconds to the range of its frame field.
@@ -156,18 +168,26 @@
 // offer sends the packet to agents that have not been tried yet.
 func (c *Core) offer(now time.Duration, o *pendingOpening) {
 	n := c.agents.group(o.service).usable.Rank(o.key.Hash(), maxLocalCandidates, c.ids[:maxOfferCandidates+len(o.tried)])
-	f := c.openingFrame(frame.Offer, o)
-	o.offered = o.offered[:0]
+	var agents []netip.AddrPort
 	for _, id := range c.ids[:n] {
-		if !slices.Contains(o.tried, id.Addr) && len(f.Candidates) < maxOfferCandidates {
-			f.Candidates = append(f.Candidates, frame.Candidate{Addr: id.Addr})
-			o.offered = append(o.offered, id.Addr)
+		if !slices.Contains(o.tried, id.Addr) && len(agents) < maxOfferCandidates {
+			agents = append(agents, id.Addr)
 		}
 	}
-	if len(f.Candidates) == 0 {
+	if len(agents) == 0 {
 		c.reject(now, o)
 		return
 	}
+	c.sendOffer(now, o, agents)
+}
+
+// sendOffer offers the packet to the given agents.
+func (c *Core) sendOffer(now time.Duration, o *pendingOpening, agents []netip.AddrPort) {
+	f := c.openingFrame(frame.Offer, o)
+	for _, a := range agents {
+		f.Candidates = append(f.Candidates, frame.Candidate{Addr: a})
+	}
+	o.offered = append(o.offered[:0], agents...)
 	if o.offerCount == 0 {
 		o.firstOffered = now
 	}
@@ -195,7 +215,10 @@
 	}
 	if p, ok := c.codec.Decode(o.packet); ok {
 		c.reset(o.key, &p)
-		c.recordReset(now, now-o.age, o.key)
+		if c.self.RejectEarly {
+			c.gate.Reset(o.service, urgencyOf(o.route), o.key.Caller().Addr())
+		}
+		c.recordReset(now, now-o.age, o.key, o.resets+1)
 	}
 }
 
@@ -222,15 +245,18 @@
 	}
 	again := &pendingOpening{
 		key: k, packet: slices.Clone(f.Payload), service: f.Service, route: r,
-		tried: []netip.AddrPort{from}, age: time.Duration(f.AgeMillis) * time.Millisecond,
+		tried: []netip.AddrPort{from}, age: time.Duration(f.AgeMillis) * time.Millisecond, resets: f.TrialsLeft,
 	}
 	if o := c.pending.byKey[k]; o != nil {
-		again.offerCount = o.offerCount
+		again.offerCount, again.pressing = o.offerCount, o.pressing
 		again.tried = append(append(again.tried, o.tried...), o.offered...)
 	}
 	c.pending.drop(k)
 	c.hints.Drop(k, from)
 	if !allClosed(f) {
+		if c.noteRefused(now, f, from, r, again.offerCount == 0) && c.offerElsewhere(now, again) {
+			return
+		}
 		// The agent was the least loaded candidate, or had accepted the packet before
 		// it rejected it.
 		c.reject(now, again)
@@ -275,7 +301,7 @@
 			c.offer(now, o)
 			continue
 		}
-		if o.offerCount >= maxOffers || !c.retries.Retry(budgetTime(now)) {
+		if o.offerCount >= maxOffers || !c.retriesOf(o).Retry(budgetTime(now)) {
 			c.Counts.GivenUp++
 			c.pending.drop(o.key)
 			continue
--- a/internal/front/rejections.go
+++ b/internal/front/rejections.go
@@ -13,8 +13,14 @@
 	// retryGap is the longest time from a reset to the caller's next opening packet.
 	// The caller retries at once, and the round trip takes up to 20 ms.
 	retryGap = 100 * time.Millisecond
+	// earlyRetryGap replaces it where requests are rejected early. The balancers that the
+	// next attempt does not reach would take a new request of the caller for it, and
+	// there are many rejections then.
+	earlyRetryGap = 30 * time.Millisecond
 	// maxRejections bounds the memory for resets.
 	maxRejections = 4096
+	// callerRetries is the number of attempts that callers make after the first one.
+	callerRetries = 2
 )
 
 // requester identifies the attempts of one request by the caller's VM and the
@@ -31,26 +37,30 @@
 	from requester
 	// requestStart is when the first attempt of the request began.
 	requestStart, resetAt time.Duration
+	// resets is the number of resets of the request so far; 0 if unknown.
+	resets uint8
 }
 
-// rejections keeps recent resets until retryGap has passed. An attempt that
+// rejections keeps recent resets until the next attempt is overdue. An attempt that
 // follows a reset belongs to the same request and inherits its age; otherwise
 // rejected requests would look like the newest ones.
 type rejections struct {
 	// recent is ordered by resetAt.
 	recent []rejection
+	// gap is how long a reset is kept.
+	gap time.Duration
 }
 
-func (r *rejections) add(now, began time.Duration, from requester) {
+func (r *rejections) add(now, began time.Duration, from requester, resets uint8) {
 	r.expire(now)
 	if len(r.recent) < maxRejections {
-		r.recent = append(r.recent, rejection{from, began, now})
+		r.recent = append(r.recent, rejection{from, began, now, resets})
 	}
 }
 
 func (r *rejections) expire(now time.Duration) {
 	n := 0
-	for n < len(r.recent) && now-r.recent[n].resetAt >= retryGap {
+	for n < len(r.recent) && now-r.recent[n].resetAt >= r.gap {
 		n++
 	}
 	r.recent = r.recent[n:]
@@ -59,25 +69,33 @@
 	}
 }
 
-// takeStart returns when the request of a new attempt began, and removes the
-// reset that the attempt follows: each reset counts for one attempt.
-func (r *rejections) takeStart(now time.Duration, from requester) time.Duration {
+// take returns when the request of a new attempt began and how many resets it had, and
+// removes the reset that the attempt follows: each reset counts for one attempt.
+func (r *rejections) take(now time.Duration, from requester) (requestStart time.Duration, resets uint8) {
 	r.expire(now)
 	for n, o := range r.recent {
 		if o.from == from {
 			r.recent = append(r.recent[:n], r.recent[n+1:]...)
-			return o.requestStart
+			return o.requestStart, o.resets
 		}
 	}
-	return now
+	return now, 0
 }
 
 // recordReset records a reset and tells the balancers in the same place, because
-// any of them may get the next attempt.
-func (c *Core) recordReset(now, began time.Duration, k flow.Key) {
-	c.rejections.add(now, began, requesterOf(k))
+// any of them may get the next attempt. resets is the number of resets of the request, or
+// 0. After the last one no attempt follows, and the next request of the caller would
+// inherit the age.
+func (c *Core) recordReset(now, began time.Duration, k flow.Key, resets uint8) {
+	if c.self.RejectEarly && resets > callerRetries {
+		return
+	}
+	c.rejections.add(now, began, requesterOf(k), resets)
 	payload := binary.BigEndian.AppendUint32(append([]byte(nil), k[:]...), uint32((now-began)/time.Millisecond))
 	f := frame.Frame{Kind: frame.Rejected, Balancer: c.self.Peer, Payload: payload}
+	if c.self.RejectEarly {
+		f.TrialsLeft = resets
+	}
 	for _, e := range c.view.Balancers() {
 		if e.Place == c.self.Place && e.Key != c.ownKey() {
 			c.send(&f, e.Peer)
@@ -93,5 +111,5 @@
 		return
 	}
 	age := time.Duration(binary.BigEndian.Uint32(f.Payload[size:])) * time.Millisecond
-	c.rejections.add(now, now-age, requesterOf(flow.Key(f.Payload[:size])))
+	c.rejections.add(now, now-age, requesterOf(flow.Key(f.Payload[:size])), f.TrialsLeft)
 }
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -14,6 +14,7 @@
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/place"
 	"github.com/bramleycourse/bramleycourse/internal/queue"
+	"github.com/bramleycourse/bramleycourse/internal/shed"
 )
 
 const (
@@ -66,7 +67,8 @@
 	// force; 0 if places are not evacuated.
 	EvacuationLimit time.Duration
 	// LearnRoom makes the agent measure how many requests its upstream takes well at
-	// once. RejectEarly makes it report to balancers how long new flows wait.
+	// once. RejectEarly makes it refuse requests at once that it cannot serve in time, and
+	// report to balancers when it would answer new ones.
 	LearnRoom, RejectEarly bool
 	// Seeds are the peer addresses of balancers that may be running.
 	Seeds []netip.AddrPort
@@ -113,7 +115,11 @@
 	trials       map[flow.Key]*trial
 	registration registration
 	outcomes     outcomes
-	latency      latency
+	// arrivals measures the new requests placed here, by urgency.
+	arrivals [2]shed.Meter
+	// departures measures the answered requests.
+	departures shed.Meter
+	latency    latency
 	// meanBusy is a moving average of the load, last updated at meanBusyAt.
 	meanBusy   float64
 	meanBusyAt time.Duration
@@ -143,10 +149,11 @@
 //   - Unanswered: opening packets without an answer within openingTimeout
 //   - Full: opening packets refused because the flow table was full
 //   - Held: opening packets put into the queue
+//   - EarlyRefused: opening packets refused at once because the request would not be served in time
 //   - Doubted: reports of the upstream that were ignored because they are not newer
 //   - Broken: requests answered by a reset or with an unusual response time
 type Counts struct {
-	Taken, Forwarded, Refused, Foreign, WrongService, Missed, Returned, Recovered, Tried, Reset, Unanswered, Full, Held, Doubted, Broken uint64
+	Taken, Forwarded, Refused, Foreign, WrongService, Missed, Returned, Recovered, Tried, Reset, Unanswered, Full, Held, EarlyRefused, Doubted, Broken uint64
 }
 
 // NewCore returns the core of an agent that starts at the time now.
@@ -165,6 +172,7 @@
 	}
 	co.upstream.service, co.upstream.reportAt = s.Service, now
 	co.upstream.started, co.upstream.expected = now, s.ReportInterval
+	co.waiting.OldestFirst = s.RejectEarly
 	co.registration.init(now, s.Seeds)
 	return co
 }
@@ -223,9 +231,11 @@
 }
 
 // sendTaken tells a balancer that this agent holds a flow.
-func (c *Core) sendTaken(k flow.Key, balancer netip.AddrPort) {
+func (c *Core) sendTaken(now time.Duration, k flow.Key, balancer netip.AddrPort) {
 	if balancer.IsValid() && balancer.Port() != 0 {
-		c.send(&frame.Frame{Kind: frame.Taken, Service: c.upstream.id(), Payload: k[:]}, balancer)
+		f := frame.Frame{Kind: frame.Taken, Service: c.upstream.id(), Payload: k[:]}
+		c.addWaits(now, &f)
+		c.send(&f, balancer)
 	}
 }
 
@@ -240,7 +250,7 @@
 	k := flow.KeyOf(p.From, p.To)
 	if e := c.table.FromCaller(now, k, p, f.Balancer); e != nil {
 		if !f.Hinted {
-			c.sendTaken(k, f.Balancer)
+			c.sendTaken(now, k, f.Balancer)
 		}
 		c.ToUpstream(f.Payload)
 		return
@@ -296,7 +306,7 @@
 	}
 	if p.Syn && e != nil && c.openings[k] != nil {
 		delete(c.openings, k)
-		c.sendTaken(k, e.Balancer)
+		c.sendTaken(now, k, e.Balancer)
 	}
 	c.ToCaller(b, p.To.Addr())
 	c.admitWaiting(now)
@@ -313,7 +323,7 @@
 			c.upstream.down = true
 			c.announceChange(now)
 		}
-		c.forwardReturnedOpening(k, b)
+		c.forwardReturnedOpening(now, k, b)
 		return
 	}
 	if t := c.trials[k]; t != nil && !t.returned {
--- /dev/null
+++ b/internal/hostd/early.go
@@ -0,0 +1,101 @@
+package hostd
+
+import (
+	"math"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/bramleycourse/bramleycourse/internal/flow"
+	"github.com/bramleycourse/bramleycourse/internal/frame"
+	"github.com/bramleycourse/bramleycourse/internal/queue"
+	"github.com/bramleycourse/bramleycourse/internal/shed"
+)
+
+// Priorities that stand for an urgency in reports to balancers.
+const (
+	urgentPriority = 1
+	lowestPriority = math.MaxUint8
+)
+
+// maxHandshake limits the mean handshake time where requests are rejected early. After a
+// cut link it is that of packets sent again, and all requests would seem to be too late.
+const maxHandshake = 40 * time.Millisecond
+
+// urgencyOf returns the urgency that a priority has in reports.
+func urgencyOf(priority uint8) shed.Urgency {
+	if queue.Urgent(priority) {
+		return shed.Urgent
+	}
+	return shed.Normal
+}
+
+// noteArrival counts a request that is placed here for the first time. Further copies and
+// attempts belong to requests that have been counted.
+func (c *Core) noteArrival(now time.Duration, p *flow.Packet, f *frame.Frame) {
+	if f.AgeMillis == 0 && copyAge(p) == 0 {
+		c.arrivals[urgencyOf(f.Priority)].Add(now)
+	}
+}
+
+// load returns the load of the upstream as a new request of a priority sees it.
+func (c *Core) load(now time.Duration, priority uint8) shed.Load {
+	s := c.serviceTimes()
+	urgent := c.arrivals[shed.Urgent].Rate(now)
+	l := shed.Load{
+		Ahead: c.waiting.CountAhead(now, s, priority), Waiting: c.waiting.CountInTime(now, s),
+		Busy: c.table.Busy(now), Spent: s.Handshake + s.Work, Left: c.departures.Rate(now), Lead: s.LeadTime(),
+		Arriving: urgent + c.arrivals[shed.Normal].Rate(now),
+	}
+	if !queue.Urgent(priority) {
+		l.Before = urgent
+	}
+	return l
+}
+
+// refuseEarly returns an opening packet to its balancer if its request cannot be served
+// in time. It does so only with the first copy of an attempt: another agent may hold the
+// packet if its answer was lost.
+func (c *Core) refuseEarly(now time.Duration, k flow.Key, p *flow.Packet, o *opening, packet []byte) bool {
+	if !c.self.RejectEarly || copyAge(p) > 0 {
+		return false
+	}
+	f := &o.frame
+	l := c.load(now, f.Priority)
+	r := shed.Request{
+		Objective: time.Duration(f.ObjectiveMillis) * time.Millisecond, Deadline: time.Duration(f.TimeoutMillis) * time.Millisecond,
+		Age: time.Duration(f.AgeMillis) * time.Millisecond, Pressing: f.Pressing, Again: f.TrialsLeft > 0,
+	}
+	if !l.Refuses(r) {
+		return false
+	}
+	c.Counts.EarlyRefused++
+	if c.Sample(true) {
+		c.decisionLog("earlyRefused", k, "refused", now).WithFields(logrus.Fields{
+			"age": r.Age, "priority": f.Priority, "pressing": r.Pressing, "answerIn": l.Time(), "ahead": l.Ahead,
+			"arriving": l.Arriving, "balancer": f.Balancer,
+		}).Info("request cannot be served in time")
+	}
+	c.refuseOpening(now, o, packet)
+	return true
+}
+
+// addWaits adds to a Taken or Refused frame in which time a new request would be
+// answered. A Refused frame still holds the times of the refused one.
+func (c *Core) addWaits(now time.Duration, f *frame.Frame) {
+	if !c.self.RejectEarly || !c.upstream.accepts() || c.leaving || c.upstream.stalled(now) {
+		return
+	}
+	f.Waits = true
+	f.ObjectiveMillis = c.waitMillis(now, lowestPriority)
+	f.TimeoutMillis = c.waitMillis(now, urgentPriority)
+}
+
+// waitMillis returns the time in which a new request of a priority would be answered, in
+// milliseconds; 0 if the upstream has room.
+func (c *Core) waitMillis(now time.Duration, priority uint8) uint16 {
+	if c.hasRoom(now, queue.UrgencyOf(priority)) {
+		return 0
+	}
+	return uint16(min(max(c.load(now, priority).Time().Milliseconds(), 1), math.MaxUint16))
+}
--- a/internal/hostd/opening.go
+++ b/internal/hostd/opening.go
@@ -12,6 +12,7 @@
 	"github.com/bramleycourse/bramleycourse/internal/frame"
 	"github.com/bramleycourse/bramleycourse/internal/place"
 	"github.com/bramleycourse/bramleycourse/internal/queue"
+	"github.com/bramleycourse/bramleycourse/internal/shed"
 )
 
 // opening holds the frame in which an opening packet arrived and the time of its
@@ -37,7 +38,7 @@
 		c.table.Drop(k)
 	}
 	if c.waitingOpenings[k] != nil {
-		c.sendTaken(k, f.Balancer)
+		c.sendTaken(now, k, f.Balancer)
 		return
 	}
 	l := c.Load(now)
@@ -57,7 +58,7 @@
 		c.Counts.Forwarded++
 		c.send(f, f.Candidates[f.Position].Addr)
 	case admit.Refuse:
-		c.refuse(f)
+		c.refuse(now, f)
 	}
 }
 
@@ -65,7 +66,7 @@
 // got the first copy.
 func (c *Core) handleRepeatedOpening(now time.Duration, k flow.Key, f *frame.Frame) {
 	if e := c.table.Get(k); e.Answered() {
-		c.sendTaken(k, f.Balancer)
+		c.sendTaken(now, k, f.Balancer)
 	} else {
 		c.table.AddOpening(now, k, f.Balancer)
 	}
@@ -77,19 +78,24 @@
 func (c *Core) admitOrQueue(now time.Duration, k flow.Key, p *flow.Packet, f *frame.Frame) {
 	o := &opening{frame: *f, at: now}
 	o.frame.Candidates, o.frame.Payload = slices.Clone(f.Candidates), nil
+	c.noteArrival(now, p, f)
 	if c.hasRoom(now, queue.UrgencyOf(f.Priority)) {
 		c.admit(now, k, o, f.Payload)
 		return
 	}
+	if c.refuseEarly(now, k, p, o, f.Payload) {
+		return
+	}
 	item := queue.Item{
 		Key: k, Attempt: now - copyAge(p), Priority: f.Priority, Packet: slices.Clone(f.Payload),
 		Objective: time.Duration(f.ObjectiveMillis) * time.Millisecond,
 		Deadline:  time.Duration(f.TimeoutMillis) * time.Millisecond,
 	}
 	item.Began = item.Attempt - time.Duration(f.AgeMillis)*time.Millisecond
+	item.Patient = c.self.RejectEarly && shed.Request{Deadline: item.Deadline, Age: now - item.Began}.Patient()
 	c.Counts.Held++
 	c.waitingOpenings[k] = o
-	c.sendTaken(k, f.Balancer)
+	c.sendTaken(now, k, f.Balancer)
 	if evicted := c.waiting.Put(now, &item, c.serviceTimes()); evicted != nil {
 		c.rejectWaiting(now, "queueFull", evicted)
 	}
@@ -97,7 +103,11 @@
 
 // serviceTimes returns the present service times of the upstream.
 func (c *Core) serviceTimes() queue.ServiceTimes {
-	return queue.ServiceTimes{Work: c.table.Work(), Handshake: c.table.Handshake()}
+	s := queue.ServiceTimes{Work: c.table.Work(), Handshake: c.table.Handshake()}
+	if c.self.RejectEarly {
+		s.Handshake = min(s.Handshake, maxHandshake)
+	}
+	return s
 }
 
 // copyAges holds the age of an attempt at which a caller sends each copy of its
@@ -117,7 +127,7 @@
 func (c *Core) admit(now time.Duration, k flow.Key, o *opening, packet []byte) {
 	if c.table.AddOpening(now, k, o.frame.Balancer) == nil {
 		c.Counts.Full++
-		c.refuseOpening(o, packet)
+		c.refuseOpening(now, o, packet)
 		return
 	}
 	c.Counts.Taken++
@@ -137,10 +147,10 @@
 }
 
 // refuseOpening returns an opening packet to its balancer as refused.
-func (c *Core) refuseOpening(o *opening, packet []byte) {
+func (c *Core) refuseOpening(now time.Duration, o *opening, packet []byte) {
 	f := o.frame
 	f.Payload = packet
-	c.refuse(&f)
+	c.refuse(now, &f)
 }
 
 // admitWaiting admits waiting packets while the upstream has room, and rejects those
@@ -178,20 +188,21 @@
 		o := c.waitingOpenings[i.Key]
 		delete(c.waitingOpenings, i.Key)
 		o.frame.AgeMillis = uint16(min((now-i.Began)/time.Millisecond, math.MaxUint16))
-		c.refuseOpening(o, i.Packet)
+		c.refuseOpening(now, o, i.Packet)
 	}
 }
 
-func (c *Core) refuse(f *frame.Frame) {
+func (c *Core) refuse(now time.Duration, f *frame.Frame) {
 	c.Counts.Refused++
 	f.Kind = frame.Refused
+	c.addWaits(now, f)
 	c.send(f, f.Balancer)
 }
 
 // forwardReturnedOpening handles an opening packet that the upstream has returned as
 // if the upstream took no new flows: it forwards the packet to the candidate that
 // place.Decide chooses, or refuses it.
-func (c *Core) forwardReturnedOpening(k flow.Key, b []byte) {
+func (c *Core) forwardReturnedOpening(now time.Duration, k flow.Key, b []byte) {
 	o := c.openings[k]
 	if o == nil {
 		return
@@ -205,5 +216,5 @@
 		c.send(&f, f.Candidates[f.Position].Addr)
 		return
 	}
-	c.refuse(&f)
+	c.refuse(now, &f)
 }
--- a/internal/hostd/outcomes.go
+++ b/internal/hostd/outcomes.go
@@ -65,6 +65,7 @@
 	if e == nil || !e.Requested() || !p.Rst && !p.Fin && p.Size == 0 {
 		return
 	}
+	c.departures.Add(now)
 	free := c.table.Busy(now) <= c.upstream.concurrency()
 	c.recordOutcome(now, p.Rst || c.latency.unusual(e.Elapsed(now), free, c.outcomes.failing))
 }
--- a/internal/hostd/trial.go
+++ b/internal/hostd/trial.go
@@ -134,7 +134,7 @@
 	if t := c.trials[k]; t != nil {
 		e.Balancer = t.frame.Balancer
 		delete(c.trials, k)
-		c.sendTaken(k, e.Balancer)
+		c.sendTaken(now, k, e.Balancer)
 	}
 	return c.table.FromUpstream(now, k, p)
 }
