--- a/internal/trial/outage.go
+++ b/internal/trial/outage.go
@@ -27,6 +27,8 @@
 	// UrgentShare is the share of requests with a high priority, which have
 	// urgentWorth times the worth of the others.
 	UrgentShare float64
+	// Steady is set if nothing fails. Early is set if requests are rejected early.
+	Steady, Early bool
 }
 
 // Outages returns the outages that the trial command plays: few upstreams with five
@@ -96,6 +98,11 @@
 	Dark     int `json:"dark"`
 	Rejected int `json:"rejected"`
 	TimedOut int `json:"timedOut"`
+	// Attempts is the number of attempts, and Told the median time after which rejected
+	// requests had their last reset, in milliseconds.
+	Attempts   int   `json:"attempts"`
+	ToldMillis int64 `json:"toldMillis"`
+	told       []time.Duration
 	// Worth is the worth of all answers relative to that of answers in time to all.
 	Worth float64 `json:"worth"`
 }
@@ -112,6 +119,7 @@
 		o.Dark++
 	case took < s.Timeout:
 		o.Rejected++
+		o.told = append(o.told, took)
 	default:
 		o.TimedOut++
 	}
@@ -164,6 +172,9 @@
 		}
 	}
 	o.Worth /= total
+	if slices.Sort(o.told); len(o.told) > 0 {
+		o.ToldMillis = o.told[len(o.told)/2].Milliseconds()
+	}
 }
 
 // outageClock runs events in simulated time.
