--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -161,9 +161,17 @@
 	flagHinted = 1
 	flagUnsure = 2
 	flagTried  = 4
-	// flagCold announces ColdRate and Warmup on Offer and Placed. The rate takes the
-	// place of TrialsLeft, and the warm-up the upper four bits of the flags, both of
-	// which earlier versions ignore on these kinds.
+	// flagWaits announces times on Taken and Refused, see Frame.Waits.
+	flagWaits = 16
+
+	// Offer and Placed have flags of their own. Earlier versions ignore all of them on
+	// these kinds.
+	flagPressing = 1
+	// resetsShift is the position of the two bits with the number of resets.
+	resetsShift = 1
+	maxResets   = 3
+	// flagCold announces ColdRate and Warmup. The rate takes the place of TrialsLeft, and
+	// the warm-up the upper four bits of the flags.
 	flagCold = 8
 	// coldShift is the position of the warm-up in the flags.
 	coldShift = 4
@@ -190,7 +198,8 @@
 	Position int
 	// TrialsLeft is the number of agents that may still pass the packet to their
 	// upstream although the flow is not in their table. They may have lost the table in a
-	// restart.
+	// restart. In Offer, Placed, Refused and Rejected it is the number of resets that the
+	// request has had, if the balancer rejects early.
 	TrialsLeft uint8
 	// Hinted is set on Data if the agent had told the balancer that it holds the flow.
 	Hinted bool
@@ -199,8 +208,15 @@
 	Unsure bool
 	// Tried is set by an agent that has passed the packet to its upstream, which
 	// returned it.
-	Tried   bool
-	Service ServiceID
+	Tried bool
+	// Waits is set on Taken and Refused if ObjectiveMillis and TimeoutMillis hold the
+	// time in which the sender would answer a new request that is not urgent, and one
+	// that is; zero if it has room.
+	Waits bool
+	// Pressing is set on Offer and Placed if the caller's client account sends more than
+	// its share while the service is overloaded.
+	Pressing bool
+	Service  ServiceID
 	// ColdRate is the number of requests per second that a cold upstream of the service
 	// bears, and Warmup the time for which it is cold. They are carried by Offer and
 	// Placed only, where ColdRate is 0 if there is no limit. They are encoded roughly:
@@ -210,7 +226,7 @@
 	// Balancer is the address to send replies to.
 	Balancer netip.AddrPort
 	// ObjectiveMillis and TimeoutMillis are the latency objective and the timeout of
-	// the requests of the flow; zero if unknown. Priority is their priority; 0 is
+	// the requests of the flow; zero if unknown; see Waits. Priority is their priority; 0 is
 	// the highest.
 	ObjectiveMillis, TimeoutMillis uint16
 	// AgeMillis is the time from the start of the request to this attempt or, if an
@@ -234,10 +250,12 @@
 	if f.Tried {
 		flags |= flagTried
 	}
+	if f.Waits {
+		flags |= flagWaits
+	}
 	trials := f.TrialsLeft
-	if f.ColdRate > 0 && f.Kind.opens() {
-		trials = encodeRate(f.ColdRate)
-		flags |= flagCold | encodeWarmup(f.Warmup)<<coldShift
+	if f.Kind.opens() {
+		flags, trials = f.openingFields()
 	}
 	b = append(b, version, byte(f.Kind), byte(f.Position), byte(len(f.Candidates)), trials, flags)
 	b = binary.BigEndian.AppendUint32(b, uint32(f.Service))
@@ -265,9 +283,9 @@
 	}
 	f.Kind, f.Position, f.TrialsLeft, f.Hinted = Kind(b[1]), int(b[2]), b[4], b[5]&flagHinted != 0
 	f.Unsure, f.Tried = b[5]&flagUnsure != 0, b[5]&flagTried != 0
-	f.ColdRate, f.Warmup = 0, 0
-	if b[5]&flagCold != 0 && f.Kind.opens() {
-		f.ColdRate, f.Warmup, f.TrialsLeft = decodeRate(b[4]), decodeWarmup(b[5]>>coldShift), 0
+	f.Waits, f.Pressing, f.ColdRate, f.Warmup = b[5]&flagWaits != 0, false, 0, 0
+	if f.Kind.opens() {
+		f.parseOpeningFields(b[5], b[4])
 	}
 	f.Service = ServiceID(binary.BigEndian.Uint32(b[6:]))
 	f.Balancer = parseAddr(b[10:])
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -23,6 +23,9 @@
 			Payload:    []byte("packet"),
 		},
 		{Kind: Placed, Balancer: addr("10.0.0.1:7000"), ColdRate: 12, Warmup: 2 * time.Second, Payload: []byte("packet")},
+		{Kind: Refused, Waits: true, TrialsLeft: 2, ObjectiveMillis: 180, TimeoutMillis: 40, Balancer: addr("10.0.0.1:7000")},
+		{Kind: Placed, Pressing: true, Balancer: addr("10.0.0.1:7000")},
+		{Kind: Offer, Pressing: true, TrialsLeft: 2, ColdRate: 12, Warmup: 2 * time.Second, Balancer: addr("10.0.0.1:7000")},
 		{Kind: Data, Hinted: true, Tried: true, TrialsLeft: 2, Balancer: addr("10.0.0.1:7000"), Payload: []byte("packet")},
 	} {
 		var have Frame
--- a/internal/frame/cold.go
+++ b/internal/frame/opening.go
@@ -42,3 +42,24 @@
 }
 
 func decodeWarmup(c byte) time.Duration { return minWarmup << c }
+
+// openingFields returns the flags and the byte of TrialsLeft of an Offer or Placed.
+func (f *Frame) openingFields() (flags, trials byte) {
+	if f.Pressing {
+		flags |= flagPressing
+	}
+	flags |= min(f.TrialsLeft, maxResets) << resetsShift
+	if f.ColdRate > 0 {
+		flags |= flagCold | encodeWarmup(f.Warmup)<<coldShift
+		trials = encodeRate(f.ColdRate)
+	}
+	return flags, trials
+}
+
+func (f *Frame) parseOpeningFields(flags, trials byte) {
+	f.Hinted, f.Unsure, f.Tried, f.Waits = false, false, false, false
+	f.Pressing, f.TrialsLeft = flags&flagPressing != 0, flags>>resetsShift&maxResets
+	if flags&flagCold != 0 {
+		f.ColdRate, f.Warmup = decodeRate(trials), decodeWarmup(flags>>coldShift)
+	}
+}
--- a/internal/hostd/cold.go
+++ b/internal/hostd/cold.go
@@ -54,14 +54,14 @@
 // passOn handles an opening packet whose turn at the cold upstream does not come in time.
 // One that was placed here goes to another candidate that takes it. Otherwise all are
 // closed, and the balancer offers it to agents that were not asked.
-func (c *Core) passOn(f *frame.Frame) {
+func (c *Core) passOn(now time.Duration, f *frame.Frame) {
 	c.Counts.ColdPassed++
 	if f.Kind == frame.Placed && place.Pass(f) {
 		c.Counts.Forwarded++
 		c.send(f, f.Candidates[f.Position].Addr)
 		return
 	}
-	c.refuse(f)
+	c.refuse(now, f)
 }
 
 // wakeForTurn makes Tick due when the next waiting packet has its turn.
--- a/internal/hostd/opening.go
+++ b/internal/hostd/opening.go
@@ -37,7 +37,7 @@
 		c.table.Drop(k)
 	}
 	if c.waitingOpenings[k] != nil {
-		c.sendTaken(k, f.Balancer)
+		c.sendTaken(now, k, f.Balancer)
 		return
 	}
 	c.announceLimit(now, f)
@@ -62,22 +62,22 @@
 		c.Counts.Forwarded++
 		c.send(f, f.Candidates[f.Position].Addr)
 	case admit.Refuse:
-		c.refuseOffer(f, tooLate)
+		c.refuseOffer(now, f, tooLate)
 	}
 }
 
 // refuseOffer returns an offer that the upstream does not get. tooLate is set if the only
 // reason is that its turn at the cold upstream does not come in time.
-func (c *Core) refuseOffer(f *frame.Frame, tooLate bool) {
+func (c *Core) refuseOffer(now time.Duration, f *frame.Frame, tooLate bool) {
 	if tooLate {
-		c.passOn(f)
+		c.passOn(now, f)
 		return
 	}
 	if f.Kind == frame.Placed && c.evacuated() {
 		// The agent was chosen while it was open. Another one may still take the flow.
 		f.Candidates = nil
 	}
-	c.refuse(f)
+	c.refuse(now, f)
 }
 
 // newItem returns an opening packet as an item of the queue. The item refers to the
@@ -96,7 +96,7 @@
 // got the first copy.
 func (c *Core) handleRepeatedOpening(now time.Duration, k flow.Key, f *frame.Frame) {
 	if e := c.table.Get(k); e.Answered() {
-		c.sendTaken(k, f.Balancer)
+		c.sendTaken(now, k, f.Balancer)
 	} else {
 		c.table.AddOpening(now, k, f.Balancer)
 	}
@@ -109,19 +109,24 @@
 	k := item.Key
 	o := &opening{frame: *f, at: now}
 	o.frame.Candidates, o.frame.Payload = slices.Clone(f.Candidates), nil
+	c.noteArrival(now, &item)
 	cold := c.turn(now) > 0
 	if !cold && c.hasRoom(now, queue.UrgencyOf(f.Priority)) {
 		c.admit(now, k, o, f.Payload)
 		return
 	}
+	if !cold && c.refuseEarly(now, &item, o) {
+		return
+	}
 	queued := item // Only a packet that waits is allocated.
 	queued.Packet = slices.Clone(f.Payload)
+	queued.Patient = c.self.RejectEarly && requestOf(now, &item).Patient()
 	c.Counts.Held++
 	if cold {
 		c.Counts.ColdHeld++
 	}
 	c.waitingOpenings[k] = o
-	c.sendTaken(k, f.Balancer)
+	c.sendTaken(now, k, f.Balancer)
 	if evicted := c.waiting.Put(now, &queued, c.serviceTimes()); evicted != nil {
 		c.rejectWaiting(now, "queueFull", evicted)
 	}
@@ -130,7 +135,11 @@
 
 // serviceTimes returns the present service times of the upstream.
 func (c *Core) serviceTimes() queue.ServiceTimes {
-	return queue.ServiceTimes{Work: c.table.Work(), Handshake: c.table.Handshake()}
+	s := queue.ServiceTimes{Work: c.table.Work(), Handshake: c.table.Handshake()}
+	if c.self.RejectEarly {
+		s.Handshake = min(s.Handshake, maxHandshake)
+	}
+	return s
 }
 
 // copyAges holds the age of an attempt at which a caller sends each copy of its
@@ -151,7 +160,7 @@
 	e := c.table.AddOpening(now, k, o.frame.Balancer)
 	if e == nil {
 		c.Counts.Full++
-		c.refuseOpening(o, packet)
+		c.refuseOpening(now, o, packet)
 		return
 	}
 	e.Class = o.frame.Priority
@@ -173,10 +182,10 @@
 }
 
 // refuseOpening returns an opening packet to its balancer as refused.
-func (c *Core) refuseOpening(o *opening, packet []byte) {
+func (c *Core) refuseOpening(now time.Duration, o *opening, packet []byte) {
 	f := o.frame
 	f.Payload = packet
-	c.refuse(&f)
+	c.refuse(now, &f)
 }
 
 // admitWaiting admits waiting packets while the upstream has room, and rejects those
@@ -221,20 +230,21 @@
 		o := c.waitingOpenings[i.Key]
 		delete(c.waitingOpenings, i.Key)
 		o.frame.AgeMillis = uint16(min((now-i.Began)/time.Millisecond, math.MaxUint16))
-		c.refuseOpening(o, i.Packet)
+		c.refuseOpening(now, o, i.Packet)
 	}
 }
 
-func (c *Core) refuse(f *frame.Frame) {
+func (c *Core) refuse(now time.Duration, f *frame.Frame) {
 	c.Counts.Refused++
 	f.Kind = frame.Refused
+	c.addWaits(now, f)
 	c.send(f, f.Balancer)
 }
 
 // forwardReturnedOpening handles an opening packet that the upstream has returned as
 // if the upstream took no new flows: it forwards the packet to the candidate that
 // place.Decide chooses, or refuses it.
-func (c *Core) forwardReturnedOpening(k flow.Key, b []byte) {
+func (c *Core) forwardReturnedOpening(now time.Duration, k flow.Key, b []byte) {
 	o := c.openings[k]
 	if o == nil {
 		return
@@ -248,5 +258,5 @@
 		c.send(&f, f.Candidates[f.Position].Addr)
 		return
 	}
-	c.refuse(&f)
+	c.refuse(now, &f)
 }
