front: a configuration from an earlier version is completed with its rates

Cause: a balancer that starts asks its peers for the configuration before the platform has answered. During a rolling update the peer may run an earlier version, which passes it on without services. The same generation then arrives from the platform and was ignored, so the balancer announced no rate until the operator's next change; where all balancers are watchers, none may announce one. Change: the configuration in force is replaced by one of the same generation that has rates if it has none. Ruled out: waiting for the platform before asking peers: a balancer that starts while the store is down must serve. Measured: TestRulesWithoutServices fails without the change ("want in force true and 1 limits, have false and 0") and passes with it.

--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -175,10 +175,10 @@
 // Rules returns the configuration in force; nil before the first one.
 func (c *Core) Rules() *rules.Table { return c.rules }
 
-// SetRules puts a configuration in force if it is newer than the current one.
-// It reports whether it did.
+// SetRules puts a configuration in force if it is newer than the current one, or completes
+// it. It reports whether it did.
 func (c *Core) SetRules(t *rules.Table, source string) bool {
-	if t.Generation() <= c.rules.Generation() {
+	if t.Generation() <= c.rules.Generation() && !c.completes(t) {
 		return false
 	}
 	c.Log.WithFields(logrus.Fields{
@@ -199,6 +199,12 @@
 	return true
 }
 
+// completes reports whether a configuration is the current one with the rates of cold
+// upstreams. A balancer of an earlier version passes it on without them.
+func (c *Core) completes(t *rules.Table) bool {
+	return t.Generation() == c.rules.Generation() && len(c.limited) == 0 && len(t.Limited()) > 0
+}
+
 // FromCaller handles a datagram that arrived from the callers' network.
 func (c *Core) FromCaller(now time.Duration, b []byte) {
 	var ok bool
