front: changes of evacuations apply to what the balancer has read itself

Cause: the changes of a watch were applied to the newest set that the balancer knew from anyone. After the store was restored from a copy its versions are lower than those known; its lists and changes were dropped, also those that count once its versions have caught up: places read in between were missing and one that was not evacuated any more stayed. Likewise a place beyond the 1,000 bytes of a datagram was never evacuated, also not when a place before it was taken back. Change: each balancer keeps what it has read itself, complete, applies the changes of its watch to that, and takes it over if it is newer. Ruled out: taking over a lower version: an answer that was delayed would take back a place.

--- a/internal/evac/evac.go
+++ b/internal/evac/evac.go
@@ -31,6 +31,9 @@
 	// Since is the first version from which on this process knows these places. One
 	// that knows an earlier version has to be told.
 	Since plat.Version `json:"-"`
+	// all also holds the places that do not fit into a datagram; nil in a set from another
+	// process.
+	all []ident.PlaceName
 }
 
 // Has reports whether a place is evacuated.
@@ -66,24 +69,28 @@
 func Listed(l plat.List) (s Set, odd int) { return Set{}.Apply(l) }
 
 // Apply returns the set after the changes of a watch that began at the version of s or
-// before, and the number of objects that name no place. An object that is being deleted
-// evacuates nothing. Values are not read.
+// before, and the number of objects that name no place or no longer fit. An object that is
+// being deleted evacuates nothing. Values are not read.
 func (s Set) Apply(l plat.List) (next Set, odd int) {
-	places := slices.Clone(s.Places)
+	all := slices.Clone(s.all)
+	if all == nil {
+		all = slices.Clone(s.Places)
+	}
 	for _, o := range l.Objects {
 		p := ident.PlaceName(o.Name)
-		at, found := slices.BinarySearch(places, p)
+		at, found := slices.BinarySearch(all, p)
 		switch ends := o.Deleted || o.Deleting; {
 		case !usable(o.Name):
 			odd++
 		case ends && found:
-			places = slices.Delete(places, at, at+1)
+			all = slices.Delete(all, at, at+1)
 		case !ends && !found:
-			places = slices.Insert(places, at, p)
+			all = slices.Insert(all, at, p)
 		}
 	}
-	places, dropped := bound(places)
-	return Set{Version: l.Version, Places: places, Since: l.Version}, odd + dropped
+	places, dropped := bound(all)
+	odd += max(0, dropped-max(0, len(s.all)-len(s.Places)))
+	return Set{Version: l.Version, Places: places, Since: l.Version, all: all}, odd
 }
 
 // usable reports whether a name can be passed on as the name of a place. Its encoding must
--- a/internal/front/evacuations.go
+++ b/internal/front/evacuations.go
@@ -26,6 +26,10 @@
 type evacuations struct {
 	// set is replaced only by newer ones.
 	set evac.Set
+	// read is what this balancer has read on the platform by itself. It is behind set if
+	// another one has read more, or if the store was restored from a copy. A watch returns
+	// the changes since read.
+	read evac.Set
 	// confirmed records the answers of the platform about evacuations.
 	confirmed confirmation
 }
@@ -48,8 +52,9 @@
 func (c *Core) NoteEvacuations(now time.Duration, l plat.List, complete bool) {
 	s, odd := evac.Listed(l)
 	if !complete {
-		s, odd = c.evacuations.set.Apply(l)
+		s, odd = c.evacuations.read.Apply(l)
 	}
+	c.evacuations.read = s
 	if odd > 0 {
 		c.Counts.OddEvacuations += uint64(odd)
 		c.Log.WithFields(logrus.Fields{"event": "oddEvacuations", "objects": odd, "version": l.Version}).Warn("objects that name no place ignored")
