front: an agent with an outdated evacuation is told also by a balancer that missed it

Cause: Since says from which version on a process knows its places. A balancer that heard neither of an evacuation nor of its end (cut off, or told of both versions at once) keeps an early Since, took an agent that announces the evacuation for up to date, and the agent kept its upstream closed until the next change, where its two balancers were such ones. Change: an agent announces its places, so they are compared. Ruled out: a later Since at each new version: each write to the store would be passed on to all agents. Measured: TestEvacuationsSkipped fails without the change (the agent is told nothing).

--- a/internal/evac/evac.go
+++ b/internal/evac/evac.go
@@ -48,6 +48,12 @@
 	return known < s.Since && (known > 0 || len(s.Places) > 0)
 }
 
+// Corrects reports whether the places that another process takes for evacuated are outdated.
+// Since does not tell where this process was not told of an evacuation that has ended.
+func (s Set) Corrects(o Set) bool {
+	return 0 < o.Version && o.Version < s.Version && !slices.Equal(s.Places, o.Places)
+}
+
 // Merge returns the newer one of two sets, and whether the places differ from s.
 func (s Set) Merge(o Set) (newer Set, changed bool) {
 	if o.Version <= s.Version {
--- a/internal/front/evacuations.go
+++ b/internal/front/evacuations.go
@@ -105,7 +105,7 @@
 }
 
 // tellEvacuations sends the evacuated places to a balancer or agent that knows those of an
-// earlier version, and takes over newer ones that an agent has announced.
+// earlier version.
 func (c *Core) tellEvacuations(known plat.Version, to netip.AddrPort) {
 	if c.Evacuates() && c.evacuations.set.Tells(known) {
 		c.sendJSON(frame.Evacuations, c.evacuations.set, to)
@@ -124,5 +124,9 @@
 	if c.Evacuates() && s.Valid() {
 		c.mergeEvacuations(now, *s, from.String())
 	}
+	if c.Evacuates() && c.evacuations.set.Corrects(*s) {
+		c.sendJSON(frame.Evacuations, c.evacuations.set, from)
+		return
+	}
 	c.tellEvacuations(s.Version, from)
 }
--- a/internal/front/evacuationsread_test.go
+++ b/internal/front/evacuationsread_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/bramleycourse/bramleycourse/internal/evac"
+	"github.com/bramleycourse/bramleycourse/internal/frame"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/plat"
 )
@@ -53,3 +55,27 @@
 		t.Errorf("have %q", c.Evacuations().Places)
 	}
 }
+
+// TestEvacuationsSkipped guards a place that was taken back against an agent that still
+// takes it for evacuated: its balancer was told nothing of the whole evacuation.
+func TestEvacuationsSkipped(t *testing.T) {
+	c := evacuating(5)
+	c.mergeEvacuations(0, evac.Set{Version: 11}, "peer")
+	var sent []evac.Set
+	c.ToAgent = func(b []byte, _ netip.AddrPort) {
+		var f frame.Frame
+		if f.Parse(b) && f.Kind == frame.Evacuations {
+			s, _ := evac.Parse(f.Payload)
+			sent = append(sent, s)
+		}
+	}
+	agent := netip.MustParseAddrPort("10.0.0.9:7000")
+	c.noteAnnounced(0, &evac.Set{Version: 10, Places: []ident.PlaceName{"a"}}, agent)
+	if len(sent) != 1 || sent[0].Version != 11 || len(sent[0].Places) > 0 {
+		t.Errorf("the agent is told %v", sent)
+	}
+	c.noteAnnounced(0, &evac.Set{Version: 7}, agent)
+	if len(sent) != 1 {
+		t.Errorf("an agent with the same places is told %v", sent[1:])
+	}
+}
