hostd: only offers that the upstream can get are compared with others

Cause: with learned room, an agent that was closed, failing without a probe or asked for another service used up its trial (one in 0.5 s) and its turn to show its time (one a second), counted a trial that did not happen, and took times of another service for those of its own. A placed flow used up the turn too. Change: times are taken from offers for the own service only, the rest is skipped for a closed or failing upstream, and a changed service discards the measurements. The fixture of the tests had no service, so its upstream was closed in all of them; it has one now, and the assertions are the same. Ruled out: discarding the times of others at each restart of the upstream: they hold for another run of the same service.

--- a/internal/hostd/learn.go
+++ b/internal/hostd/learn.go
@@ -113,13 +113,19 @@
 
 // compare adds to the load of an offer what is known about the speed of the upstream and
 // of others. A slow upstream gets a request that is not urgent from time to time, so that
-// a recovery is noticed. Once a second an offer is passed on to show others the time.
+// a recovery is noticed. Once a second an offer is passed on to show others the time. An
+// upstream that does not get the flow needs neither.
 func (c *Core) compare(now time.Duration, f *frame.Frame, l *place.Load) {
 	if !c.self.LearnRoom {
 		return
 	}
 	g := &c.learning.gauge
-	place.PeerTimes(f, func(d time.Duration) { g.SawPeer(now, d) })
+	if f.Service == c.upstream.id() {
+		place.PeerTimes(f, func(d time.Duration) { g.SawPeer(now, d) })
+	}
+	if l.Closed || l.Failing {
+		return
+	}
 	l.Work, l.Peers = g.Work(), g.Peers(now)
 	if l.Work == 0 {
 		l.Work, l.Peers = c.assumedWork(now), 0
@@ -130,5 +136,6 @@
 		c.Counts.Remeasured++
 		return
 	}
-	l.Show = !queue.Urgent(f.Priority) && f.Position+1 < len(f.Candidates) && g.ShowDue(now)
+	mayShow := f.Kind == frame.Offer && f.Position+1 < len(f.Candidates) && !queue.Urgent(f.Priority)
+	l.Show = mayShow && g.ShowDue(now)
 }
--- a/internal/hostd/learn_test.go
+++ b/internal/hostd/learn_test.go
@@ -17,7 +17,7 @@
 // newLearner returns a core whose upstream has answered requests, four at once, each in
 // the given time.
 func newLearner(learn bool, logs *bytes.Buffer, took time.Duration) (*Core, time.Duration) {
-	c := NewCore(0, CoreConfig{LearnRoom: learn}, flow.Codec{})
+	c := NewCore(0, CoreConfig{LearnRoom: learn, Service: "listas"}, flow.Codec{})
 	l := logrus.New()
 	l.SetOutput(logs)
 	c.Log = l.WithField("role", "agent")
@@ -57,7 +57,7 @@
 func TestCompare(t *testing.T) {
 	c, now := newLearner(true, &bytes.Buffer{}, 60*time.Millisecond)
 	load := func(priority uint8, others frame.Depth) place.Load {
-		f := &frame.Frame{Kind: frame.Offer, Priority: priority, Position: 1, ObjectiveMillis: 256}
+		f := &frame.Frame{Kind: frame.Offer, Service: c.upstream.id(), Priority: priority, Position: 1, ObjectiveMillis: 256}
 		f.Candidates = []frame.Candidate{{Depth: others}, {}, {}}
 		l := c.Load(now)
 		c.compare(now, f, &l)
@@ -122,3 +122,54 @@
 		t.Errorf("while it is cold: want %v slots, have %v", 4*warmupFactor, have)
 	}
 }
+
+// TestCompareClosed checks that an offer that the upstream cannot get counts neither as a
+// trial nor as shown, and that times of another service are not taken for those of its own.
+func TestCompareClosed(t *testing.T) {
+	c, now := newLearner(true, &bytes.Buffer{}, 60*time.Millisecond)
+	other := &frame.Frame{Kind: frame.Offer, Priority: 2, Position: 1, ObjectiveMillis: 256, Service: c.upstream.id() + 1}
+	other.Candidates = []frame.Candidate{{Depth: 60}, {}, {}}
+	own := *other
+	own.Service = c.upstream.id()
+	for range 8 {
+		l := place.Load{Closed: true}
+		c.compare(now, other, &l)
+	}
+	if have := c.learning.gauge.Peers(now); have != 0 {
+		t.Errorf("another service: have a time of %v", have)
+	}
+	for range 8 {
+		l := c.Load(now)
+		c.compare(now, &own, &l)
+	}
+	now += time.Second
+	for _, state := range []place.Load{{Closed: true}, {Failing: true}} {
+		l := c.Load(now)
+		l.Closed, l.Failing = state.Closed, state.Failing
+		if c.compare(now, &own, &l); l.Show || c.Counts.Remeasured > 0 {
+			t.Errorf("closed %v, failing %v: have %+v, %d trials", l.Closed, l.Failing, l, c.Counts.Remeasured)
+		}
+	}
+	l := c.Load(now)
+	if c.compare(now, &own, &l); c.Counts.Remeasured != 1 {
+		t.Errorf("open again: want a trial, have %+v", l)
+	}
+}
+
+// TestServiceChanged checks that an upstream of another service is not compared with those
+// of the earlier one.
+func TestServiceChanged(t *testing.T) {
+	c, sent := newColdCore()
+	c.self.LearnRoom = true
+	for range 8 {
+		c.learning.gauge.SawPeer(0, 30*time.Millisecond)
+	}
+	c.OnReport(time.Second, Report{ID: "u", Service: "listas", Seq: 2, Slots: 4})
+	if c.learning.gauge.Peers(time.Second) == 0 {
+		t.Fatalf("the same service: what others expect was forgotten; sent %v", *sent)
+	}
+	c.OnReport(2*time.Second, Report{ID: "v", Service: "other", Seq: 1, Slots: 4, StartedMillis: 100_000})
+	if have := c.learning.gauge.Peers(2 * time.Second); c.upstream.service != "other" || have != 0 {
+		t.Errorf("service %q: have a time of %v", c.upstream.service, have)
+	}
+}
--- a/internal/hostd/opening.go
+++ b/internal/hostd/opening.go
@@ -49,9 +49,9 @@
 	item := c.newItem(now, k, &p, f)
 	tooLate := !l.Closed && !c.mayWait(now, c.turn(now), &item)
 	l.Closed = l.Closed || tooLate
-	c.compare(now, f, &l)
 	probe := l.Failing && c.outcomes.mayProbe(now, queue.Urgent(f.Priority))
 	l.Failing = l.Failing && !probe
+	c.compare(now, f, &l)
 	switch place.Decide(l, f) {
 	case admit.Take:
 		if probe {
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -9,6 +9,7 @@
 
 	"github.com/bramleycourse/bramleycourse/internal/flow"
 	"github.com/bramleycourse/bramleycourse/internal/frame"
+	"github.com/bramleycourse/bramleycourse/internal/gauge"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/ramp"
 	"github.com/bramleycourse/bramleycourse/internal/view"
@@ -297,6 +298,7 @@
 	wasReported := u.reported
 	if r.Service != u.service {
 		c.rejectWaiting(now, "serviceChanged", c.waiting.Clear()...)
+		c.learning.gauge = gauge.Gauge{}
 	}
 	u.refusing = false
 	u.reported, u.gone, u.down, u.absent, u.last, u.reportAt, u.service = true, false, false, false, r, now, r.Service
