gauge: requests that only waited are no samples, also not the first ones

Cause: a sample beyond twice the room was skipped after it had been counted, and the first one set the means. An agent that started beside a full upstream took the waiting time of one request for the work time, looked slow, and needed further samples to get rid of it. Change: such samples are counted neither for the mean nor for the number of samples. Ruled out: none of the other counters depends on them; the time of the latest answer, which decides on trials, still does. Measured: TestOnlyWaiting fails without the change (300 ms, then 57 ms; want unknown, then 30 ms) and passes with it.

--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -104,16 +104,16 @@
 func (g *Gauge) Add(now time.Duration, s Sample, slots int) bool {
 	n, class := max(1, min(s.AtOnce, maxRoom)), min(s.Class, classes-1)
 	y := math.Log(max(s.Took, 10*time.Microsecond).Seconds())
-	if g.samples == 0 {
-		g.shift(y)
-	}
-	g.samples++
-	g.sinceChange++
 	since := now - g.sampledAt
 	g.sampledAt = now
 	if n > maxExcess*g.curve.room(now, slots) {
 		return false
 	}
+	if g.samples == 0 {
+		g.shift(y)
+	}
+	g.samples++
+	g.sinceChange++
 	withoutLevel := y - g.curve.excess(now, n, slots)
 	x := withoutLevel - g.offsets[class]
 	g.shift(g.curve.add(now, n, slots, clip(y-g.offsets[class]-g.steady), s.First))
--- a/internal/gauge/gauge_test.go
+++ b/internal/gauge/gauge_test.go
@@ -288,3 +288,27 @@
 		t.Errorf("want no allocations, have %v for each sample", n)
 	}
 }
+
+// TestOnlyWaiting checks that an agent that starts beside a full upstream does not take the
+// waiting time of one request for the work time, and measures it once the queue is short.
+func TestOnlyWaiting(t *testing.T) {
+	var g Gauge
+	now := time.Duration(0)
+	add := func(n, atOnce int, took time.Duration) {
+		for range n {
+			now += 10 * time.Millisecond
+			g.Add(now, Sample{Took: took, AtOnce: atOnce}, 2)
+		}
+	}
+	add(100, 20, 300*time.Millisecond)
+	if have := g.Work(); have != 0 {
+		t.Errorf("only waiting requests: want no work time, have %v", have)
+	}
+	if g.TrialDue(now) {
+		t.Error("want no trial of an upstream that answers")
+	}
+	add(minSamples, 1, 30*time.Millisecond)
+	if have := g.Work(); have < 27*time.Millisecond || have > 33*time.Millisecond {
+		t.Errorf("want 30 ms, have %v", have)
+	}
+}
