--- a/internal/front/evacuations.go
+++ b/internal/front/evacuations.go
@@ -26,6 +26,10 @@
 type evacuations struct {
 	// set is replaced only by newer ones.
 	set evac.Set
+	// read is what this balancer has read on the platform by itself. It is behind set if
+	// another one has read more, or if the store was restored from a copy. A watch returns
+	// the changes since read.
+	read evac.Set
 	// confirmed records the answers of the platform about evacuations.
 	confirmed confirmation
 }
@@ -48,8 +52,9 @@
 func (c *Core) NoteEvacuations(now time.Duration, l plat.List, complete bool) {
 	s, odd := evac.Listed(l)
 	if !complete {
-		s, odd = c.evacuations.set.Apply(l)
+		s, odd = c.evacuations.read.Apply(l)
 	}
+	c.evacuations.read = s
 	if odd > 0 {
 		c.Counts.OddEvacuations += uint64(odd)
 		c.Log.WithFields(logrus.Fields{"event": "oddEvacuations", "objects": odd, "version": l.Version}).Warn("objects that name no place ignored")
@@ -100,7 +105,7 @@
 }
 
 // tellEvacuations sends the evacuated places to a balancer or agent that knows those of an
-// earlier version, and takes over newer ones that an agent has announced.
+// earlier version.
 func (c *Core) tellEvacuations(known plat.Version, to netip.AddrPort) {
 	if c.Evacuates() && c.evacuations.set.Tells(known) {
 		c.sendJSON(frame.Evacuations, c.evacuations.set, to)
@@ -119,5 +124,9 @@
 	if c.Evacuates() && s.Valid() {
 		c.mergeEvacuations(now, *s, from.String())
 	}
+	if c.Evacuates() && c.evacuations.set.Corrects(*s) {
+		c.sendJSON(frame.Evacuations, c.evacuations.set, from)
+		return
+	}
 	c.tellEvacuations(s.Version, from)
 }
