Metrics: pages that Prometheus reads, with the state at the scrape

Cause: the page of bramleyflow was built from what a tally scope had reported every 2 s, so the first page was empty, each page showed earlier values, and counters were missing until they counted. Buckets were not cumulative, their limits were texts such as 10ms, and there was no sum, count, HELP or TYPE line. agent_evacuated was both a counter and a gauge. The page of bramleycourse was up to two seconds late for the same reason, and counters with labels were missing until they counted.

The histograms are called openingWaitSeconds and offerAnswerSeconds and are also served under their old names. The counter of evacuations is agent_evacuations, the gauge keeps its name. Counts have their help texts in tags. Package strict reads pages in tests with expfmt and checks what the parser lets pass.

Ruled out: a forced report of the old reporter, since tally has no such call.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -112,6 +112,7 @@
 	p.Admin(admin, func() any { return a.State() })
 	a.tls = http3.ConfigureTLSConfig(&tls.Config{GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return cert.Get(), nil }})
 	a.servers = newServers(a.keys().Current.Number, a.newServer)
+	p.OnScrape(a.reportFlowsByKey)
 	a.lateServer = a.newLateServer()
 	p.Add("upstream check", a.checkUpstream)
 	p.Add("QUIC server", a.serve)
--- a/internal/agent/refusals.go
+++ b/internal/agent/refusals.go
@@ -6,6 +6,10 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
+
+	"github.com/bramleycourse/bramleycourse/internal/admit"
+	"github.com/bramleycourse/bramleycourse/internal/encap"
+	"github.com/bramleycourse/bramleycourse/internal/ticket"
 )
 
 // logInterval is the minimum time between two log lines with the same reason.
@@ -31,7 +35,41 @@
 }
 
 func newRefusalCounter(log *logrus.Entry, scope tally.Scope) *refusalCounter {
-	return &refusalCounter{log: log, scope: scope, counts: map[refusalKey]*refusalCount{}}
+	r := &refusalCounter{log: log, scope: scope, counts: map[refusalKey]*refusalCount{}}
+	for what, reasons := range refusalReasons {
+		for _, why := range reasons {
+			r.counter(refusalKey{what, why})
+		}
+	}
+	return r
+}
+
+// counter returns the counter of the metrics, which are served from the first call on.
+func (r *refusalCounter) counter(k refusalKey) tally.Counter {
+	return r.scope.Tagged(map[string]string{"what": k.what, "reason": k.why}).Counter("refused")
+}
+
+// requestReasons lists the reasons of the agent's own answers.
+var requestReasons = []string{
+	reasonTarget, reasonTimeout, reasonBody, reasonMethod, reasonUnreachable, reasonCallFailed, reasonDeadline, reasonBrokenOff,
+	string(admit.QueueFull), string(admit.Draining), string(admit.Deadline),
+	string(ticket.ReasonMalformed), string(ticket.ReasonOtherAgent), string(ticket.ReasonOtherInstance), string(ticket.ReasonMAC),
+	string(ticket.ReasonForgotten), string(ticket.ReasonOtherRequest), string(ticket.ReasonTickets), string(ticket.ReasonBytes),
+}
+
+// refusalReasons lists the reasons by what is refused. Their counters are served from
+// the start.
+var refusalReasons = map[string][]string{
+	"notRun":  requestReasons,
+	"unknown": requestReasons,
+	"reset":   {reasonCancelled, reasonBrokenOff},
+	"flow":    {"refused"},
+	"packet": {
+		string(encap.FaultTruncated), string(encap.FaultVersion), string(encap.FaultKind), string(encap.FaultList),
+		string(encap.FaultKey), string(encap.FaultCheck),
+		"longPacket", "unexpectedKind", "wrongService", "wrongInstance", "malformed", "notConfigured", "flowRefused",
+		"forwardFailed", "noBalancer", "writeFailed", "resetLimit",
+	},
 }
 
 // add counts a refusal and logs it if it is the first of its reason in the interval.
@@ -50,7 +88,7 @@
 	defer r.mu.Unlock()
 	c := r.counts[k]
 	if c == nil {
-		c = &refusalCount{counter: r.scope.Tagged(map[string]string{"what": what, "reason": why}).Counter("refused")}
+		c = &refusalCount{counter: r.counter(k)}
 		r.counts[k] = c
 	}
 	c.count++
--- a/internal/agent/servers.go
+++ b/internal/agent/servers.go
@@ -163,7 +163,6 @@
 		}
 		last := seen
 		seen = a.keys().Current.Number
-		a.reportFlowsByKey()
 		if seen == have || seen != last {
 			continue
 		}
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -122,30 +122,26 @@
 	packet flow.Packet
 }
 
-// Counts holds the event counters of a balancer. Metric names are derived from
-// the field names.
-//
-//   - Opened: callers' opening packets, including copies
-//   - Carried: callers' packets that do not open a flow
-//   - Foreign: datagrams that could not be decoded or were not expected
-//   - NoRoute: packets without a route or service
-//   - NoUpstream: new flows rejected because no agent takes them or an agent rejected them
-//   - Retried: offers repeated after a timeout
-//   - GivenUp: packets dropped: too many openings or searches, or no retry left
-//   - Refused: Refused frames from agents
-//   - Missed: Missed frames from agents
-//   - Queried: rounds of queries for a flow
-//   - Walked: walks started
-//   - Lost: flows that no agent was found to hold
-//   - Reset: flows reset because their agent is down or no agent holds them
-//   - SkippedServices: services of a configuration whose warm-up is out of range
-//   - Substituted: times that no watcher of the configuration, or of evacuations, was
-//     heard for too long
-//   - Evacuations: changes of the evacuated places
-//   - OddEvacuations: objects read that evacuate nothing because they name no place
+// Counts holds the event counters of a balancer. Metric names are derived from the
+// names of the fields, their help texts are in the tags.
 type Counts struct {
-	Opened, Carried, Foreign, NoRoute, NoUpstream, Retried, GivenUp, Refused, Missed, Queried, Walked, Lost, Reset, Substituted uint64
-	SkippedServices, Evacuations, OddEvacuations                                                                                uint64
+	Opened          uint64 `help:"Callers' opening packets, including copies."`
+	Carried         uint64 `help:"Callers' packets that do not open a flow."`
+	Foreign         uint64 `help:"Datagrams that could not be decoded or were not expected."`
+	NoRoute         uint64 `help:"Packets without a route or service."`
+	NoUpstream      uint64 `help:"New flows rejected because no agent takes them or an agent rejected them."`
+	Retried         uint64 `help:"Offers repeated after a timeout."`
+	GivenUp         uint64 `help:"Packets dropped: too many openings or searches, or no retry left."`
+	Refused         uint64 `help:"Refused frames from agents."`
+	Missed          uint64 `help:"Missed frames from agents."`
+	Queried         uint64 `help:"Rounds of queries for a flow."`
+	Walked          uint64 `help:"Walks started."`
+	Lost            uint64 `help:"Flows that no agent was found to hold."`
+	Reset           uint64 `help:"Flows reset because their agent is down or no agent holds them."`
+	Substituted     uint64 `help:"Times that no watcher of the configuration, or of evacuations, was heard for too long."`
+	SkippedServices uint64 `help:"Services of a configuration whose warm-up is out of range."`
+	Evacuations     uint64 `help:"Changes of the evacuated places."`
+	OddEvacuations  uint64 `help:"Objects read that evacuate nothing because they name no place."`
 }
 
 // NewCore returns the core of a balancer that starts at now.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -121,7 +121,7 @@
 	b.core.Log, b.core.Sample = log, out.Sample
 	b.metrics = node.NewMetrics("balancer", b.collectMetrics)
 	b.parts.Metrics = b.metrics
-	b.core.RecordAnswerTime = b.metrics.Histogram("offerAnswer")
+	b.core.RecordAnswerTime = b.metrics.Histogram("offerAnswerSeconds", "Time from the first offer of a flow to the answer of an agent.")
 	b.core.ToAgent = b.peerSocket.Send
 	port := s.Hop.Port()
 	b.core.ToCaller = func(packet []byte, caller netip.Addr) { b.callerSocket.Send(packet, netip.AddrPortFrom(caller, port)) }
@@ -171,35 +171,6 @@
 	return nil
 }
 
-// collectMetrics copies the current counters and gauges into m.
-func (b *Balancer) collectMetrics(m *node.Metrics) {
-	var c Counts
-	b.loop.Do(func(time.Duration) {
-		c = b.core.Counts
-		m.Counter("packetsFromCallers", b.packets)
-		m.Counter("sendFailures", b.callerSocket.Failed+b.peerSocket.Failed)
-		m.Gauge("generation", float64(b.core.Rules().Generation()))
-		m.Gauge("balancers", float64(1+len(b.core.Peers())))
-		m.Gauge("evacuatedPlaces", float64(len(b.core.Evacuations().Places)))
-		m.Gauge("hints", float64(b.core.hints.Len()))
-		m.Gauge("members", float64(b.core.MemberCount()))
-		m.Gauge("agents", float64(b.core.AgentCount()))
-		m.Gauge("isolated", boolGauge(b.core.Isolated()))
-		m.Gauge("agentsDown", float64(b.core.agents.downCount()))
-		m.Gauge("openingsPending", float64(len(b.core.pending.byKey)))
-	})
-	m.Counters(c)
-	m.Shared(b.store, b.out)
-}
-
-// boolGauge returns 1 for true and 0 for false.
-func boolGauge(b bool) float64 {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 func (b *Balancer) handleCallerPacket(now time.Duration, packet []byte, _ netip.AddrPort) {
 	b.packets++
 	b.core.FromCaller(now, packet)
--- a/internal/front/metrics_test.go
+++ b/internal/front/metrics_test.go
@@ -4,13 +4,15 @@
 	"io"
 	"net/http/httptest"
 	"net/netip"
-	"strings"
 	"testing"
 	"time"
 
+	dto "github.com/prometheus/client_model/go"
+
 	"github.com/bramleycourse/bramleycourse/internal/flow"
 	"github.com/bramleycourse/bramleycourse/internal/node"
 	"github.com/bramleycourse/bramleycourse/internal/plat"
+	"github.com/bramleycourse/bramleycourse/internal/scrape/strict"
 )
 
 // TestDroppedLinesMetric guards against log lines that are dropped without being
@@ -27,18 +29,43 @@
 	for range 1000 {
 		p.log.Info("a line over the budget of a second")
 	}
-	page := func() string {
-		w := httptest.NewRecorder()
-		p.metrics.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
-		return w.Body.String()
+	have := strict.Get(t, p.metrics.Handler())
+	if v := have["balancer_logLinesDropped"].GetMetric(); len(v) != 1 || v[0].GetCounter().GetValue() == 0 {
+		t.Errorf("want the number of dropped lines, have %v", v)
 	}
-	page()
-	if err := p.metrics.Close(); err != nil { // reports the remaining values
-		t.Error(err)
+	checkPage(t, have)
+}
+
+// checkPage checks metrics of each kind that have not counted yet.
+func checkPage(t *testing.T, p strict.Page) {
+	t.Helper()
+	for _, name := range []string{"opened", "lost", "oddEvacuations", "packetsFromCallers", "storeFailures"} {
+		p.Want(t, "balancer_"+name, "", dto.MetricType_COUNTER, 0)
 	}
-	have := page()
-	_, value, ok := strings.Cut(have, "balancer_logLinesDropped ")
-	if !ok || strings.HasPrefix(value, "0\n") {
-		t.Errorf("want the number of dropped lines, have %q", have)
+	p.Want(t, "balancer_isolated", "", dto.MetricType_GAUGE, 0)
+	p.Want(t, "balancer_balancers", "", dto.MetricType_GAUGE, 1)
+	for _, name := range []string{"balancer_offerAnswerSeconds", "balancer_offerAnswer"} {
+		if p[name].GetType() != dto.MetricType_HISTOGRAM {
+			t.Errorf("want histogram %s", name)
+		}
+	}
+}
+
+// BenchmarkPage measures one request for the metrics page.
+func BenchmarkPage(b *testing.B) {
+	local := netip.MustParseAddrPort("127.0.0.1:0")
+	out := node.NewOutput(io.Discard)
+	p, err := New(Settings{Name: "edge1", Hop: local, Peer: local}, flow.Codec{}, plat.New("http://127.0.0.1:1", time.Second), ConfigObject{}, out, out.NewLog("balancer", "edge1"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer p.parts.Close()
+	h, r := p.metrics.Handler(), httptest.NewRequest("GET", "/metrics", nil)
+	size := 0
+	for b.Loop() {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		size = w.Body.Len()
 	}
+	b.ReportMetric(float64(size), "bytes/page")
 }
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -133,34 +133,30 @@
 	packet flow.Packet
 }
 
-// Counts holds event counters. The names of the fields become the names of metrics.
-//
-//   - Taken: opening packets passed to the upstream as new flows
-//   - Forwarded: opening packets passed to another candidate
-//   - Refused: opening packets returned to their balancers
-//   - Foreign: datagrams that could not be decoded or were not expected
-//   - WrongService: opening packets for a service other than that of the upstream
-//   - Missed: packets of flows that the agent does not hold
-//   - Returned: packets that the upstream did not accept
-//   - Recovered: flows added to the table again because the upstream sent a packet
-//   - Tried: packets passed to the upstream on trial
-//   - Reset: flows reset because the upstream has lost them
-//   - Unanswered: opening packets without an answer within openingTimeout
-//   - Full: opening packets refused because the flow table was full
-//   - Held: opening packets put into the queue
-//   - Doubted: reports of the upstream that were ignored because they are not newer
-//   - ColdHeld: opening packets put into the queue because of the rate of a cold upstream
-//   - ColdPassed: opening packets passed on because their turn at a cold upstream does
-//     not come in time
-//   - Broken: requests answered by a reset or with an unusual response time
-//   - Evacuated: times that the agent learned that its place is evacuated
-//   - HandedBack: opening packets that waited when the place was evacuated, returned to
-//     their balancers
-//   - Remeasured: offers for which a slow upstream was not compared with others, to
-//     measure it again
+// Counts holds event counters. Metric names are derived from the names of the fields,
+// except that of Evacuated, because agent_evacuated is a gauge. Their help texts are in
+// the tags.
 type Counts struct {
-	Taken, Forwarded, Refused, Foreign, WrongService, Missed, Returned, Recovered, Tried, Reset, Unanswered, Full, Held, Doubted, Broken uint64
-	ColdHeld, ColdPassed, Evacuated, HandedBack, Remeasured                                                                              uint64
+	Taken        uint64 `help:"Opening packets passed to the upstream as new flows."`
+	Forwarded    uint64 `help:"Opening packets passed to another candidate."`
+	Refused      uint64 `help:"Opening packets returned to their balancers."`
+	Foreign      uint64 `help:"Datagrams that could not be decoded or were not expected."`
+	WrongService uint64 `help:"Opening packets for a service other than that of the upstream."`
+	Missed       uint64 `help:"Packets of flows that the agent does not hold."`
+	Returned     uint64 `help:"Packets that the upstream did not accept."`
+	Recovered    uint64 `help:"Flows added to the table again because the upstream sent a packet."`
+	Tried        uint64 `help:"Packets passed to the upstream on trial."`
+	Reset        uint64 `help:"Flows reset because the upstream has lost them."`
+	Unanswered   uint64 `help:"Opening packets that the upstream did not answer in time."`
+	Full         uint64 `help:"Opening packets refused because the flow table was full."`
+	Held         uint64 `help:"Opening packets put into the queue."`
+	Doubted      uint64 `help:"Reports of the upstream that were ignored because they are not newer."`
+	Broken       uint64 `help:"Requests answered by a reset or with an unusual response time."`
+	ColdHeld     uint64 `help:"Opening packets put into the queue because of the rate of a cold upstream."`
+	ColdPassed   uint64 `help:"Opening packets passed on because their turn at a cold upstream does not come in time."`
+	Evacuated    uint64 `metric:"evacuations" help:"Times that the agent learned that its place is evacuated."`
+	HandedBack   uint64 `help:"Opening packets that waited when the place was evacuated, returned to their balancers."`
+	Remeasured   uint64 `help:"Offers for which a slow upstream was not compared with others, to measure it again."`
 }
 
 // NewCore returns the core of an agent that starts at the time now.
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -116,7 +116,7 @@
 	a.core.Log, a.core.Sample = log, out.Sample
 	a.metrics = node.NewMetrics("agent", a.collect)
 	a.parts.Metrics = a.metrics
-	a.core.RecordWait = a.metrics.Histogram("openingWait")
+	a.core.RecordWait = a.metrics.Histogram("openingWaitSeconds", "Time that an opening packet waited before the upstream got it.")
 	a.core.ToPeer = a.hop.Send
 	a.core.ToUpstream = func(b []byte) { a.outbound.Send(b, s.Upstream) }
 	a.core.ToCaller = func(b []byte, caller netip.Addr) { a.hop.Send(b, netip.AddrPortFrom(caller, s.CallerPort)) }
@@ -252,38 +252,6 @@
 	_, _ = io.WriteString(w, "ready\n")
 })
 
-// collect sets the metrics to the present values.
-func (a *Agent) collect(m *node.Metrics) {
-	var c Counts
-	a.loop.Do(func(now time.Duration) {
-		c = a.core.Counts
-		l := a.core.Load(now)
-		m.Counter("sendFailures", a.hop.Failed+a.outbound.Failed)
-		m.Gauge("flows", float64(a.core.table.Len()))
-		m.Gauge("busy", float64(l.Busy))
-		m.Gauge("waiting", float64(a.core.waiting.Len()))
-		m.Gauge("slots", l.Slots)
-		m.Gauge("brokenShare", a.core.outcomes.failureShare)
-		m.Gauge("depth", float64(l.Depth()))
-		m.Gauge("learnedRoom", float64(a.core.room(now)))
-		m.Gauge("measuredWorkSeconds", a.core.learning.gauge.Work().Seconds())
-		m.Gauge("workSeconds", a.core.table.Work().Seconds())
-		m.Gauge("evacuated", boolGauge(a.core.evacuated()))
-		m.Gauge("balancersKnown", float64(len(a.core.registration.balancers)))
-		m.Gauge("reportAgeSeconds", (now - a.core.upstream.reportAt).Seconds())
-	})
-	m.Counters(c)
-	m.Shared(a.store, a.out)
-}
-
-// boolGauge returns 1 for true and 0 for false.
-func boolGauge(b bool) float64 {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // control handles signals until the agent may exit. If the upstream has
 // deregistered, it waits for the removal of the entry from the platform's list.
 func (a *Agent) control(signals <-chan os.Signal, reload func() ([]netip.AddrPort, bool)) {
--- a/internal/hostd/metrics_test.go
+++ b/internal/hostd/metrics_test.go
@@ -2,15 +2,16 @@
 
 import (
 	"io"
-	"net/http/httptest"
 	"net/netip"
-	"strings"
 	"testing"
 	"time"
 
+	dto "github.com/prometheus/client_model/go"
+
 	"github.com/bramleycourse/bramleycourse/internal/flow"
 	"github.com/bramleycourse/bramleycourse/internal/node"
 	"github.com/bramleycourse/bramleycourse/internal/plat"
+	"github.com/bramleycourse/bramleycourse/internal/scrape/strict"
 )
 
 // TestDroppedLinesMetric checks that dropped log lines are counted on the metrics
@@ -27,18 +28,25 @@
 	for range 1000 {
 		p.log.Info("a line beyond the log budget per second")
 	}
-	page := func() string {
-		w := httptest.NewRecorder()
-		p.metrics.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
-		return w.Body.String()
+	have := strict.Get(t, p.metrics.Handler())
+	if v := have["agent_logLinesDropped"].GetMetric(); len(v) != 1 || v[0].GetCounter().GetValue() == 0 {
+		t.Errorf("want the number of dropped lines, have %v", v)
 	}
-	page()
-	if err := p.metrics.Close(); err != nil { // flushes the remaining metrics
-		t.Error(err)
+	checkPage(t, have)
+}
+
+// checkPage checks metrics of each kind that have not counted yet. The gauge
+// agent_evacuated has its own name.
+func checkPage(t *testing.T, p strict.Page) {
+	t.Helper()
+	for _, name := range []string{"taken", "evacuations", "remeasured", "sendFailures", "storeFailures"} {
+		p.Want(t, "agent_"+name, "", dto.MetricType_COUNTER, 0)
 	}
-	have := page()
-	_, value, ok := strings.Cut(have, "agent_logLinesDropped ")
-	if !ok || strings.HasPrefix(value, "0\n") {
-		t.Errorf("want a positive agent_logLinesDropped, have page %q", have)
+	p.Want(t, "agent_evacuated", "", dto.MetricType_GAUGE, 0)
+	p.Want(t, "agent_flows", "", dto.MetricType_GAUGE, 0)
+	for _, name := range []string{"agent_openingWaitSeconds", "agent_openingWait"} {
+		if p[name].GetType() != dto.MetricType_HISTOGRAM {
+			t.Errorf("want histogram %s", name)
+		}
 	}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -3,9 +3,7 @@
 import (
 	"io"
 	"net"
-	"net/http/httptest"
 	"net/netip"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -80,31 +78,3 @@
 		t.Error("Serve does not return after the socket is closed")
 	}
 }
-
-// TestMetrics checks counters that increase between two requests, gauges, and
-// histogram buckets.
-func TestMetrics(t *testing.T) {
-	counts := struct{ Opened, Refused uint64 }{3, 0}
-	m := NewMetrics("agent", func(m *Metrics) {
-		m.Counters(counts)
-		m.Gauge("depth", 7)
-	})
-	m.Histogram("wait")(5 * time.Millisecond)
-	page := func() string {
-		w := httptest.NewRecorder()
-		m.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
-		return w.Body.String()
-	}
-	page()
-	counts.Opened = 5
-	page()
-	if err := m.Close(); err != nil { // reports the remaining changes
-		t.Error(err)
-	}
-	have := page()
-	for _, want := range []string{"agent_opened 5\n", "agent_depth 7\n", "agent_wait_bucket{le=\"10ms\"} 1\n"} {
-		if !strings.Contains(have, want) {
-			t.Errorf("want %q in:\n%s", want, have)
-		}
-	}
-}
--- a/internal/proc/admin.go
+++ b/internal/proc/admin.go
@@ -55,7 +55,7 @@
 
 func (f *Frame) adminHandler(state func() any) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", f.reporter.HTTPHandler())
+	mux.Handle("GET /metrics", f.Metrics())
 	mux.HandleFunc("GET /healthz", f.serveHealth)
 	mux.HandleFunc("GET /process", func(w http.ResponseWriter, _ *http.Request) { f.serveJSON(w, f.identity()) })
 	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) { f.serveJSON(w, state()) })
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -9,15 +9,14 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
 	"github.com/uber-go/tally/v4"
-	promreporter "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/bramleycourse/bramleycourse/internal/scrape"
 )
 
 const (
-	metricsInterval   = time.Second
 	readHeaderTimeout = 5 * time.Second
 
 	// A failed service is restarted at once. After about failureThreshold failures
@@ -39,8 +38,7 @@
 	started    time.Time
 	draining   atomic.Bool
 	supervisor *suture.Supervisor
-	reporter   promreporter.Reporter
-	closer     io.Closer
+	page       *scrape.Page
 }
 
 // New returns the frame of a process with the given role and name. It logs to out.
@@ -49,15 +47,9 @@
 	l.SetOutput(out)
 	l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
 	log := l.WithFields(logrus.Fields{"role": role, "name": name})
-	registry := prometheus.NewRegistry()
-	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "bramleycourse",
-		Tags:           map[string]string{"role": role},
-		CachedReporter: reporter,
-		Separator:      promreporter.DefaultSeparator,
-	}, metricsInterval)
-	f := &Frame{Log: log, Scope: scope, role: role, name: name, started: time.Now(), reporter: reporter, closer: closer}
+	page := scrape.New("bramleycourse", map[string]string{"role": role})
+	f := &Frame{Log: log, Scope: page.Scope(), role: role, name: name, started: time.Now(), page: page}
+	f.describe()
 	f.supervisor = suture.New(role, suture.Spec{
 		EventHook:        f.handleEvent,
 		FailureThreshold: failureThreshold,
@@ -105,7 +97,7 @@
 	case suture.EventTypeStopTimeout:
 		kind = "stopTimeout"
 	}
-	f.Scope.Tagged(map[string]string{"event": kind}).Counter("duty_events").Inc(1)
+	f.countEvent(kind, 1)
 	f.Log.WithFields(e.Map()).WithField("event", kind).Log(level, "supervisor event")
 }
 
@@ -130,7 +122,7 @@
 
 // Run runs the supervisor and its services until the context ends.
 func (f *Frame) Run(ctx context.Context) error {
-	defer f.closer.Close()
+	defer f.page.Close()
 	return f.supervisor.Serve(ctx)
 }
 
--- a/internal/proc/proc_test.go
+++ b/internal/proc/proc_test.go
@@ -13,6 +13,10 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	dto "github.com/prometheus/client_model/go"
+
+	"github.com/bramleycourse/bramleycourse/internal/scrape/strict"
 )
 
 // buffer is a buffer that is safe for concurrent use.
@@ -81,7 +85,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	})
-	url := start(t, f, func() any { return nil })
+	start(t, f, func() any { return nil })
 	limit := time.After(5 * failureBackoff)
 	for have := 0; have <= 2*failureThreshold; {
 		select {
@@ -98,14 +102,9 @@
 	if have := out.String(); !strings.Contains(have, "level=error") || !strings.Contains(have, "second line") {
 		t.Errorf("want the panic in the log, have %q", have)
 	}
-	want := `bramleycourse_duty_events{event="panic",role="balancer"} 10`
-	var have string
-	for end := time.Now().Add(5 * metricsInterval); time.Now().Before(end); time.Sleep(metricsInterval / 20) {
-		if _, have = get(t, url+"/metrics"); strings.Contains(have, want) {
-			return
-		}
-	}
-	t.Errorf("want %s in the metrics, have %s", want, have)
+	p := strict.Get(t, f.Metrics())
+	p.Want(t, "bramleycourse_duty_events", "event=panic,role=balancer", dto.MetricType_COUNTER, 2*failureThreshold)
+	p.Want(t, "bramleycourse_duty_events", "event=stopTimeout,role=balancer", dto.MetricType_COUNTER, 0)
 }
 
 // TestAdmin checks that a state which cannot be encoded, or whose function panics, is
--- a/internal/relay/counters.go
+++ b/internal/relay/counters.go
@@ -140,14 +140,14 @@
 	refusalLogInterval = 10 * time.Second
 )
 
-// countReporter passes the packet counters on to the metrics and the log.
+// countReporter passes the packet counters on to the log.
 type countReporter struct {
 	b        *Balancer
 	reported [outcomeCount]uint64    // totals at the last report
 	logged   [outcomeCount]time.Time // times of the last log lines
 }
 
-// reportCounts reports the packet counters periodically until the context ends.
+// reportCounts logs refused packets periodically until the context ends.
 func (b *Balancer) reportCounts(ctx context.Context) error {
 	r := countReporter{b: b}
 	for ctx.Err() == nil {
@@ -165,7 +165,6 @@
 			continue
 		}
 		r.reported[o] = total
-		r.b.frame.Scope.Tagged(map[string]string{"outcome": outcomeNames[o]}).Counter("packets").Inc(int64(added))
 		if !o.refused() || now.Sub(r.logged[o]) < refusalLogInterval {
 			continue
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -138,7 +138,7 @@
 	f.Add("membership", b.members.run)
 	f.Add("cleaner", b.members.clean)
 	f.Add("announcement", b.keeper.Run)
-	f.Add("control counters", b.reportControl)
+	f.OnScrape(b.setMetrics)
 	f.Add("configuration watch", b.watchConfig)
 	f.Add("service addresses", b.retryPorts)
 	f.Add("endpoint watch", b.members.watch(plat.KindEndpoint))
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -1,9 +1,6 @@
 package relay
 
 import (
-	"context"
-	"time"
-
 	"github.com/bramleycourse/bramleycourse/internal/config"
 	"github.com/bramleycourse/bramleycourse/internal/peer"
 	"github.com/bramleycourse/bramleycourse/internal/view"
@@ -81,21 +78,12 @@
 	}
 }
 
-const reportInterval = time.Second
-
-// reportControl passes the control plane's counters on to the metrics.
-func (b *Balancer) reportControl(ctx context.Context) error {
-	scope := b.frame.Scope.SubScope("control")
-	t := time.NewTicker(reportInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-t.C:
-			for name, n := range b.controlCounts() {
-				scope.Tagged(map[string]string{"count": name}).Gauge("total").Update(float64(n))
-			}
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+// setMetrics sets the counters of packets and of the control plane.
+func (b *Balancer) setMetrics() {
+	for name, n := range b.counts.values() {
+		b.frame.Total("packets", map[string]string{"outcome": name}, n)
+	}
+	for name, n := range b.controlCounts() {
+		b.frame.Total("control_total", map[string]string{"count": name}, n)
 	}
 }
