--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -127,35 +127,6 @@
 	packet flow.Packet
 }
 
-// Counts holds the event counters of a balancer. Metric names are derived from
-// the field names.
-//
-//   - Opened: callers' opening packets, including copies
-//   - Carried: callers' packets that do not open a flow
-//   - Foreign: datagrams that could not be decoded or were not expected
-//   - NoRoute: packets without a route or service
-//   - NoUpstream: new flows rejected because no agent takes them or an agent rejected them
-//   - EarlyRejected: first packets of attempts rejected without an offer, because agents take fewer requests
-//   - OfferedElsewhere: refused openings offered to agents that had reported less load
-//   - Pressed: opening packets of client accounts over their share
-//   - Retried: offers repeated after a timeout
-//   - GivenUp: packets dropped: too many openings or searches, or no retry left
-//   - Refused: Refused frames from agents
-//   - Missed: Missed frames from agents
-//   - Queried: rounds of queries for a flow
-//   - Walked: walks started
-//   - Lost: flows that no agent was found to hold
-//   - Reset: flows reset because their agent is down or no agent holds them
-//   - SkippedServices: services of a configuration whose warm-up is out of range
-//   - Substituted: times that no watcher of the configuration, or of evacuations, was
-//     heard for too long
-//   - Evacuations: changes of the evacuated places
-//   - OddEvacuations: objects read that evacuate nothing because they name no place
-type Counts struct {
-	Opened, Carried, Foreign, NoRoute, NoUpstream, Retried, GivenUp, Refused, Missed, Queried, Walked, Lost, Reset, Substituted uint64
-	EarlyRejected, OfferedElsewhere, Pressed, SkippedServices, Evacuations, OddEvacuations                                      uint64
-}
-
 // NewCore returns the core of a balancer that starts at now.
 func NewCore(now time.Duration, s CoreConfig, c flow.Codec) *Core {
 	co := &Core{
