front: other balancers are not told of rejections without asking

Rejections without asking are kept at the balancer; a request rejected at once has no age to inherit. The share of offers is corrected by the share of attempts that follow resets elsewhere, and is 1.4 in place of 1.25 times what agents take, so that about as many retries are recognized. Pressing accounts may offer what agents took.

--- a/internal/front/early.go
+++ b/internal/front/early.go
@@ -66,7 +66,7 @@
 	}
 	c.reset(o.key, p)
 	c.gate.Reset(o.service, urgencyOf(o.route), o.key.Caller().Addr())
-	c.recordReset(now, now-o.age, o.key, o.resets+1)
+	c.keepReset(now, now-o.age, o.key, o.resets+1)
 	return true
 }
 
--- a/internal/front/rejections.go
+++ b/internal/front/rejections.go
@@ -83,14 +83,11 @@
 }
 
 // recordReset records a reset and tells the balancers in the same place, because
-// any of them may get the next attempt. resets is the number of resets of the request, or
-// 0. After the last one no attempt follows, and the next request of the caller would
-// inherit the age.
+// any of them may get the next attempt. resets is the number of resets of the request.
 func (c *Core) recordReset(now, began time.Duration, k flow.Key, resets uint8) {
-	if c.self.RejectEarly && resets > callerRetries {
+	if !c.keepReset(now, began, k, resets) {
 		return
 	}
-	c.rejections.add(now, began, requesterOf(k), resets)
 	payload := binary.BigEndian.AppendUint32(append([]byte(nil), k[:]...), uint32((now-began)/time.Millisecond))
 	f := frame.Frame{Kind: frame.Rejected, Balancer: c.self.Peer, Payload: payload}
 	if c.self.RejectEarly {
@@ -103,6 +100,20 @@
 	}
 }
 
+// keepReset records a reset at this balancer only. It reports whether an attempt follows:
+// after the last one the next request of the caller would inherit the age.
+//
+// It is all that is done for requests rejected without asking. In deep overload there are
+// so many that telling the others of each would fill the link of a small VM, and a
+// request rejected at once has no age to inherit.
+func (c *Core) keepReset(now, began time.Duration, k flow.Key, resets uint8) bool {
+	if c.self.RejectEarly && resets > callerRetries {
+		return false
+	}
+	c.rejections.add(now, began, requesterOf(k), resets)
+	return true
+}
+
 // handleRejected records a reset that another balancer reports.
 func (c *Core) handleRejected(now time.Duration, f *frame.Frame) {
 	const size = len(flow.Key{})
--- a/internal/shed/gate.go
+++ b/internal/shed/gate.go
@@ -26,7 +26,7 @@
 	betterShare = 0.85
 	// offerRatio is the number of requests offered for each one that agents take. The
 	// excess shows at once when agents take more.
-	offerRatio = 1.25
+	offerRatio = 1.4
 	// pressDeviations is the number of standard deviations of a random count, and minPress
 	// the number of requests, by which an account is over its fair share if it counts as
 	// pressing.
@@ -90,6 +90,9 @@
 	// taken and refused count the attempts that agents took, or refused for lack of
 	// time. They decay with countDecay.
 	taken, refused float64
+	// attempts counts all attempts, fresh those that are not known to follow a reset, and
+	// resets the resets.
+	attempts, fresh, resets float64
 	// accounts is nil before the first request.
 	accounts *accounts
 	// fair is the number of requests of each account that agents take if all accounts
@@ -142,10 +145,17 @@
 // Reset records that an attempt of a request was reset, by the agents' or its own decision.
 func (g *Gate) Reset(id frame.ServiceID, u Urgency, account netip.Addr) {
 	if c := &g.service(id).classes[u]; c.accounts != nil {
+		c.resets++
 		c.accounts.add(account, -retryShare)
 	}
 }
 
+// newShare returns the share of the attempts not known to follow a reset that are the
+// first of a request. Others follow resets by other balancers.
+func (c *class) newShare() float64 {
+	return min(1, max(1-retryShare, (c.attempts-retryShare*c.resets)/max(c.fresh, 1)))
+}
+
 // Least returns the shortest time in which an agent would answer a new request, from
 // reports that are not too old; ok is false if there are none.
 func (g *Gate) Least(now time.Duration, id frame.ServiceID, u Urgency) (d time.Duration, ok bool) {
@@ -181,6 +191,10 @@
 	if c.accounts == nil {
 		c.accounts = &accounts{}
 	}
+	c.attempts++
+	if !r.Again {
+		c.fresh++
+	}
 	sent := c.accounts.add(account, 1)
 	if c.fair == 0 || sent <= c.fair {
 		return Verdict{}
@@ -192,8 +206,12 @@
 	}
 	v.Pressing = sent > c.fair+pressDeviations*math.Sqrt(c.fair)+minPress
 	full := float64(least) >= fullShare*float64(r.Objective-r.Age)
-	if full && c.level > 0 && sent > c.level && !r.Patient() {
-		v.Reject = r.Again || float64(draw>>11)/(1<<53) >= c.level/sent
+	level := c.level
+	if v.Pressing {
+		level = c.fair
+	}
+	if full && level > 0 && sent > level && !r.Patient() {
+		v.Reject = r.Again || float64(draw>>11)/(1<<53) >= level/sent*c.newShare()
 	}
 	return v
 }
@@ -214,6 +232,7 @@
 	}
 	for ; now-c.rolledAt >= rollInterval; c.rolledAt += rollInterval {
 		c.taken, c.refused = c.taken*countDecay, c.refused*countDecay
+		c.attempts, c.fresh, c.resets = c.attempts*countDecay, c.fresh*countDecay, c.resets*countDecay
 		if c.accounts != nil {
 			c.accounts.decay()
 		}
