shed: shares of balancers follow their demand

An account only presses if it also sends more than the median of accounts: before, all of them were marked in deep overload (TestSharesOfBalancers fails without either).

--- a/internal/shed/accounts.go
+++ b/internal/shed/accounts.go
@@ -11,6 +11,9 @@
 // share a count; one in maxAccounts shares that of a given other one.
 const maxAccounts = 2048
 
+// minCount is the count from which on an account is one of those that send.
+const minCount = 0.25
+
 // retryShare is the part of resets that a further attempt follows: callers try three times.
 // The next attempt may reach another balancer, but as many come from there.
 const retryShare = 2.0 / 3
@@ -39,6 +42,30 @@
 	}
 }
 
+// median returns the median of the counts of accounts that have lately sent a request.
+func (a *accounts) median() float64 {
+	var counts []float32
+	for _, v := range a.sent {
+		if v >= minCount {
+			counts = append(counts, v)
+		}
+	}
+	if len(counts) == 0 {
+		return 0
+	}
+	slices.Sort(counts)
+	return float64(counts[len(counts)/2])
+}
+
+// total returns the sum of all counts.
+func (a *accounts) total() float64 {
+	sum := 0.0
+	for _, v := range a.sent {
+		sum += float64(v)
+	}
+	return sum
+}
+
 // level returns the largest count such that all accounts together send no more than a
 // total if each one sends no more than this count; 0 if they send less anyway.
 func (a *accounts) level(total float64) float64 {
--- a/internal/shed/gate.go
+++ b/internal/shed/gate.go
@@ -24,9 +24,13 @@
 	// betterShare is the share of its remaining objective in which another agent has to
 	// answer a refused request to be asked.
 	betterShare = 0.85
-	// offerRatio is the number of requests offered for each one that agents take. The
-	// excess shows at once when agents take more.
-	offerRatio = 1.4
+	// offerRatio is the number of requests offered for each one that agents take, besides
+	// demandShare. The excess shows at once when agents take more.
+	offerRatio = 1.1
+	// demandShare is the share of the demand that is offered besides. It makes the shares
+	// of balancers follow their demand; a multiple of what agents take alone would keep
+	// them as they are.
+	demandShare = 0.2
 	// pressDeviations is the number of standard deviations of a random count, and minPress
 	// the number of requests, by which an account is over its fair share if it counts as
 	// pressing.
@@ -99,6 +103,9 @@
 	// have equal shares, in the unit of the counts, and level the number that each one
 	// may offer; 0 if all are taken or offered.
 	fair, level float64
+	// usual is the median of what accounts send. If all send more than their shares,
+	// none presses.
+	usual float64
 	// rolledAt is when the counts last decayed.
 	rolledAt time.Duration
 }
@@ -204,7 +211,8 @@
 	if !ok {
 		return v
 	}
-	v.Pressing = sent > c.fair+pressDeviations*math.Sqrt(c.fair)+minPress
+	share := max(c.fair, c.usual)
+	v.Pressing = sent > share+pressDeviations*math.Sqrt(share)+minPress
 	full := float64(least) >= fullShare*float64(r.Objective-r.Age)
 	level := c.level
 	if v.Pressing {
@@ -225,10 +233,10 @@
 		*c = class{rolledAt: now}
 		return
 	}
-	c.fair, c.level = 0, 0
+	c.fair, c.level, c.usual = 0, 0, 0
 	if c.accounts != nil && c.refused >= minRefused {
-		c.fair = c.accounts.level(c.taken + minOffers)
-		c.level = c.accounts.level(offerRatio*c.taken + minOffers)
+		c.fair, c.usual = c.accounts.level(c.taken+minOffers), c.accounts.median()
+		c.level = c.accounts.level(offerRatio*c.taken + demandShare*c.accounts.total() + minOffers)
 	}
 	for ; now-c.rolledAt >= rollInterval; c.rolledAt += rollInterval {
 		c.taken, c.refused = c.taken*countDecay, c.refused*countDecay
--- a/internal/shed/shed_test.go
+++ b/internal/shed/shed_test.go
@@ -221,6 +221,47 @@
 	}
 }
 
+// TestSharesOfBalancers checks that a balancer that agents have taken little from gets as
+// much as another one with the same demand: shares must follow the demand.
+func TestSharesOfBalancers(t *testing.T) {
+	const rate, room = 400, 200 // Each balancer has the rate, and the agents take room from both.
+	var gates [2]Gate
+	offered, now := [2]float64{}, time.Duration(0)
+	taken, pressing := [2]float64{0.9 * room, 0.1 * room}, 0
+	for second := range 10 {
+		offered = [2]float64{}
+		for n := range rate {
+			now += time.Second / rate
+			for b := range gates {
+				g := &gates[b]
+				g.Report(now, listas, agent, Times{Normal: 200 * ms})
+				v := g.Decide(now, listas, Normal, account(n%50), lookup, uint64(rate*second+n)*0x9e3779b97f4a7c15)
+				if v.Pressing {
+					pressing++
+				}
+				if v.Reject {
+					continue
+				}
+				offered[b]++
+				if float64(n%100)/100 < taken[b]/(rate/2) && second == 0 || second > 0 && float64(n%100)/100 < taken[b] {
+					g.Taken(now, listas, Normal)
+				} else {
+					g.Refused(now, listas, Normal, false)
+				}
+			}
+		}
+		// Agents take the same share of all offers.
+		part := min(1, room/(offered[0]+offered[1]))
+		taken = [2]float64{part, part}
+	}
+	if pressing > 0 {
+		t.Errorf("all accounts send the same: want none marked, have %d requests", pressing)
+	}
+	if offered[1] < 0.7*offered[0] {
+		t.Errorf("want about the same number of offers, have %.0f", offered)
+	}
+}
+
 // TestLevel checks equal shares: accounts below the level keep what they send.
 func TestLevel(t *testing.T) {
 	for _, c := range []struct {
