queue, hostd: requests wait in the order in which their objectives end

With early rejection packets that can be in time are served by priority and the end of their objective, and only those that go before a new request count for it. Times are reported to balancers for the latest requests that are not patient.

--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -117,6 +117,9 @@
 	outcomes     outcomes
 	// arrivals measures the new requests placed here, by urgency.
 	arrivals [2]shed.Meter
+	// reported are the kinds of request, by urgency, for which times are reported to
+	// balancers: those of the latest requests that are not patient.
+	reported [2]reportedKind
 	// departures measures the answered requests.
 	departures shed.Meter
 	latency    latency
@@ -172,7 +175,8 @@
 	}
 	co.upstream.service, co.upstream.reportAt = s.Service, now
 	co.upstream.started, co.upstream.expected = now, s.ReportInterval
-	co.waiting.OldestFirst = s.RejectEarly
+	co.reported = defaultKinds
+	co.waiting.ByObjective = s.RejectEarly
 	co.registration.init(now, s.Seeds)
 	return co
 }
--- a/internal/hostd/early.go
+++ b/internal/hostd/early.go
@@ -1,6 +1,7 @@
 package hostd
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -12,11 +13,17 @@
 	"github.com/bramleycourse/bramleycourse/internal/shed"
 )
 
-// Priorities that stand for an urgency in reports to balancers.
-const (
-	urgentPriority = 1
-	lowestPriority = math.MaxUint8
-)
+// reportedKind is a kind of request for which an agent reports its time to balancers.
+type reportedKind struct {
+	priority  uint8
+	objective time.Duration
+}
+
+// defaultKinds are the kinds before the first request: one that is served last.
+var defaultKinds = [2]reportedKind{
+	shed.Normal: {math.MaxUint8, time.Minute},
+	shed.Urgent: {1, time.Minute},
+}
 
 // maxHandshake limits the mean handshake time where requests are rejected early. After a
 // cut link it is that of packets sent again, and all requests would seem to be too late.
@@ -38,12 +45,13 @@
 	}
 }
 
-// load returns the load of the upstream as a new request of a priority sees it.
-func (c *Core) load(now time.Duration, priority uint8) shed.Load {
+// load returns the load of the upstream as a new request sees it that has a priority and
+// whose objective ends at a time.
+func (c *Core) load(now time.Duration, priority uint8, end time.Duration) shed.Load {
 	s := c.serviceTimes()
 	urgent := c.arrivals[shed.Urgent].Rate(now)
 	l := shed.Load{
-		Ahead: c.waiting.CountAhead(now, s, priority), Waiting: c.waiting.CountInTime(now, s),
+		Ahead: c.waiting.CountAhead(now, s, priority, end), Waiting: c.waiting.CountInTime(now, s),
 		Busy: c.table.Busy(now), Spent: s.Handshake + s.Work, Left: c.departures.Rate(now), Lead: s.LeadTime(),
 		Arriving: urgent + c.arrivals[shed.Normal].Rate(now),
 	}
@@ -61,11 +69,15 @@
 		return false
 	}
 	f := &o.frame
-	l := c.load(now, f.Priority)
 	r := shed.Request{
 		Objective: time.Duration(f.ObjectiveMillis) * time.Millisecond, Deadline: time.Duration(f.TimeoutMillis) * time.Millisecond,
 		Age: time.Duration(f.AgeMillis) * time.Millisecond, Pressing: f.Pressing, Again: f.TrialsLeft > 0,
 	}
+	end := now - r.Age + cmp.Or(r.Objective, r.Deadline)
+	if !r.Patient() {
+		c.reported[urgencyOf(f.Priority)] = reportedKind{f.Priority, r.Objective}
+	}
+	l := c.load(now, f.Priority, end)
 	if !l.Refuses(r) {
 		return false
 	}
@@ -87,15 +99,19 @@
 		return
 	}
 	f.Waits = true
-	f.ObjectiveMillis = c.waitMillis(now, lowestPriority)
-	f.TimeoutMillis = c.waitMillis(now, urgentPriority)
+	f.ObjectiveMillis = c.waitMillis(now, shed.Normal)
+	f.TimeoutMillis = c.waitMillis(now, shed.Urgent)
 }
 
-// waitMillis returns the time in which a new request of a priority would be answered, in
+// waitMillis returns the time in which a new request of an urgency would be answered, in
 // milliseconds; 0 if the upstream has room.
-func (c *Core) waitMillis(now time.Duration, priority uint8) uint16 {
-	if c.hasRoom(now, queue.UrgencyOf(priority)) {
+func (c *Core) waitMillis(now time.Duration, u shed.Urgency) uint16 {
+	k, room := c.reported[u], queue.Normal
+	if u == shed.Urgent {
+		room = queue.UrgentInTime
+	}
+	if c.hasRoom(now, room) {
 		return 0
 	}
-	return uint16(min(max(c.load(now, priority).Time().Milliseconds(), 1), math.MaxUint16))
+	return uint16(min(max(c.load(now, k.priority, now+k.objective).Time().Milliseconds(), 1), math.MaxUint16))
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -5,6 +5,7 @@
 package queue
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/bramleycourse/bramleycourse/internal/flow"
@@ -80,9 +81,10 @@
 	// lastMissed is when a packet last missed its objective; valid if hasMissed.
 	lastMissed time.Duration
 	hasMissed  bool
-	// OldestFirst keeps the oldest packets first in overload, too. It is set if only
-	// packets are added that will meet their objective in this order.
-	OldestFirst bool
+	// ByObjective serves the packets first whose objective ends first, in overload, too.
+	// It is set if only packets are added that will meet their objective in this order,
+	// or may wait beyond it.
+	ByObjective bool
 }
 
 // New returns an empty queue that holds up to limit packets.
@@ -106,12 +108,12 @@
 }
 
 // CountAhead returns the number of packets that can still meet their objective and are
-// served before a new one of the given priority, if requests are served in their order.
-func (q *Queue) CountAhead(now time.Duration, s ServiceTimes, priority uint8) int {
+// served before a new one of the given priority and end of its objective, with ByObjective.
+func (q *Queue) CountAhead(now time.Duration, s ServiceTimes, priority uint8, end time.Duration) int {
 	q.markLate(now, s)
 	n := 0
 	for _, i := range q.items {
-		if !i.late && i.Priority <= priority {
+		if !i.late && (i.Priority < priority || i.Priority == priority && i.end() <= end) {
 			n++
 		}
 	}
@@ -229,12 +231,18 @@
 	if x.Priority != y.Priority {
 		return x.Priority < y.Priority
 	}
-	if !x.late && !q.OldestFirst && q.Overloaded(now) {
+	if !x.late && q.ByObjective && x.end() != y.end() {
+		return x.end() < y.end()
+	}
+	if !x.late && !q.ByObjective && q.Overloaded(now) {
 		return a > b
 	}
 	return a < b
 }
 
+// end returns when the objective of the request ends; its deadline if it has none.
+func (i *Item) end() time.Duration { return i.Began + cmp.Or(i.Objective, i.Deadline) }
+
 // canMeetObjective reports whether the request can meet its objective if its packet is
 // passed to the upstream now.
 func (i *Item) canMeetObjective(now time.Duration, s ServiceTimes) bool {
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -96,21 +96,25 @@
 	}
 }
 
-// TestOldestFirst checks the order in overload if the queue only gets what it can serve.
-func TestOldestFirst(t *testing.T) {
+// TestByObjective checks the order in overload if the queue only gets what it can serve:
+// the packet whose objective ends first, which the newest one is without that.
+func TestByObjective(t *testing.T) {
 	const ms = time.Millisecond
 	times := ServiceTimes{Work: 40 * ms, Handshake: 10 * ms}
-	for _, oldestFirst := range []bool{false, true} {
+	for _, byObjective := range []bool{false, true} {
 		q := New(8)
-		q.OldestFirst = oldestFirst
-		for n, began := range []time.Duration{-400 * ms, -20 * ms, -10 * ms} {
-			q.Put(0, &Item{Key: key(n), Began: began, Objective: 250 * ms, Deadline: 1500 * ms}, times)
+		q.ByObjective = byObjective
+		for n, i := range []Item{{Began: -400 * ms, Objective: 250 * ms}, {Began: -30 * ms, Objective: 800 * ms}, {Objective: 250 * ms}, {Objective: 800 * ms}} {
+			i.Key, i.Deadline = key(n), 1500*ms
+			q.Put(0, &i, times)
 		}
-		if have := q.Next(0, times, always).Key == key(1); have != oldestFirst {
-			t.Errorf("oldest first %v: the oldest in time is served first: %v", oldestFirst, have)
+		for end, want := range map[time.Duration]int{200 * ms: 0, 300 * ms: 1, time.Second: 3} {
+			if have := q.CountAhead(0, times, 0, end); have != want {
+				t.Errorf("want %d requests before one whose objective ends in %v, have %d", want, end, have)
+			}
 		}
-		if have := q.CountAhead(0, times, 0); have != 1 {
-			t.Errorf("want 1 request before a new one, have %d", have)
+		if have := q.Next(0, times, always).Key == key(2); have != byObjective {
+			t.Errorf("by objective %v: that which ends first is served first: %v", byObjective, have)
 		}
 	}
 }
--- a/internal/trial/outageplay.go
+++ b/internal/trial/outageplay.go
@@ -90,7 +90,7 @@
 
 func (m *outageModel) newAgent(n int, started time.Duration) *outageAgent {
 	a := &outageAgent{addr: endpointOf(n).Addr, started: started, waiting: queue.New(outageQueue), attempts: map[flows.Key]*outageTry{}, work: m.Work}
-	a.waiting.OldestFirst = m.Early
+	a.waiting.ByObjective = m.Early
 	return a
 }
 
--- a/internal/trial/pressure.go
+++ b/internal/trial/pressure.go
@@ -75,11 +75,11 @@
 }
 
 // shedLoad returns the load of an agent as a new request sees it.
-func (m *outageModel) shedLoad(a *outageAgent, priority uint8) shed.Load {
+func (m *outageModel) shedLoad(a *outageAgent, priority uint8, end time.Duration) shed.Load {
 	s := m.times(a)
 	urgent := a.arrivals[shed.Urgent].Rate(m.now)
 	l := shed.Load{
-		Ahead: a.waiting.CountAhead(m.now, s, priority), Waiting: a.waiting.CountInTime(m.now, s),
+		Ahead: a.waiting.CountAhead(m.now, s, priority, end), Waiting: a.waiting.CountInTime(m.now, s),
 		Busy: a.busy, Spent: s.Handshake + s.Work, Left: a.departures.Rate(m.now), Lead: s.LeadTime(), Arriving: urgent + a.arrivals[shed.Normal].Rate(m.now),
 	}
 	if !queue.Urgent(priority) {
@@ -99,7 +99,7 @@
 	}
 	r := m.rejection(t)
 	r.Pressing = t.pressing
-	refused := first && !queue.HasRoom(m.Slots, a.busy, queue.UrgencyOf(t.request.priority), m.times(a)) && m.shedLoad(a, t.request.priority).Refuses(r)
+	refused := first && !queue.HasRoom(m.Slots, a.busy, queue.UrgencyOf(t.request.priority), m.times(a)) && m.shedLoad(a, t.request.priority, t.request.began+m.Objective).Refuses(r)
 	m.report(a)
 	if !refused {
 		m.gate.Taken(m.now, pressureService, t.urgency())
@@ -118,7 +118,7 @@
 	var times shed.Times
 	for u, priority := range [...]uint8{shed.Normal: 255, shed.Urgent: 0} {
 		if !queue.HasRoom(m.Slots, a.busy, queue.UrgencyOf(priority), m.times(a)) {
-			times[u] = m.shedLoad(a, priority).Time()
+			times[u] = m.shedLoad(a, priority, m.now+m.Objective).Time()
 		}
 	}
 	m.gate.Report(m.now, pressureService, a.addr, times)
