--- a/internal/shed/gate.go
+++ b/internal/shed/gate.go
@@ -24,9 +24,13 @@
 	// betterShare is the share of its remaining objective in which another agent has to
 	// answer a refused request to be asked.
 	betterShare = 0.85
-	// offerRatio is the number of requests offered for each one that agents take. The
-	// excess shows at once when agents take more.
-	offerRatio = 1.25
+	// offerRatio is the number of requests offered for each one that agents take, besides
+	// demandShare. The excess shows at once when agents take more.
+	offerRatio = 1.1
+	// demandShare is the share of the demand that is offered besides. It makes the shares
+	// of balancers follow their demand; a multiple of what agents take alone would keep
+	// them as they are.
+	demandShare = 0.2
 	// pressDeviations is the number of standard deviations of a random count, and minPress
 	// the number of requests, by which an account is over its fair share if it counts as
 	// pressing.
@@ -90,12 +94,18 @@
 	// taken and refused count the attempts that agents took, or refused for lack of
 	// time. They decay with countDecay.
 	taken, refused float64
+	// attempts counts all attempts, fresh those that are not known to follow a reset, and
+	// resets the resets.
+	attempts, fresh, resets float64
 	// accounts is nil before the first request.
 	accounts *accounts
 	// fair is the number of requests of each account that agents take if all accounts
 	// have equal shares, in the unit of the counts, and level the number that each one
 	// may offer; 0 if all are taken or offered.
 	fair, level float64
+	// usual is the median of what accounts send. If all send more than their shares,
+	// none presses.
+	usual float64
 	// rolledAt is when the counts last decayed.
 	rolledAt time.Duration
 }
@@ -142,10 +152,17 @@
 // Reset records that an attempt of a request was reset, by the agents' or its own decision.
 func (g *Gate) Reset(id frame.ServiceID, u Urgency, account netip.Addr) {
 	if c := &g.service(id).classes[u]; c.accounts != nil {
+		c.resets++
 		c.accounts.add(account, -retryShare)
 	}
 }
 
+// newShare returns the share of the attempts not known to follow a reset that are the
+// first of a request. Others follow resets by other balancers.
+func (c *class) newShare() float64 {
+	return min(1, max(1-retryShare, (c.attempts-retryShare*c.resets)/max(c.fresh, 1)))
+}
+
 // Least returns the shortest time in which an agent would answer a new request, from
 // reports that are not too old; ok is false if there are none.
 func (g *Gate) Least(now time.Duration, id frame.ServiceID, u Urgency) (d time.Duration, ok bool) {
@@ -181,6 +198,10 @@
 	if c.accounts == nil {
 		c.accounts = &accounts{}
 	}
+	c.attempts++
+	if !r.Again {
+		c.fresh++
+	}
 	sent := c.accounts.add(account, 1)
 	if c.fair == 0 || sent <= c.fair {
 		return Verdict{}
@@ -190,10 +211,15 @@
 	if !ok {
 		return v
 	}
-	v.Pressing = sent > c.fair+pressDeviations*math.Sqrt(c.fair)+minPress
+	share := max(c.fair, c.usual)
+	v.Pressing = sent > share+pressDeviations*math.Sqrt(share)+minPress
 	full := float64(least) >= fullShare*float64(r.Objective-r.Age)
-	if full && c.level > 0 && sent > c.level && !r.Patient() {
-		v.Reject = r.Again || float64(draw>>11)/(1<<53) >= c.level/sent
+	level := c.level
+	if v.Pressing {
+		level = c.fair
+	}
+	if full && level > 0 && sent > level && !r.Patient() {
+		v.Reject = r.Again || float64(draw>>11)/(1<<53) >= level/sent*c.newShare()
 	}
 	return v
 }
@@ -207,13 +233,14 @@
 		*c = class{rolledAt: now}
 		return
 	}
-	c.fair, c.level = 0, 0
+	c.fair, c.level, c.usual = 0, 0, 0
 	if c.accounts != nil && c.refused >= minRefused {
-		c.fair = c.accounts.level(c.taken + minOffers)
-		c.level = c.accounts.level(offerRatio*c.taken + minOffers)
+		c.fair, c.usual = c.accounts.level(c.taken+minOffers), c.accounts.median()
+		c.level = c.accounts.level(offerRatio*c.taken + demandShare*c.accounts.total() + minOffers)
 	}
 	for ; now-c.rolledAt >= rollInterval; c.rolledAt += rollInterval {
 		c.taken, c.refused = c.taken*countDecay, c.refused*countDecay
+		c.attempts, c.fresh, c.resets = c.attempts*countDecay, c.fresh*countDecay, c.resets*countDecay
 		if c.accounts != nil {
 			c.accounts.decay()
 		}
