roster: a late removal takes no newer entry from the platform's list

Cause: a balancer removed the entry of an agent that it had given up without a condition, and an agent did so when its upstream left. A call that gets no answer may be carried out seconds later, and then deleted the entry of a new run, or of the agent that was heard again. The version of the entry alone is no condition that helps: an agent that finds its entry unchanged does not write it.

Change: removals carry the version that was read when the agent was given up, and are not sent if the agent has announced itself meanwhile. An agent that counted as gone, or whose own removal got no answer, writes its entry again with a field that changes its version. A balancer that has sent a removal tells a run that announces itself at the address to do so.

Measured: on the code before, the sequence of TestLateRemoval loses the entry. With the condition, the new field, the comparison, the notice to the agent or its handling switched off, TestLateRemoval, TestLateOwnRemoval, TestRemovalCalls, TestToldAfterRemoval or TestWrittenAgain fails. A removal by a balancer costs one more read; nothing else costs more calls.

--- a/internal/front/agents.go
+++ b/internal/front/agents.go
@@ -378,7 +378,7 @@
 			e := st.entry
 			e.State = view.Gone
 			c.mergeItems(now, []view.Item{{Entry: e}})
-			c.OnAgentGone(a)
+			c.OnAgentGone(st.entry)
 			return
 		}
 	}
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -74,9 +74,9 @@
 	InterruptWatch func()
 	// InterruptEvacuationWatch is InterruptWatch for evacuations.
 	InterruptEvacuationWatch func()
-	// OnAgentGone is called with the address of an agent that has been down for
+	// OnAgentGone is called with the entry of an agent that has been down for
 	// agentForgetTime and has been marked as gone.
-	OnAgentGone func(agent netip.AddrPort)
+	OnAgentGone func(agent view.Entry)
 	// RecordAnswerTime records the time from the first offer of a flow to its answer.
 	RecordAnswerTime func(time.Duration)
 	// Log receives changes of the balancer's state. Sample reports whether the
@@ -102,6 +102,7 @@
 	isolation  isolation
 	searches   searches
 	trials     trials
+	removals   removals
 	// started is when the balancer started, on the same clock as now.
 	started time.Duration
 	stopped bool
@@ -151,14 +152,15 @@
 // NewCore returns the core of a balancer that starts at now.
 func NewCore(now time.Duration, s CoreConfig, c flow.Codec) *Core {
 	co := &Core{
-		self:    s,
-		codec:   c,
-		hints:   flow.NewHints(s.FlowLifetime, hintLinger, maxHints),
-		view:    view.New(),
-		pending: pendingOpenings{byKey: map[flow.Key]*pendingOpening{}},
-		trials:  trials{},
-		started: now,
-		out:     make([]byte, 0, frame.MaxSize),
+		self:     s,
+		codec:    c,
+		hints:    flow.NewHints(s.FlowLifetime, hintLinger, maxHints),
+		view:     view.New(),
+		pending:  pendingOpenings{byKey: map[flow.Key]*pendingOpening{}},
+		trials:   trials{},
+		removals: removals{},
+		started:  now,
+		out:      make([]byte, 0, frame.MaxSize),
 	}
 	co.retries = budget.New(retryBudget, budgetTime(now))
 	co.InterruptWatch, co.InterruptEvacuationWatch = func() {}, func() {}
@@ -364,6 +366,7 @@
 	}
 	c.nextHousekeeping = now + tickInterval
 	c.checkIsolation(now)
+	c.checkRemovals(now)
 	c.checkOverdue(now)
 	c.hints.Sweep(now)
 	c.trials.expire(now, c.self.FlowLifetime)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,6 +19,7 @@
 	"github.com/bramleycourse/bramleycourse/internal/node"
 	"github.com/bramleycourse/bramleycourse/internal/plat"
 	"github.com/bramleycourse/bramleycourse/internal/rules"
+	"github.com/bramleycourse/bramleycourse/internal/view"
 )
 
 const (
@@ -125,11 +126,6 @@
 	b.core.ToAgent = b.peerSocket.Send
 	port := s.Hop.Port()
 	b.core.ToCaller = func(packet []byte, caller netip.Addr) { b.callerSocket.Send(packet, netip.AddrPortFrom(caller, port)) }
-	b.core.OnAgentGone = func(agent netip.AddrPort) {
-		if b.core.HasLowestAddr() {
-			go b.removeAgent(agent)
-		}
-	}
 	b.configWatch = newWatcher(b, &b.core.confirmed, b.applyConfigs)
 	b.core.InterruptWatch = b.configWatch.interrupt
 	b.evacuationWatch = newWatcher(b, &b.core.evacuations.confirmed, b.applyEvacuations)
@@ -152,6 +148,12 @@
 	if err := b.parts.Serve(b.settings.Metrics, b.metrics.Handler()); err != nil {
 		return err
 	}
+	b.core.OnAgentGone = func(agent view.Entry) {
+		// All balancers know each other.
+		if b.core.HasLowestAddr() {
+			go b.removeAgent(ctx, agent)
+		}
+	}
 	b.loop.Attach(node.Ticker{Tick: b.core.Tick, Due: b.core.Due})
 	b.parts.Spawn(func() { b.loop.Serve(b.callerSocket, b.handleCallerPacket) })
 	b.parts.Spawn(func() { b.loop.Serve(b.peerSocket, b.core.FromAgent) })
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -42,8 +42,8 @@
 	// exceed the budget because they bring nothing new. Meanwhile other balancers
 	// watch, and this one learns of changes from them.
 	overBudgetPause = time.Second
-	// fetchTimeout limits reading a peer's configuration, and removing an agent's
-	// entry from the platform.
+	// fetchTimeout limits reading a peer's configuration, and one try to remove an
+	// agent's entry from the platform.
 	fetchTimeout = 2 * time.Second
 	// announcedTimeout limits reading an announced configuration from the platform. A
 	// platform that is slower is left for the balancer that has announced it.
@@ -174,7 +174,8 @@
 func (b *Balancer) register(ctx context.Context) {
 	b.retryCall(ctx, b.loadAgents)
 	b.retryCall(ctx, func(ctx context.Context) error {
-		return b.store.Ensure(ctx, plat.KindBalancer, b.settings.Name, roster.BalancerEntry{Peer: b.settings.Peer})
+		_, err := b.store.Ensure(ctx, plat.KindBalancer, b.settings.Name, roster.BalancerEntry{Peer: b.settings.Peer})
+		return err
 	})
 	sleep(ctx, noPeersDelay)
 	for ctx.Err() == nil {
@@ -218,16 +219,6 @@
 	})
 }
 
-// removeAgent removes an agent that is gone from the platform's list. Only the
-// balancer with the lowest address calls it; all balancers know each other.
-func (b *Balancer) removeAgent(agent netip.AddrPort) {
-	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
-	defer cancel()
-	if err := roster.RemoveAgent(ctx, b.store, agent); err != nil {
-		b.log.WithError(err).WithFields(logrus.Fields{"event": "removeFailed", "agent": agent}).Warn("failed to remove the platform entry of an agent")
-	}
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- /dev/null
+++ b/internal/front/removals.go
@@ -0,0 +1,115 @@
+package front
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/bramleycourse/bramleycourse/internal/roster"
+	"github.com/bramleycourse/bramleycourse/internal/view"
+)
+
+const (
+	// removalMemory is how long a balancer watches for a run of the agent after the
+	// removal of its entry. A run writes its entry before its second announcement at the
+	// earliest, and a balancer hears of the first within a second.
+	removalMemory = 5 * time.Second
+)
+
+// removals holds the removals from the platform's list that were sent, by the agent's
+// address. A run of the agent that has started since may have found the old entry and
+// kept it, so it is told to write it again. The version of the entry then differs from
+// that in the condition of the removal, whether or not that is still to be carried out.
+type removals map[netip.AddrPort]*removal
+
+type removal struct {
+	// at is when the removal was last sent, or ended.
+	at time.Duration
+	// told is the entry that the run had when it was last told; the zero value if it has
+	// not been.
+	told view.Entry
+}
+
+// note records that a removal is sent.
+func (r removals) note(now time.Duration, agent netip.AddrPort) {
+	if r[agent] == nil {
+		r[agent] = &removal{}
+	}
+	r[agent].at = now
+}
+
+// end records that the tries to remove the entry of an agent have ended.
+func (r removals) end(now time.Duration, agent netip.AddrPort) {
+	if r[agent] != nil {
+		r[agent].at = now
+	}
+}
+
+// due returns the entry of the run that is to be told now that it counts as gone. current
+// returns the entry of the run at an address, if there is one.
+func (r removals) due(now time.Duration, current func(netip.AddrPort) (view.Entry, bool)) []view.Entry {
+	var due []view.Entry
+	for a, m := range r {
+		e, ok := current(a)
+		switch {
+		case ok && e.Key == m.told.Key && e.Seq > m.told.Seq, !ok && now-m.at >= removalMemory:
+			delete(r, a)
+		case ok:
+			m.told = e
+			due = append(due, e)
+		}
+	}
+	return due
+}
+
+// runAt returns the entry of the run of an agent that has announced itself and has not
+// ended.
+func (c *Core) runAt(a netip.AddrPort) (view.Entry, bool) {
+	st := c.agents.byAddr[a]
+	if st == nil || st.entry.Key.Instance == 0 {
+		return view.Entry{}, false
+	}
+	return st.entry, true
+}
+
+// checkRemovals tells agents whose entries may have been removed that they counted as
+// gone. They announce themselves anew and write their entries again.
+func (c *Core) checkRemovals(now time.Duration) {
+	for _, e := range c.removals.due(now, c.runAt) {
+		c.Log.WithFields(logrus.Fields{"event": "agentToldGone", "agent": e.Key, "seq": e.Seq}).Info("agent is told to write its platform entry again")
+		e.State = view.Gone
+		c.sendItems([]view.Item{{Entry: e}}, e.Key.Hop)
+	}
+}
+
+// removeAgent removes an agent that is gone from the platform's list, unless an agent has
+// announced itself at the address.
+func (b *Balancer) removeAgent(ctx context.Context, agent view.Entry) {
+	hop := agent.Key.Hop
+	r := roster.Removal{Hop: hop}
+	if agent.Key.Instance != 0 {
+		r.Seq = agent.Seq
+	}
+	// confirm is called after the store was read, and this process may have paused.
+	confirm := func() (ok bool) {
+		b.loop.Do(func(now time.Duration) {
+			if _, runs := b.core.runAt(hop); !runs {
+				ok = true
+				b.core.removals.note(now, hop)
+			}
+		})
+		return ok
+	}
+	if done, err := b.tryRemoval(ctx, &r, confirm); !done {
+		b.log.WithError(err).WithFields(logrus.Fields{"event": "removeFailed", "agent": hop}).Warn("failed to remove the platform entry of an agent")
+	}
+	b.loop.Do(func(now time.Duration) { b.core.removals.end(now, hop) })
+}
+
+func (b *Balancer) tryRemoval(ctx context.Context, r *roster.Removal, confirm func() bool) (done bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	return r.Try(ctx, b.store, confirm)
+}
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -86,9 +86,10 @@
 	store    *plat.Client
 	metrics  *node.Metrics
 	parts    *node.Parts
-	// listings queues the services to enter in the platform's list. An empty
-	// service removes the entry.
-	listings *ring.Ring[ident.ServiceName]
+	// listings queues the changes of the agent's entry in the platform's list, which
+	// maintainListing writes by listed.
+	listings *ring.Ring[listing]
+	listed   roster.Listing
 	// listingPending is set until the last queued change has been written to the
 	// platform's list.
 	listingPending atomic.Bool
@@ -98,7 +99,7 @@
 func New(s Settings, c flow.Codec, store *plat.Client, out *node.Output, log *logrus.Entry) (*Agent, error) {
 	a := &Agent{
 		settings: s, loop: node.New(log), out: out, log: log, store: store,
-		listings: ring.New[ident.ServiceName](maxPendingListings),
+		listings: ring.New[listing](maxPendingListings), listed: roster.Listing{Store: store},
 	}
 	a.parts = node.NewParts(a.loop, log)
 	var err error
@@ -124,15 +125,25 @@
 	a.core.CheckListed = func() { go a.checkListed() }
 	a.core.UpdateListing = func(service ident.ServiceName) {
 		a.listingPending.Store(true)
-		a.listings.Put(service)
+		a.listings.Put(listing{service, a.core.registration.seq, a.core.registration.disputed})
 	}
 	return a, nil
 }
 
+// listing is a change of the agent's entry in the platform's list.
+type listing struct {
+	// service is the service to enter. If it is empty, the entry is removed.
+	service ident.ServiceName
+	// seq is the version of the last announcement. again is set if the agent counted as
+	// gone, so that a removal of its entry may be under way.
+	seq   ident.Seq
+	again bool
+}
+
 // maintainListing writes queued changes of the agent's entry to the platform's list
 // and retries failed writes.
 func (a *Agent) maintainListing() {
-	var wanted ident.ServiceName
+	var wanted listing
 	pending := false
 	retry := minRetry
 	for {
@@ -153,13 +164,14 @@
 	}
 }
 
-func (a *Agent) updateListing(service ident.ServiceName) error {
+func (a *Agent) updateListing(l listing) error {
 	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
 	defer cancel()
-	if service == "" {
-		return roster.RemoveAgent(ctx, a.store, a.settings.Hop)
+	if l.service == "" {
+		return a.listed.Remove(ctx, a.settings.Hop)
 	}
-	return roster.AddAgent(ctx, a.store, roster.AgentEntry{Hop: a.settings.Hop, Service: service, Place: a.settings.Place})
+	e := roster.AgentEntry{Hop: a.settings.Hop, Service: l.service, Place: a.settings.Place}
+	return a.listed.Write(ctx, e, l.seq, l.again)
 }
 
 func (a *Agent) findBalancers() {
--- a/internal/hostd/registration.go
+++ b/internal/hostd/registration.go
@@ -48,6 +48,9 @@
 	answeredAt time.Duration
 	seq        ident.Seq
 	state      view.State
+	// disputed is set once another process has taken this run of the agent for gone. A
+	// removal of its entry from the platform's list may then still be carried out.
+	disputed bool
 }
 
 func (r *registration) init(now time.Duration, seeds []netip.AddrPort) {
@@ -226,11 +229,15 @@
 			}
 		case i.Key.Hop == c.self.Hop && i.Key.Instance == c.self.Instance && i.Seq >= r.seq && i.State != r.state:
 			r.seq = i.Seq
-			if i.State == view.Gone && c.upstream.reported && !c.upstream.gone {
+			c.announceChange(now)
+			if i.State != view.Gone {
+				break
+			}
+			r.disputed = true
+			if c.upstream.reported && !c.upstream.gone {
 				// Whoever took the agent for gone may have removed it from the list.
 				c.UpdateListing(c.upstream.service)
 			}
-			c.announceChange(now)
 		}
 	}
 }
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -267,20 +267,19 @@
 	return l.first().Version, err
 }
 
-// Ensure makes an object that has a single owner hold a value. It takes one call if
-// the object does not exist, or if the conflict returns the wanted value, and two
-// calls otherwise.
-func (c *Client) Ensure(ctx context.Context, k Kind, name string, value any) error {
-	_, err := c.Put(ctx, k, name, value, 0)
+// Ensure makes an object that has a single owner hold a value, and returns its version.
+// It takes one call if the object does not exist, or if the conflict returns the wanted
+// value, and two calls otherwise.
+func (c *Client) Ensure(ctx context.Context, k Kind, name string, value any) (Version, error) {
+	v, err := c.Put(ctx, k, name, value, 0)
 	var conflict *ConflictError
 	if !errors.As(err, &conflict) || conflict.Current == 0 {
-		return err
+		return v, err
 	}
 	if b, encodeErr := json.Marshal(value); encodeErr == nil && bytes.Equal(b, conflict.Found) {
-		return nil
+		return conflict.Current, nil
 	}
-	_, err = c.Put(ctx, k, name, value, conflict.Current)
-	return err
+	return c.Put(ctx, k, name, value, conflict.Current)
 }
 
 // Delete removes an object if its current version is the given one.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -28,6 +28,10 @@
 	Hop     netip.AddrPort    `json:"hop"`
 	Service ident.ServiceName `json:"service"`
 	Place   ident.PlaceName   `json:"place"`
+	// Rewritten is the version of the announcement that the agent had made when it wrote
+	// the entry again after it had counted as gone; 0 if it has not. It gives the entry
+	// another version in the store, so that a removal sent before has no effect.
+	Rewritten ident.Seq `json:"rewritten,omitempty"`
 }
 
 // maxNameBytes bounds the names in an entry, which are passed on in datagrams.
@@ -86,7 +90,8 @@
 
 // AddAgent writes an agent's entry to the list.
 func AddAgent(ctx context.Context, store *plat.Client, a AgentEntry) error {
-	return store.Ensure(ctx, plat.KindEndpoint, a.Hop.String(), a)
+	_, err := store.Ensure(ctx, plat.KindEndpoint, a.Hop.String(), a)
+	return err
 }
 
 // HasAgent reports whether the list has an entry for an agent.
@@ -98,13 +103,3 @@
 	}
 	return err == nil, err
 }
-
-// RemoveAgent removes an agent's entry from the list if there is one.
-func RemoveAgent(ctx context.Context, store *plat.Client, hop netip.AddrPort) error {
-	err := store.Delete(ctx, plat.KindEndpoint, hop.String(), 0)
-	var missing *plat.NotFoundError
-	if errors.As(err, &missing) {
-		return nil
-	}
-	return err
-}
