front: the removal of an agent from the platform's list is tried again

Cause: the balancer with the lowest address removed the entry of an agent that it had given up once, within 2 s. If the platform was down or slow then, the entry stayed, and each balancer that started loaded it as serving. Only the lowest address removed it, which may not have read the list.

Change: the removal is tried again, after 1 s and then less often down to every 30 s, until the entry is removed or written anew or an agent has announced itself there. A balancer that gives up an agent which only the list named removes it whatever its address.

Ruled out: leaving it to the next balancer that starts, since that uses the entry first.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -149,8 +149,7 @@
 		return err
 	}
 	b.core.OnAgentGone = func(agent view.Entry) {
-		// All balancers know each other.
-		if b.core.HasLowestAddr() {
+		if b.core.removes(&agent) {
 			go b.removeAgent(ctx, agent)
 		}
 	}
--- a/internal/front/removals.go
+++ b/internal/front/removals.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -12,6 +13,11 @@
 )
 
 const (
+	// minRemovalRetry and maxRemovalRetry bound the time between two tries to remove an
+	// agent's entry from the platform's list. A longer one delays only the balancers that
+	// start meanwhile.
+	minRemovalRetry = time.Second
+	maxRemovalRetry = 30 * time.Second
 	// removalMemory is how long a balancer watches for a run of the agent after the
 	// removal of its entry. A run writes its entry before its second announcement at the
 	// earliest, and a balancer hears of the first within a second.
@@ -64,6 +70,13 @@
 	return due
 }
 
+// removes reports whether the balancer removes an agent that is gone from the platform's
+// list. All balancers know each other, so that the one with the lowest address does. An
+// agent that only the list named may have been loaded by this balancer alone.
+func (c *Core) removes(agent *view.Entry) bool {
+	return agent.Key.Instance == 0 || c.HasLowestAddr()
+}
+
 // runAt returns the entry of the run of an agent that has announced itself and has not
 // ended.
 func (c *Core) runAt(a netip.AddrPort) (view.Entry, bool) {
@@ -84,8 +97,9 @@
 	}
 }
 
-// removeAgent removes an agent that is gone from the platform's list, unless an agent has
-// announced itself at the address.
+// removeAgent removes an agent that is gone from the platform's list. It tries again until
+// the entry is removed or written anew, an agent has announced itself at the address, or
+// ctx ends; balancers that start would otherwise load the entry.
 func (b *Balancer) removeAgent(ctx context.Context, agent view.Entry) {
 	hop := agent.Key.Hop
 	r := roster.Removal{Hop: hop}
@@ -102,8 +116,13 @@
 		})
 		return ok
 	}
-	if done, err := b.tryRemoval(ctx, &r, confirm); !done {
-		b.log.WithError(err).WithFields(logrus.Fields{"event": "removeFailed", "agent": hop}).Warn("failed to remove the platform entry of an agent")
+	for retry := minRemovalRetry; ctx.Err() == nil; retry = min(2*retry, maxRemovalRetry) {
+		done, err := b.tryRemoval(ctx, &r, confirm)
+		if done {
+			break
+		}
+		b.log.WithError(err).WithFields(logrus.Fields{"event": "removeFailed", "agent": hop, "retryIn": retry}).Warn("failed to remove the platform entry of an agent")
+		sleep(ctx, retry/2+rand.N(retry))
 	}
 	b.loop.Do(func(now time.Duration) { b.core.removals.end(now, hop) })
 }
