front: an agent that never answered is asked at once, and is no fallback

Cause: a balancer that starts takes each entry of the platform's list, and each entry that another balancer passes on, as serving until an offer to it fails. If less than half of a service's entries answer, it goes on offering to all of them, since that looks like a fault of its own link; entries that never answered counted too. An ended agent that stayed in the list, or whose entry came back from a balancer that was cut off for longer than tombstones are kept, drew new flows for 20 s, and without traffic for as long as the balancer ran.

Change: a balancer pings an agent when it learns of it. One that is down and has never answered this balancer counts among those to fall back on only if there are no others.

Ruled out: leaving such entries out altogether, since a balancer that starts while it is cut off would reject callers; reading the list again, which costs calls.

--- a/internal/front/agents.go
+++ b/internal/front/agents.go
@@ -53,6 +53,8 @@
 	index int
 	// lastHeard is when the last datagram from the agent arrived.
 	lastHeard time.Duration
+	// heard is set once a datagram from the agent has arrived.
+	heard bool
 	// pingedAt is when the oldest unanswered Ping was sent; 0 if there is none.
 	pingedAt time.Duration
 	// downAt is when the agent was marked as down; 0 if it is up.
@@ -66,8 +68,9 @@
 // group holds the agents of one service.
 type group struct {
 	// usable holds the agents that may get new flows: the serving ones that are up, or
-	// all serving ones if fewer than minAnsweringShare of them are up. Agents of evacuated
-	// places are in neither case among them. all holds the agents in any state that are up;
+	// all serving ones if fewer than minAnsweringShare of them are up. Agents that never
+	// answered this balancer count only if there are no others. Agents of evacuated
+	// places are in no case among them. all holds the agents in any state that are up;
 	// those that are down may hold flows too.
 	usable, all *route.EndpointSet
 	// known holds all agents of the service, whether up or down.
@@ -159,6 +162,7 @@
 	for a, e := range newest {
 		if old := t.byAddr[a]; old == nil {
 			t.byAddr[a] = &agentState{entry: e, index: t.newIndex(c.lastTick)}
+			t.probe(now, a, c)
 		} else {
 			old.update(now, e)
 		}
@@ -198,8 +202,9 @@
 	type lists struct {
 		usable, all, known []route.Endpoint
 		// serving are the agents in state Serving outside evacuated places, whether up or
-		// down.
-		serving []route.Endpoint
+		// down. unheard are those that are down and never answered this balancer; they may
+		// have ended long ago.
+		serving, unheard []route.Endpoint
 		// unreachable are the agents that are down.
 		unreachable []*agentState
 	}
@@ -216,7 +221,10 @@
 		// the order.
 		e := route.Endpoint{ID: ident.EndpointID{Addr: a}, Weight: 1, Remote: st.entry.Place != c.self.Place}
 		open := st.entry.State == view.Serving && !c.evacuations.set.Has(st.entry.Place)
-		if open {
+		switch {
+		case open && st.downAt > 0 && !st.heard:
+			l.unheard = append(l.unheard, e)
+		case open:
 			l.serving = append(l.serving, e)
 		}
 		l.known = append(l.known, e)
@@ -237,6 +245,9 @@
 		if float64(len(l.usable)) < minAnsweringShare*float64(len(l.serving)) {
 			l.usable = l.serving
 		}
+		if len(l.usable) == 0 {
+			l.usable = l.unheard
+		}
 		g := &group{usable: route.NewGroup(l.usable), all: route.NewGroup(l.all), unreachable: l.unreachable}
 		g.known = g.all
 		if len(l.unreachable) > 0 {
@@ -267,7 +278,7 @@
 	if st == nil {
 		return
 	}
-	st.lastHeard = now
+	st.lastHeard, st.heard = now, true
 	if st.pingedAt > 0 {
 		st.pingedAt = 0
 		c.agents.pendingPings--
