--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -75,9 +75,9 @@
 	InterruptWatch func()
 	// InterruptEvacuationWatch is InterruptWatch for evacuations.
 	InterruptEvacuationWatch func()
-	// OnAgentGone is called with the address of an agent that has been down for
+	// OnAgentGone is called with the entry of an agent that has been down for
 	// agentForgetTime and has been marked as gone.
-	OnAgentGone func(agent netip.AddrPort)
+	OnAgentGone func(agent view.Entry)
 	// RecordAnswerTime records the time from the first offer of a flow to its answer.
 	RecordAnswerTime func(time.Duration)
 	// Log receives changes of the balancer's state. Sample reports whether the
@@ -107,6 +107,7 @@
 	isolation isolation
 	searches  searches
 	trials    trials
+	removals  removals
 	// started is when the balancer started, on the same clock as now.
 	started time.Duration
 	stopped bool
@@ -136,6 +137,7 @@
 		view:       view.New(),
 		pending:    pendingOpenings{byKey: map[flow.Key]*pendingOpening{}},
 		trials:     trials{},
+		removals:   removals{},
 		rejections: rejections{gap: retryGap},
 		started:    now,
 		out:        make([]byte, 0, frame.MaxSize),
@@ -355,6 +357,7 @@
 	}
 	c.nextHousekeeping = now + tickInterval
 	c.checkIsolation(now)
+	c.checkRemovals(now)
 	c.checkOverdue(now)
 	c.hints.Sweep(now)
 	c.trials.expire(now, c.self.FlowLifetime)
