--- a/internal/front/rejections_test.go
+++ b/internal/front/rejections_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"github.com/bramleycourse/bramleycourse/internal/flow"
+	"github.com/bramleycourse/bramleycourse/internal/frame"
+	"github.com/bramleycourse/bramleycourse/internal/rules"
+	"github.com/bramleycourse/bramleycourse/internal/shed"
 )
 
 // TestRejections checks which opening packets count as further attempts. A caller ends the
@@ -34,3 +37,19 @@
 		}
 	}
 }
+
+// TestOlderAgents checks that the times of a refused request, which the Refused frame of an
+// agent without early rejection carries, are not taken for a report of the agent.
+func TestOlderAgents(t *testing.T) {
+	agent, r := netip.MustParseAddrPort("10.0.0.9:8000"), &rules.Route{Priority: 2}
+	for _, waits := range []bool{false, true} {
+		co := NewCore(0, CoreConfig{RejectEarly: true}, flow.Codec{})
+		f := frame.Frame{Kind: frame.Refused, Service: 7, Waits: waits, ObjectiveMillis: 250, TimeoutMillis: 1500}
+		if have := co.noteRefused(0, &f, agent, r, false); have != waits {
+			t.Errorf("reported %v: counted as refused for lack of time: %v", waits, have)
+		}
+		if _, have := co.gate.Least(0, 7, shed.Normal); have != waits {
+			t.Errorf("reported %v: counted as a report: %v", waits, have)
+		}
+	}
+}
