hostd: the limit of a service ends with it; comments

Cause: the agent kept the rate for cold upstreams for 5 s after it was last announced, also when an upstream of another service had taken the place of the one before. Where that service has no rate, its upstream, which has just started, got the few requests per second of the earlier service. Change: a report with another service begins with a new limiter. Ruled out: a limit for each service in the limiter: an agent has one upstream at a time. Measured: TestColdServiceChanged fails without the change (want unlimited, have cold) and passes with it.

--- a/internal/evac/evac.go
+++ b/internal/evac/evac.go
@@ -117,8 +117,7 @@
 	return places, 0
 }
 
-// Parse decodes a set that another process has sent; ok is false if none of this package
-// has been encoded.
+// Parse decodes a set that another process has sent; ok is false if it is not valid.
 func Parse(b []byte) (s Set, ok bool) {
 	if json.Unmarshal(b, &s) != nil || !s.Valid() {
 		return Set{}, false
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -38,8 +38,9 @@
 )
 
 // confirmation records when the platform last answered a balancer about one kind of
-// objects: the configuration or the evacuations. The watchers tell all balancers of each answer, so a longer silence
-// means that they have failed, have lost the platform, or are not heard.
+// objects: the configuration or the evacuations. The watchers tell all balancers of each
+// answer, so a longer silence means that they have failed, have lost the platform, or are
+// not heard.
 type confirmation struct {
 	// kind is the kind of the objects.
 	kind plat.Kind
--- a/internal/hostd/cold_test.go
+++ b/internal/hostd/cold_test.go
@@ -79,3 +79,19 @@
 		t.Errorf("want the flow at the other candidate, have %+v", *sent)
 	}
 }
+
+// TestColdServiceChanged guards an upstream without a limit that starts in place of one of
+// another service: the limit of that service is not its own.
+func TestColdServiceChanged(t *testing.T) {
+	c, _ := newColdCore()
+	now := time.Second
+	c.announceLimit(now, &frame.Frame{Service: c.upstream.id(), ColdRate: 1, Warmup: 2 * time.Second})
+	c.OnReport(now, Report{ID: "v", Service: "fichas", Seq: 1, Slots: 4, StartedMillis: 100_000, Warmup: 2 * time.Second})
+	if s := c.upstream.ramp.State(now); c.upstream.service != "fichas" || s != ramp.Unlimited {
+		t.Errorf("service %q: want unlimited, have %v", c.upstream.service, s)
+	}
+	c.announceLimit(now, &frame.Frame{Service: c.upstream.id(), ColdRate: 1, Warmup: 2 * time.Second})
+	if s := c.upstream.ramp.State(now); s != ramp.Cold {
+		t.Errorf("its own limit: want cold, have %v", s)
+	}
+}
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -299,6 +299,7 @@
 	if r.Service != u.service {
 		c.rejectWaiting(now, "serviceChanged", c.waiting.Clear()...)
 		c.learning.gauge = gauge.Gauge{}
+		u.ramp = ramp.New(now, max(u.expected, defaultReportInterval))
 	}
 	u.refusing = false
 	u.reported, u.gone, u.down, u.absent, u.last, u.reportAt, u.service = true, false, false, false, r, now, r.Service
