hostd: with learned room, the wait for a turn counts in the measured work time

Cause: the wait at a cold upstream was divided by the recent mean work time, which includes the slow answers of the warm-up, and multiplied by the measured one, which does not. With 150 ms while cold and 30 ms measured, a turn that comes in 1 s was shown as 0.3 s, and flows were placed there although others would have served them earlier. Change: the wait is divided by the work time that it is multiplied by. Ruled out: measuring during the warm-up, which has its own factor. Measured: TestColdExpected fails without the change (300 ms for a turn after 1 s) and passes with it; without learned room the value is the same as before.

--- a/internal/hostd/cold.go
+++ b/internal/hostd/cold.go
@@ -46,6 +46,11 @@
 	return c.upstream.ramp.Wait(now, c.waiting.Len())
 }
 
+// delay returns turn in multiples of a work time.
+func (c *Core) delay(now, work time.Duration) float64 {
+	return float64(c.turn(now)) / float64(max(work, time.Millisecond))
+}
+
 // mayWait reports whether an opening packet may wait in the queue for a time.
 func (c *Core) mayWait(now, wait time.Duration, i *queue.Item) bool {
 	return wait == 0 || i.LastsUntil(now, now+wait, c.serviceTimes())
--- a/internal/hostd/cold_test.go
+++ b/internal/hostd/cold_test.go
@@ -1,6 +1,7 @@
 package hostd
 
 import (
+	"bytes"
 	"io"
 	"net/netip"
 	"testing"
@@ -95,3 +96,22 @@
 		t.Errorf("its own limit: want cold, have %v", s)
 	}
 }
+
+// TestColdExpected checks that an upstream with learned room says how long a request waits
+// for its turn, also while its work takes longer than what was measured of it.
+func TestColdExpected(t *testing.T) {
+	c, now := newLearner(true, &bytes.Buffer{}, 30*time.Millisecond)
+	c.upstream.warmupUntil = now + time.Minute
+	now = answerAll(c, now, 100, 150*time.Millisecond)
+	f := &frame.Frame{Kind: frame.Offer, Service: c.upstream.id(), Priority: 2, ObjectiveMillis: 256, ColdRate: 1, Warmup: time.Minute}
+	c.announceLimit(now, f)
+	c.upstream.expectCold(now)
+	for range 2 {
+		c.upstream.ramp.Take(now)
+	}
+	l := c.Load(now)
+	c.compare(now, f, &l)
+	if turn, have := c.turn(now), l.Expected(); turn < time.Second/2 || have < turn || have > 2*turn {
+		t.Errorf("its turn comes after %v: have %v", turn, have)
+	}
+}
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -196,7 +196,7 @@
 		Slots:    c.capacity(now),
 		Busy:     busy,
 		MeanBusy: c.meanBusy,
-		Delay:    float64(c.turn(now)) / float64(max(c.table.Work(), time.Millisecond)),
+		Delay:    c.delay(now, c.table.Work()),
 		Closed:   !c.upstream.accepts() || c.upstream.stalled(now) || c.leaving || c.evacuated(),
 		Failing:  c.outcomes.failing,
 	}
--- a/internal/hostd/learn.go
+++ b/internal/hostd/learn.go
@@ -130,6 +130,7 @@
 	if l.Work == 0 {
 		l.Work, l.Peers = c.assumedWork(now), 0
 	}
+	l.Delay = c.delay(now, l.Work)
 	if l.Slow() && g.TrialDue(now) && !queue.Urgent(f.Priority) {
 		g.Tried(now)
 		l.Peers = 0
