front: an ended run of an agent that another balancer passes on ends again

Cause: a tombstone is kept for ten minutes. A balancer that was cut off for longer passes on the entry of a run that ended meanwhile, and the others take it. If a later run answers at the address, the entry never times out. It is preferred to one that is gone, so that an agent whose upstream has left was in use again; and to one with a lower version, if the clock of the VM has jumped back. Other runs at an address were ended only by the first announcement of a run. The balancers that hear the address also disputed the end.

Change: an announcement ends the other runs at its address whenever one of them is in use. The end of a run is not disputed if a later one is known, even if that is gone.

Ruled out: refusing old entries by their version, which follows the clocks of the VMs; keeping tombstones for longer, which only moves the limit.

Without the comparison of the announcement with the view, a late announcement of the earlier run ends the present one in the test.

--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -75,13 +75,13 @@
 
 // isDisputed reports whether another balancer has marked an agent as gone that this one
 // hears. An agent that is gone by its own word has raised the version of its entry, and
-// one that has started again has another entry.
+// one that has started again has another entry, which may be gone too.
 func (c *Core) isDisputed(now time.Duration, known, e *view.Entry) bool {
 	if e.Key.IsBalancer() || e.State != view.Gone || known.State == view.Gone || e.Seq != known.Seq || !c.agents.hears(now, e.Key.Hop) {
 		return false
 	}
-	return !slices.ContainsFunc(c.view.EntriesUnsorted(), func(o view.Entry) bool {
-		return o.Key.Hop == e.Key.Hop && o.Key != e.Key && !o.Key.IsBalancer()
+	return !slices.ContainsFunc(c.view.All(), func(o view.Entry) bool {
+		return o.Key.Hop == e.Key.Hop && o.Key != e.Key && !o.Key.IsBalancer() && (o.State != view.Gone || o.Seq > e.Seq)
 	})
 }
 
@@ -110,6 +110,18 @@
 	}
 }
 
+// isPresentRun reports whether an agent that announces itself is the run at its address and
+// others there are to be looked for: it is new, or another one is in use there. The latter
+// may come from a balancer that was cut off for longer than tombstones are kept.
+func (c *Core) isPresentRun(e *view.Entry) bool {
+	stored, known := c.view.Get(e.Key)
+	if !known {
+		return true
+	}
+	st := c.agents.byAddr[e.Key.Hop]
+	return stored == *e && st != nil && st.entry.Key != e.Key
+}
+
 // earlierRuns returns the entries of earlier processes at an agent's address,
 // marked as gone.
 func (c *Core) earlierRuns(k view.Key) []view.Item {
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -305,7 +305,7 @@
 // address belong to processes that have ended.
 func (c *Core) handleAnnounce(now time.Duration, i view.Item, from netip.AddrPort) {
 	items := []view.Item{i}
-	if _, known := c.view.Get(i.Key); !known && i.Key.Hop == from {
+	if i.Key.Hop == from && c.isPresentRun(&i.Entry) {
 		items = append(items, c.earlierRuns(i.Key)...)
 	}
 	news := c.mergeItems(now, items)
