--- a/internal/front/removals.go
+++ b/internal/front/removals.go
@@ -119,6 +119,7 @@
 	for retry := minRemovalRetry; ctx.Err() == nil; retry = min(2*retry, maxRemovalRetry) {
 		done, err := b.tryRemoval(ctx, &r, confirm)
 		if done {
+			b.log.WithFields(logrus.Fields{"event": "removalEnded", "agent": hop, "instance": agent.Key.Instance, "removed": r.Removed}).Info("no platform entry of the ended agent is left to remove")
 			break
 		}
 		b.log.WithError(err).WithFields(logrus.Fields{"event": "removeFailed", "agent": hop, "retryIn": retry}).Warn("failed to remove the platform entry of an agent")
--- a/internal/roster/removal.go
+++ b/internal/roster/removal.go
@@ -19,6 +19,8 @@
 	// Seq is the version of the announcement with which the agent counts as gone; 0 if it
 	// is not known.
 	Seq ident.Seq
+	// Removed is set once the store has answered that the entry was removed.
+	Removed bool
 	// version is the version of the entry in the list that is removed; 0 until it was read.
 	version plat.Version
 }
@@ -37,6 +39,7 @@
 		return true, nil
 	}
 	err = store.Delete(ctx, plat.KindEndpoint, r.Hop.String(), r.version)
+	r.Removed = err == nil
 	if settled(err) {
 		return true, nil
 	}
