--- a/internal/hostd/learn.go
+++ b/internal/hostd/learn.go
@@ -46,11 +46,11 @@
 	if !c.self.LearnRoom {
 		return c.upstream.slots(now)
 	}
-	return float64(c.room(now)) * c.warmth(now)
+	return float64(c.room(now)) * c.warmShare(now)
 }
 
-// warmth returns the capacity of the upstream relative to that after its warm-up.
-func (c *Core) warmth(now time.Duration) float64 {
+// warmShare returns the capacity of the upstream relative to that after its warm-up.
+func (c *Core) warmShare(now time.Duration) float64 {
 	return c.upstream.slots(now) / float64(max(1, c.upstream.concurrency()))
 }
 
@@ -68,7 +68,7 @@
 // about it, and neither does an upstream that is still cold.
 func (c *Core) measure(now time.Duration, e *flow.Entry, failed bool) {
 	g := &c.learning.gauge
-	if !c.self.LearnRoom || c.warmth(now) < 1 || failed && e.Elapsed(now) < g.Work() {
+	if !c.self.LearnRoom || c.warmShare(now) < 1 || failed && e.Elapsed(now) < g.Work() {
 		return
 	}
 	s := gauge.Sample{Took: e.Elapsed(now), AtOnce: e.AtOnce(), First: c.table.EndsFirst(e), Class: e.Class}
