scrape: keep the metrics between pages

Change: counters and gauges that are set before a page are kept as sorted families; only what is recorded goes through tally. The page is written to the connection without a lock, so that a reader that stops reading holds up nobody.

Ruled out: the Prometheus client library.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -67,7 +67,7 @@
 // Gauge sets a gauge.
 func (m *Metrics) Gauge(name, help string, value float64) {
 	m.page.Describe(name, help)
-	m.page.Scope().Gauge(name).Update(value)
+	m.page.Gauge(name, nil, value)
 }
 
 // Handler serves the metrics at /metrics.
--- a/internal/scrape/family.go
+++ b/internal/scrape/family.go
@@ -21,12 +21,11 @@
 	histogram kind = "histogram"
 )
 
-// family holds the lines of one name.
+// family holds the metrics of one name.
 type family struct {
-	name, help string
-	kind       kind
-	// samples has the lines of one set of labels in each element.
-	samples []string
+	familyKey
+	// samples are sorted by labels.
+	samples []*sample
 }
 
 // familyKey separates families of the same name, so that a name which is used for two
@@ -36,59 +35,79 @@
 	kind kind
 }
 
-// families returns the present metrics sorted by name.
-func (p *Page) families() []*family {
-	s := p.scope.Snapshot()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	all := map[familyKey]*family{}
-	add := func(name string, k kind, samples string) {
-		f := all[familyKey{name, k}]
-		if f == nil {
-			f = &family{name: name, help: p.help[name], kind: k}
-			all[familyKey{name, k}] = f
-		}
-		f.samples = append(f.samples, samples)
+// sample is the present value of one set of labels.
+type sample struct {
+	// labels are written as on the page; they are empty or in braces.
+	labels string
+	// total is set for counters, value for gauges and buckets and sum for histograms.
+	total   uint64
+	value   float64
+	buckets []bucket
+	sum     time.Duration
+}
+
+// bucket is a bucket of a histogram.
+type bucket struct {
+	upper time.Duration
+	// labels are those of the line, with the limit in seconds.
+	labels string
+	// count is the number of samples up to the limit, also of the buckets below.
+	count uint64
+}
+
+// sample returns the sample of a name and labels, which it adds if there is none.
+func (p *Page) sample(name string, k kind, labels string) *sample {
+	key := familyKey{name, k}
+	f := p.byKey[key]
+	if f == nil {
+		f = &family{familyKey: key}
+		p.byKey[key] = f
+		i, _ := slices.BinarySearchFunc(p.families, name, func(f *family, name string) int { return cmp.Compare(f.name, name) })
+		p.families = slices.Insert(p.families, i, f)
+	}
+	i, ok := slices.BinarySearchFunc(f.samples, labels, func(s *sample, labels string) int { return cmp.Compare(s.labels, labels) })
+	if !ok {
+		f.samples = slices.Insert(f.samples, i, &sample{labels: labels})
 	}
+	return f.samples[i]
+}
+
+// take copies the present values of the scope.
+func (p *Page) take(s tally.Snapshot) {
 	for _, c := range s.Counters() {
-		add(c.Name(), counter, c.Name()+labels(c.Tags(), "")+" "+strconv.FormatInt(c.Value(), 10)+"\n")
+		p.sample(c.Name(), counter, labels(c.Tags(), "")).total = uint64(c.Value())
 	}
 	for _, g := range s.Gauges() {
-		add(g.Name(), gauge, g.Name()+labels(g.Tags(), "")+" "+number(g.Value())+"\n")
+		p.sample(g.Name(), gauge, labels(g.Tags(), "")).value = g.Value()
 	}
 	for _, h := range s.Histograms() {
 		sum := time.Duration(p.sums[h.Name()].Load())
-		add(h.Name(), histogram, histogramLines(h.Name(), h, sum))
+		p.sample(h.Name(), histogram, labels(h.Tags(), "")).takeHistogram(h, sum)
 		if second, ok := p.aliases[h.Name()]; ok {
-			add(second, histogram, histogramLines(second, h, sum))
-			all[familyKey{second, histogram}].help = "Old name of " + h.Name() + "."
+			p.sample(second, histogram, labels(h.Tags(), "")).takeHistogram(h, sum)
+			p.help[strings.TrimPrefix(second, p.prefix)] = "Old name of " + h.Name() + "."
 		}
 	}
-	return slices.SortedFunc(maps.Values(all), func(a, b *family) int {
-		return cmp.Or(cmp.Compare(a.name, b.name), cmp.Compare(a.kind, b.kind))
-	})
 }
 
-// histogramLines returns the cumulative buckets of a histogram with sum and count, in
-// seconds.
-func histogramLines(name string, h tally.HistogramSnapshot, sum time.Duration) string {
-	var b strings.Builder
-	line := func(suffix, le, value string) {
-		b.WriteString(name + suffix + labels(h.Tags(), le) + " " + value + "\n")
-	}
-	var count int64
+// takeHistogram copies the present values of a histogram.
+func (s *sample) takeHistogram(h tally.HistogramSnapshot, sum time.Duration) {
 	samples := h.Durations()
-	for _, upper := range slices.Sorted(maps.Keys(samples)) {
-		count += samples[upper]
-		limit := number(upper.Seconds())
-		if upper == math.MaxInt64 {
-			limit = "+Inf"
+	if s.buckets == nil {
+		for _, upper := range slices.Sorted(maps.Keys(samples)) {
+			limit := strconv.FormatFloat(upper.Seconds(), 'g', -1, 64)
+			if upper == math.MaxInt64 {
+				limit = "+Inf"
+			}
+			s.buckets = append(s.buckets, bucket{upper: upper, labels: labels(h.Tags(), limit)})
 		}
-		line("_bucket", limit, strconv.FormatInt(count, 10))
 	}
-	line("_sum", "", number(sum.Seconds()))
-	line("_count", "", strconv.FormatInt(count, 10))
-	return b.String()
+	count := uint64(0)
+	for i := range s.buckets {
+		count += uint64(samples[s.buckets[i].upper])
+		s.buckets[i].count = count
+	}
+	s.sum = sum
 }
 
 // labels returns tags as labels sorted by name, and the limit of a bucket if it is not
@@ -107,34 +126,45 @@
 	return "{" + strings.Join(parts, ",") + "}"
 }
 
-func number(v float64) string { return strconv.FormatFloat(v, 'g', -1, 64) }
-
 var (
 	valueEscapes = strings.NewReplacer(`\`, `\\`, "\n", `\n`, `"`, `\"`)
 	helpEscapes  = strings.NewReplacer(`\`, `\\`, "\n", `\n`)
 )
 
-// head returns the HELP and TYPE lines. There is no HELP line without a text.
-func (f *family) head() string {
-	t := "# TYPE " + f.name + " " + string(f.kind) + "\n"
-	if f.help == "" {
-		return t
+// append appends the HELP, TYPE and sample lines. There is no HELP line without a text.
+func (f *family) append(b []byte, help string) []byte {
+	if help != "" {
+		b = join(b, "# HELP ", f.name, " ", helpEscapes.Replace(help), "\n")
+	}
+	b = join(b, "# TYPE ", f.name, " ", string(f.kind), "\n")
+	for _, s := range f.samples {
+		b = s.append(b, f.familyKey)
 	}
-	return "# HELP " + f.name + " " + helpEscapes.Replace(f.help) + "\n" + t
+	return b
 }
 
-func (f *family) size() int {
-	n := len(f.head())
-	for _, s := range f.samples {
-		n += len(s)
+func (s *sample) append(b []byte, k familyKey) []byte {
+	switch k.kind {
+	case counter:
+		b = strconv.AppendUint(join(b, k.name, s.labels, " "), s.total, 10)
+	case gauge:
+		b = strconv.AppendFloat(join(b, k.name, s.labels, " "), s.value, 'g', -1, 64)
+	case histogram:
+		count := uint64(0)
+		for _, u := range s.buckets {
+			count = u.count
+			b = append(strconv.AppendUint(join(b, k.name, "_bucket", u.labels, " "), count, 10), '\n')
+		}
+		b = append(strconv.AppendFloat(join(b, k.name, "_sum", s.labels, " "), s.sum.Seconds(), 'g', -1, 64), '\n')
+		b = strconv.AppendUint(join(b, k.name, "_count", s.labels, " "), count, 10)
 	}
-	return n
+	return append(b, '\n')
 }
 
-func (f *family) write(b *strings.Builder) {
-	b.WriteString(f.head())
-	slices.Sort(f.samples)
-	for _, s := range f.samples {
-		b.WriteString(s)
+// join appends strings without a copy of their sum.
+func join(b []byte, parts ...string) []byte {
+	for _, s := range parts {
+		b = append(b, s...)
 	}
+	return b
 }
--- a/internal/scrape/page.go
+++ b/internal/scrape/page.go
@@ -5,6 +5,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -19,12 +20,18 @@
 
 const separator = "_"
 
-// Page serves the metrics of a tally scope. The scope has no reporter and no reporting
-// interval, so its snapshot has the totals since the start.
+// sizeMargin is room for values that have grown since the page before.
+const sizeMargin = 256
+
+// Page serves the metrics of a tally scope, and counters and gauges that are set before
+// each page. The scope has no reporter and no reporting interval, so its snapshot has
+// the totals since the start.
 type Page struct {
 	scope  tally.TestScope
 	closer io.Closer
+	// prefix is the beginning of all names, with the separator.
 	prefix string
+	tags   map[string]string
 
 	// building serializes pages, so that no page sets a counter to an earlier total
 	// than the page before.
@@ -32,21 +39,25 @@
 
 	mu      sync.Mutex
 	collect []func()
-	// totals holds the totals last given to Total by name and tags.
-	totals map[string]uint64
-	// help holds the texts of the HELP lines by full name.
+	// families are sorted by name. They are kept between pages, because building them
+	// for each page takes more memory than the page.
+	families []*family
+	byKey    map[familyKey]*family
+	// help holds the texts of the HELP lines by name without prefix.
 	help map[string]string
 	// aliases holds the second names of histograms by full name.
 	aliases map[string]string
 	// sums holds the sums of the histograms in nanoseconds by full name. Tally keeps
 	// only the buckets.
 	sums map[string]*atomic.Int64
+	// size is the expected size of the next page.
+	size int
 }
 
 // New returns a page whose names begin with the prefix. All metrics have the tags.
 func New(prefix string, tags map[string]string) *Page {
 	p := &Page{
-		prefix: prefix, totals: map[string]uint64{}, help: map[string]string{},
+		prefix: prefix + separator, tags: tags, byKey: map[familyKey]*family{}, help: map[string]string{},
 		aliases: map[string]string{}, sums: map[string]*atomic.Int64{},
 	}
 	s, closer := tally.NewRootScope(tally.ScopeOptions{
@@ -59,7 +70,7 @@
 // Close closes the scope. The page is served until the process ends.
 func (p *Page) Close() error { return p.closer.Close() }
 
-// Scope returns the scope of the metrics.
+// Scope returns the scope of the metrics. Histograms are added by Histogram only.
 func (p *Page) Scope() tally.Scope { return p.scope }
 
 // OnScrape adds a function that is called before each page. It sets the values that
@@ -74,21 +85,31 @@
 func (p *Page) Describe(name, help string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.help[p.fullName(name)] = help
+	p.help[name] = help
 }
 
 // Total sets a counter to its total. The total never decreases.
 func (p *Page) Total(name string, tags map[string]string, total uint64) {
-	id := tally.KeyForPrefixedStringMap(name, tags)
 	p.mu.Lock()
-	added := total - p.totals[id]
-	p.totals[id] = total
-	p.mu.Unlock()
-	s := tally.Scope(p.scope)
-	if len(tags) > 0 {
-		s = s.Tagged(tags)
+	defer p.mu.Unlock()
+	p.sample(p.fullName(name), counter, p.labels(tags)).total = total
+}
+
+// Gauge sets a gauge.
+func (p *Page) Gauge(name string, tags map[string]string, value float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sample(p.fullName(name), gauge, p.labels(tags)).value = value
+}
+
+// labels returns the labels of a metric with the given tags and those of the page.
+func (p *Page) labels(tags map[string]string) string {
+	if len(p.tags) == 0 {
+		return labels(tags, "")
 	}
-	s.Counter(name).Inc(int64(added))
+	all := maps.Clone(p.tags)
+	maps.Copy(all, tags)
+	return labels(all, "")
 }
 
 // Histogram adds a histogram of times and returns the function that records a sample.
@@ -110,10 +131,17 @@
 	p.aliases[p.fullName(name)] = p.fullName(second)
 }
 
-func (p *Page) fullName(name string) string { return p.prefix + separator + name }
+func (p *Page) fullName(name string) string { return p.prefix + name }
 
 // ServeHTTP implements http.Handler.
 func (p *Page) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+	// A failed write means that the scraper closed the connection; it will retry.
+	_, _ = w.Write(p.build())
+}
+
+// build returns a page of the present values.
+func (p *Page) build() []byte {
 	p.building.Lock()
 	defer p.building.Unlock()
 	p.mu.Lock()
@@ -122,19 +150,18 @@
 	for _, set := range collect {
 		set()
 	}
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
-	// A failed write means that the scraper closed the connection; it will retry.
-	_, _ = io.WriteString(w, p.text())
-}
-
-// text returns the page. Families are sorted by name.
-func (p *Page) text() string {
-	var b strings.Builder
-	for _, f := range p.families() {
-		if b.Len()+f.size() > MaxSize {
-			continue
+	s := p.scope.Snapshot()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.take(s)
+	b := make([]byte, 0, p.size)
+	for _, f := range p.families {
+		before := len(b)
+		b = f.append(b, p.help[strings.TrimPrefix(f.name, p.prefix)])
+		if len(b) > MaxSize {
+			b = b[:before]
 		}
-		f.write(&b)
 	}
-	return b.String()
+	p.size = len(b) + sizeMargin
+	return b
 }
