--- a/cmd/bramleyflow/check_test.go
+++ b/cmd/bramleyflow/check_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"fmt"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -30,12 +29,9 @@
 		}
 		return path
 	}
-	config := func(version, timeout int) string {
-		return fmt.Sprintf(`{"Version": %d, "Routes": [{"Name": "feed", "Host": "198.18.0.1", "PathPrefix": "/443/", "TimeoutMs": %d, "Service": "listas"}]}`, version, timeout)
-	}
-	settings := write("settings.conf", "NodeName=x\nZone=a\nListen.DatagramAddr=127.0.0.1:1\nInternalPorts=7720\nplatform.Address="+strings.TrimPrefix(server.URL, "http://"))
-	s.Put("config", "main", config(7, 1500))
-	old := write("old.json", config(7, 1500))
+	settings := write("settings.conf", standin.BalancerSettings(strings.TrimPrefix(server.URL, "http://")))
+	s.Put("config", "main", standin.Config(7, 1500))
+	old := write("old.json", standin.Config(7, 1500))
 	for _, c := range []struct {
 		text     string
 		flags    lint.Flags
@@ -43,12 +39,12 @@
 		status   int
 		words    string
 	}{
-		{config(8, 1200), lint.Flags{Against: lint.InForce}, settings, 0, "~ route feed: TimeoutMs 1500 -> 1200"},
-		{config(8, 1200), lint.Flags{Against: lint.InForce, Platform: server.URL}, "missing", 0, "~ route feed: TimeoutMs 1500 -> 1200"},
-		{config(8, 1200), lint.Flags{Against: old}, "missing", 0, "~ configuration: Version 7 -> 8"},
-		{config(7, 1200), lint.Flags{Against: lint.InForce}, settings, 1, "7 is not above 7"},
-		{config(8, -1), lint.Flags{}, "missing", 1, "check.json:1: error: Routes[0].TimeoutMs"},
-		{config(8, 1200), lint.Flags{Against: lint.InForce}, "missing", 2, "missing"},
+		{standin.Config(8, 1200), lint.Flags{Against: lint.InForce}, settings, 0, "~ route feed: TimeoutMs 1500 -> 1200"},
+		{standin.Config(8, 1200), lint.Flags{Against: lint.InForce, Platform: server.URL}, "missing", 0, "~ route feed: TimeoutMs 1500 -> 1200"},
+		{standin.Config(8, 1200), lint.Flags{Against: old}, "missing", 0, "~ configuration: Version 7 -> 8"},
+		{standin.Config(7, 1200), lint.Flags{Against: lint.InForce}, settings, 1, "7 is not above 7"},
+		{standin.Config(8, -1), lint.Flags{}, "missing", 1, "check.json:1: error: Routes[0].TimeoutMs"},
+		{standin.Config(8, 1200), lint.Flags{Against: lint.InForce}, "missing", 2, "missing"},
 	} {
 		var out bytes.Buffer
 		c.flags.File, c.flags.Timeout = write("check.json", c.text), 5*time.Second
