--- a/review/late/deployment.go
+++ b/review/late/deployment.go
@@ -232,6 +232,13 @@
 	m.d.record.note("%s wakes", m.name)
 }
 
+// stall keeps the process from running for a short time.
+func (m *machine) stall(d time.Duration) {
+	m.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	m.signal(syscall.SIGCONT)
+}
+
 // stop stops the program as planned.
 func (m *machine) stop() {
 	m.d.record.note("%s gets SIGTERM", m.name)
--- a/review/late/main.go
+++ b/review/late/main.go
@@ -28,6 +28,7 @@
 	"delayed-heartbeat": playDelayedHeartbeat,
 	"odd-heartbeat":     playOddHeartbeat,
 	"rolled-agents":     playRolledAgents,
+	"stale-hint":        playStaleHint,
 }
 
 func main() {
--- a/review/late/play.go
+++ b/review/late/play.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/bramleycourse/bramleycourse/platform/standin"
@@ -14,6 +16,9 @@
 	settleTime = 10 * time.Second
 	// freezeTime is the largest dose of the pages for a freeze.
 	freezeTime = 4 * time.Second
+	// stallTime is how long a core does not run once its quota is used up; it is less than
+	// a tenth of a second.
+	stallTime = 90 * time.Millisecond
 	// rollGap is the pause between two planned stops.
 	rollGap = 2 * time.Second
 	// flowGap is the time between the openings of two flows.
@@ -63,6 +68,7 @@
 	// until is when the clients use their flows again, and size the size of the request.
 	until  time.Time
 	size   int
+	begun  int
 	wg     sync.WaitGroup
 	mu     sync.Mutex
 	opened int
@@ -70,11 +76,14 @@
 }
 
 // open opens flows for a time.
-func (fs *flows) open(d time.Duration) {
-	for n, begin := 0, time.Now(); time.Since(begin) < d; n++ {
+func (fs *flows) open(d time.Duration) { fs.openEvery(flowGap, d) }
+
+// openEvery opens flows for a time, with a gap between two.
+func (fs *flows) openEvery(gap, d time.Duration) {
+	for begin := time.Now(); time.Since(begin) < d; time.Sleep(gap) {
+		fs.begun++
 		fs.wg.Add(1)
-		go fs.use(fmt.Sprintf("r%03d", n))
-		time.Sleep(flowGap)
+		go fs.use(fmt.Sprintf("r%03d", fs.begun))
 	}
 }
 
@@ -240,7 +249,7 @@
 	if err != nil {
 		return false, err
 	}
-	served := requestSheets(c, 4*time.Second)
+	served := request(c, sheetRoute, 4*time.Second)
 	time.Sleep(time.Second)
 	if err := m.roll(); err != nil {
 		return false, err
@@ -256,9 +265,9 @@
 	return s.ranForeign() > 0, nil
 }
 
-// requestSheets sends requests to the service of sheets for a time, a flow each, and then
-// sends the number of those that were served.
-func requestSheets(c *client, d time.Duration) <-chan int {
+// request sends requests to a route for a time, a flow each, and then sends the number of
+// those that were served.
+func request(c *client, route netip.AddrPort, d time.Duration) <-chan int {
 	result := make(chan int, 1)
 	go func() {
 		var (
@@ -270,7 +279,7 @@
 			go func() {
 				defer wg.Done()
 				id := fmt.Sprintf("s%03d", i)
-				f, o := c.open(sheetRoute)
+				f, o := c.open(route)
 				if o == served {
 					o = f.request(id, 0)
 				}
@@ -278,7 +287,7 @@
 					n.Add(1)
 					f.write(standin.Fin|standin.Ack, f.seq, f.next, nil)
 				}
-				c.d.record.note("request %s to %s: %s", id, sheetRoute, o)
+				c.d.record.note("request %s to %s: %s", id, route, o)
 			}()
 			time.Sleep(flowGap)
 		}
@@ -288,6 +297,49 @@
 	return result
 }
 
+// playStaleHint lets the agent of one machine stall for less than a tenth of a second at a
+// time while clients open flows. Later that machine loses power, and the clients use their
+// flows again.
+func playStaleHint(d *deployment) (broken bool, err error) {
+	servers, c, err := startAll(d, len(d.sides))
+	if err != nil {
+		return false, err
+	}
+	const (
+		stalls   = 12
+		between  = 400 * time.Millisecond
+		openTime = 24 * time.Millisecond
+		gap      = 4 * time.Millisecond
+		downTime = 1200 * time.Millisecond
+	)
+	m, s := d.sides[0], servers[0]
+	powerLoss := time.Now().Add(stalls*(between+stallTime) + time.Second)
+	fs := &flows{d: d, c: c, servers: servers, until: powerLoss.Add(downTime)}
+	for range stalls {
+		woken := make(chan struct{})
+		go func() {
+			if d.trouble {
+				m.stall(stallTime)
+			}
+			close(woken)
+		}()
+		time.Sleep(time.Millisecond)
+		fs.openEvery(gap, openTime)
+		<-woken
+		time.Sleep(between)
+	}
+	time.Sleep(time.Until(powerLoss))
+	if d.trouble {
+		d.record.note("%s loses power", m.name)
+		m.signal(syscall.SIGKILL)
+		s.crash()
+	}
+	other := request(c, listRoute, downTime)
+	broken, err = fs.wait()
+	<-other
+	return broken, err
+}
+
 // playOddHeartbeat sends a heartbeat of another writer to an agent while flows pause: its
 // service is not one of the deployment.
 func playOddHeartbeat(d *deployment) (broken bool, err error) {
