--- a/review/late/client.go
+++ b/review/late/client.go
@@ -206,7 +206,7 @@
 // longFlow opens a flow, sends a request, pauses until a time, and sends another one of a
 // size. It returns the outcomes of both and when the second was sent.
 func (c *client) longFlow(name string, until time.Time, size int) (f *clientFlow, first, second outcome, sent time.Time) {
-	f, first = c.open(listRoute)
+	f, first = c.open(c.d.listRoute())
 	if first != served {
 		return f, first, "", sent
 	}
--- a/review/late/deployment.go
+++ b/review/late/deployment.go
@@ -25,19 +25,15 @@
 	appPort      = 18165
 	internalPort = 17720
 	storePort    = 18169
+	routePort    = 8443
 )
 
-// Services of the deployment, with the addresses that their clients call.
+// Services of the deployment.
 const (
 	lists  = "listas"
 	sheets = "fichas"
 )
 
-var (
-	listRoute  = netip.MustParseAddrPort("198.18.0.1:8443")
-	sheetRoute = netip.MustParseAddrPort("198.18.0.2:8443")
-)
-
 const (
 	heartbeat       = 770 * time.Millisecond
 	readyInterval   = 500 * time.Millisecond
@@ -126,6 +122,11 @@
 	return netip.AddrFrom4([4]byte{d.net[0], d.net[1], d.net[2], byte(host)})
 }
 
+// listRoute and sheetRoute return the addresses of the services for their clients. They are
+// no network addresses; packets carry them.
+func (d *deployment) listRoute() netip.AddrPort  { return netip.AddrPortFrom(d.ip(201), routePort) }
+func (d *deployment) sheetRoute() netip.AddrPort { return netip.AddrPortFrom(d.ip(202), routePort) }
+
 // start starts the store and all programs, with the given number of agents, and waits
 // until the balancers are ready.
 func (d *deployment) start(agents int) error {
@@ -157,7 +158,7 @@
 		return fmt.Sprintf(oneRoute, service, a.Addr(), a.Port(), d.kind, d.timeout.Milliseconds(), service)
 	}
 	return fmt.Sprintf(`{"Version":7,"Routes":[%s,%s],"Services":[%s,%s],"Limits":{"IdleTimeoutMs":15000}}`,
-		routeOf(lists, listRoute), routeOf(sheets, sheetRoute), fmt.Sprintf(oneSrv, lists), fmt.Sprintf(oneSrv, sheets))
+		routeOf(lists, d.listRoute()), routeOf(sheets, d.sheetRoute()), fmt.Sprintf(oneSrv, lists), fmt.Sprintf(oneSrv, sheets))
 }
 
 func (m *machine) addr(port uint16) netip.AddrPort { return netip.AddrPortFrom(m.ip, port) }
--- a/review/late/play.go
+++ b/review/late/play.go
@@ -249,7 +249,7 @@
 	if err != nil {
 		return false, err
 	}
-	served := request(c, sheetRoute, 4*time.Second)
+	served := request(c, d.sheetRoute(), 4*time.Second)
 	time.Sleep(time.Second)
 	if err := m.roll(); err != nil {
 		return false, err
@@ -334,7 +334,7 @@
 		m.signal(syscall.SIGKILL)
 		s.crash()
 	}
-	other := request(c, listRoute, downTime)
+	other := request(c, d.listRoute(), downTime)
 	broken, err = fs.wait()
 	<-other
 	return broken, err
--- a/review/late/server.go
+++ b/review/late/server.go
@@ -261,7 +261,7 @@
 	id, _, _ = strings.Cut(id, "\r\n")
 	f.request = nil
 	s.m.d.record.note("server %s of %s runs request %s to %s", s.id, s.service, id, f.key.route)
-	if (s.service == lists) != (f.key.route == listRoute) {
+	if (s.service == lists) != (f.key.route == s.m.d.listRoute()) {
 		s.foreign++
 	}
 	time.AfterFunc(workTime, func() { s.answer(f, id) })
