hostd: log and count flows that an agent drops

Cause: nothing told a flow that was dropped for another opening packet from one that was dropped with a run of the upstream, so the hypotheses of the incident could not be told apart.

Change: events flowDropped and flowsDropped, counters reopened and ended. No decision is changed.

--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -81,6 +81,9 @@
 // Requested.
 func (e *Entry) Elapsed(now time.Duration) time.Duration { return now - e.requestAt }
 
+// Age returns the time since the flow was added to the table.
+func (e *Entry) Age(now time.Duration) time.Duration { return now - e.addedAt }
+
 // maxCopyDelay is the time after the opening of a flow in which copies of its opening
 // packet may arrive: callers send the last one after 600 ms.
 const maxCopyDelay = 2 * time.Second
@@ -280,13 +283,15 @@
 	}
 }
 
-// DropBefore removes the flows that were added before a time.
-func (t *Table) DropBefore(at time.Duration) {
+// DropBefore removes the flows that were added before a time and returns their number.
+func (t *Table) DropBefore(at time.Duration) int {
+	before := len(t.entries)
 	for k, e := range t.entries {
 		if e.addedAt < at {
 			t.Drop(k)
 		}
 	}
+	return before - len(t.entries)
 }
 
 // begin counts a request that has arrived.
--- a/internal/hostd/opening.go
+++ b/internal/hostd/opening.go
@@ -34,7 +34,7 @@
 			c.handleRepeatedOpening(now, k, f)
 			return
 		}
-		c.table.Drop(k)
+		c.dropReopened(now, k, e, &p)
 	}
 	if c.waitingOpenings[k] != nil {
 		c.sendTaken(now, k, f.Balancer)
@@ -66,6 +66,18 @@
 	}
 }
 
+// dropReopened removes a flow that is over because its caller opens another one from the
+// same address.
+func (c *Core) dropReopened(now time.Duration, k flow.Key, e *flow.Entry, p *flow.Packet) {
+	c.table.Drop(k)
+	c.Counts.Reopened++
+	if c.Sample(true) {
+		c.decisionLog("flowDropped", k, "reopened", now).WithFields(logrus.Fields{
+			"age": e.Age(now), "idle": now - e.LastPacketAt, "copy": p.Acked, "seq": p.Seq,
+		}).Info("opening packet for a flow that is open")
+	}
+}
+
 // refuseOffer returns an offer that the upstream does not get. tooLate is set if the only
 // reason is that its turn at the cold upstream does not come in time.
 func (c *Core) refuseOffer(now time.Duration, f *frame.Frame, tooLate bool) {
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -287,7 +287,9 @@
 		// The flows of the earlier process have ended with it. It was alive at its last
 		// report; a later flow may belong to the new process, and is dropped once that
 		// returns a packet of it.
-		c.table.DropBefore(u.reportAt)
+		dropped := c.table.DropBefore(u.reportAt)
+		c.Counts.Ended += uint64(dropped)
+		c.Log.WithFields(logrus.Fields{"event": "flowsDropped", "flows": dropped, "born": r.StartedMillis, "bornBefore": u.last.StartedMillis}).Info("flows of the earlier run have ended")
 		maps.DeleteFunc(c.openings, func(_ flow.Key, o *opening) bool { return o.at < u.reportAt })
 		u.predatesAgent = false
 		c.resetOutcomes()
