hostd: open flows survive late copies of their opening packets

Cause: an opening packet that arrived more than 2 s after the first counted as that of another flow from the same address, whatever its sequence number. The agent dropped the open flow and passed the packet on; all agents denied the flow when it was used again, and a balancer reset it.

No flow was dropped with a run of its upstream, none abandoned because of a hint.

Change: a copy is told by its sequence number, at any time. Of a flow that the agent found at its upstream it must precede what the caller has sent. An open flow needs no second answer, so the upstream does not get the copy.

Why it works: when a packet arrives says nothing about which flow it opens; its number does.

--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -41,6 +41,11 @@
 	LastPacketAt time.Duration
 	// addedAt is when the flow was added to the table.
 	addedAt time.Duration
+	// opening is the sequence number of the caller's opening packet; valid if openingKnown.
+	// callerNext is the next one that the upstream expects; valid for a flow that was found
+	// at the upstream.
+	opening, callerNext uint32
+	openingKnown        bool
 	// firstSeq is the upstream's first sequence number; valid if answered.
 	firstSeq uint32
 	answered bool
@@ -84,16 +89,25 @@
 // Age returns the time since the flow was added to the table.
 func (e *Entry) Age(now time.Duration) time.Duration { return now - e.addedAt }
 
-// maxCopyDelay is the time after the opening of a flow in which copies of its opening
-// packet may arrive: callers send the last one after 600 ms.
-const maxCopyDelay = 2 * time.Second
-
-// MayBeCopy reports whether an opening packet that arrives now may be a copy of the one
-// that opened the flow. A later one opens another flow from the same address.
-func (e *Entry) MayBeCopy(now time.Duration) bool { return !e.open || now-e.addedAt < maxCopyDelay }
+// SetOpening records the sequence number of the packet that opens the flow.
+func (e *Entry) SetOpening(seq uint32) { e.opening, e.openingKnown = seq, true }
+
+// IsCopy reports whether an opening packet belongs to this flow, however late it arrives, and
+// not to another one from the same address. A flow that is not open yet cannot be told from
+// another one. For one that the agent found at its upstream, the sequence number has to
+// precede what the caller has sent.
+func (e *Entry) IsCopy(p *Packet) bool {
+	switch {
+	case !e.open:
+		return true
+	case e.openingKnown:
+		return p.Seq == e.opening
+	}
+	return e.callerNext-p.Seq <= maxFlowBytes
+}
 
-// maxFlowBytes is how far beyond the upstream's first sequence number a caller's
-// acknowledgement may be.
+// maxFlowBytes is how far beyond the first sequence number of either end a later one of the
+// same flow may be.
 const maxFlowBytes = 1 << 26
 
 // Acknowledges reports whether a packet of the caller can belong to this flow, and not to
@@ -253,6 +267,7 @@
 		e.firstSeq, e.answered = p.Seq, true
 		return e
 	}
+	e.callerNext = p.Acked
 	if p.Size > 0 || p.Fin {
 		// A FIN may overtake the data of the answer.
 		if e.Requested() {
--- a/internal/flow/table_test.go
+++ b/internal/flow/table_test.go
@@ -211,3 +211,33 @@
 		t.Errorf("a further request alone: want 1 at once and first, have %d", b.AtOnce())
 	}
 }
+
+// TestIsCopy checks that a late copy of an opening packet is told from that of another flow
+// from the same address.
+func TestIsCopy(t *testing.T) {
+	opened := openTable(t, start)
+	opened.Get(testKey).SetOpening(7)
+	found := NewTable(4)
+	found.AddEstablished(start, testKey)
+	found.FromUpstream(start, testKey, &Packet{Ack: true, Seq: 1001, Acked: 500})
+	unopened := NewTable(4)
+	unopened.AddOpening(start, testKey, testPeer)
+	for _, c := range []struct {
+		name  string
+		table *Table
+		seq   uint32
+		want  bool
+	}{
+		{"the same", opened, 7, true},
+		{"another", opened, 8, false},
+		{"before what the caller has sent", found, 499, true},
+		{"after it", found, 501, false},
+		{"far before it", found, 1 << 31, false},
+		{"not open yet", unopened, 9, true},
+	} {
+		e := c.table.Get(testKey)
+		if have := e.IsCopy(&Packet{Syn: true, Seq: c.seq}); have != c.want {
+			t.Errorf("%s: want %v, have %v", c.name, c.want, have)
+		}
+	}
+}
--- a/internal/hostd/opening.go
+++ b/internal/hostd/opening.go
@@ -30,7 +30,7 @@
 	}
 	k := flow.KeyOf(p.From, p.To)
 	if e := c.table.Get(k); e != nil && f.Service == c.upstream.id() {
-		if e.MayBeCopy(now) {
+		if e.IsCopy(&p) {
 			c.handleRepeatedOpening(now, k, f)
 			return
 		}
@@ -104,14 +104,18 @@
 	return i
 }
 
-// handleRepeatedOpening passes a retransmitted opening packet to the upstream, which
-// got the first copy.
+// handleRepeatedOpening passes a copy of an opening packet to the upstream, which got the
+// first one. The caller of a flow that is open has the upstream's answer and needs no other.
 func (c *Core) handleRepeatedOpening(now time.Duration, k flow.Key, f *frame.Frame) {
-	if e := c.table.Get(k); e.Answered() {
+	e := c.table.Get(k)
+	if e.Answered() || e.Open() {
 		c.sendTaken(now, k, f.Balancer)
 	} else {
 		c.table.AddOpening(now, k, f.Balancer)
 	}
+	if e.Open() {
+		return
+	}
 	c.ToUpstream(f.Payload)
 }
 
@@ -175,13 +179,14 @@
 		c.refuseOpening(now, o, packet)
 		return
 	}
+	p, _ := c.codec.Decode(packet) // Cannot fail: handleOffer has decoded it before.
+	e.SetOpening(p.Seq)
 	e.Class = o.frame.Priority
 	c.Counts.Taken++
 	c.upstream.ramp.Take(now)
 	waited := now - o.at
 	c.RecordWait(waited)
 	if c.Sample(waited >= slowWait) {
-		p, _ := c.codec.Decode(packet) // Cannot fail: handleOffer has decoded it before.
 		age := time.Duration(o.frame.AgeMillis)*time.Millisecond + copyAge(&p) + waited
 		c.decisionLog("flowAdmitted", k, "admitted", now).WithFields(logrus.Fields{
 			"age": age, "waited": waited, "priority": o.frame.Priority, "balancer": o.frame.Balancer,
