--- a/internal/hostd/opening.go
+++ b/internal/hostd/opening.go
@@ -108,14 +108,16 @@
 // first one. The caller of a flow that is open has the upstream's answer and needs no other.
 func (c *Core) handleRepeatedOpening(now time.Duration, k flow.Key, f *frame.Frame) {
 	e := c.table.Get(k)
-	if e.Answered() || e.Open() {
+	if e.Open() {
+		c.Counts.Copies++
+		c.sendTaken(now, k, f.Balancer)
+		return
+	}
+	if e.Answered() {
 		c.sendTaken(now, k, f.Balancer)
 	} else {
 		c.table.AddOpening(now, k, f.Balancer)
 	}
-	if e.Open() {
-		return
-	}
 	c.ToUpstream(f.Payload)
 }
 
