hostd: flows survive a late first report of an earlier run

An agent that starts beside a running upstream may hear first a report of an earlier run at the address, which was held up.

The first report heard of a run says whether it can hold flows that are older than the agent. That was asked only of the very first report. It is asked of each run now; of a contender its first report counts, not the one with which it takes over. If a run has been there before the agent, the reports before it were the late ones, so no flow is dropped and older flows are tried at the upstream. A real restart, first heard with Seq 1 to 3, drops the flows as before. A restart of which the first three reports were lost keeps them; the upstream returns the first packet of each, and the agent resets it then.

--- a/internal/hostd/runs.go
+++ b/internal/hostd/runs.go
@@ -81,6 +81,14 @@
 	return doubtful
 }
 
+// firstSeq returns the Seq of the first report received of the run of a report.
+func (u *upstream) firstSeq(r *Report) int64 {
+	if k := u.contender; k != nil && k.run == r.run() {
+		return k.seq
+	}
+	return r.Seq
+}
+
 // silent reports whether the current run has missed a report or has left.
 func (u *upstream) silent(now time.Duration) bool {
 	return u.gone || float64(now-u.reportAt) >= contendedSilence*float64(u.expected)
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -111,9 +111,9 @@
 	// seems to be no upstream at all. The next packet or report clears both.
 	down, absent bool
 	// predatesAgent is set if the upstream may have been running before the agent
-	// started: the Seq of the first report received was above maxFirstSeq, or it was
-	// above 1 and the upstream had started more than minRestartMillis (400 ms) before
-	// the agent. A restart of the upstream clears it.
+	// started: the Seq of the first report received of its run was above maxFirstSeq, or
+	// it was above 1 and the upstream had started more than minRestartMillis (400 ms)
+	// before the agent.
 	predatesAgent bool
 }
 
@@ -279,19 +279,16 @@
 func (c *Core) applyReport(now time.Duration, r Report, restarted bool, before view.State) {
 	u := &c.upstream
 	beforeService := u.service
-	if !u.reported {
-		u.predatesAgent = !c.startedWithAgent(&r)
+	if !u.reported || restarted {
+		u.predatesAgent = !c.startedWithAgent(u.firstSeq(&r), r.StartedMillis)
 	}
 	if restarted {
+		// A run that has started earlier has all the flows that the agent knows: what was
+		// heard of the other one was late.
+		if !u.predatesAgent {
+			c.endFlows(r.StartedMillis)
+		}
 		u.endRun()
-		// The flows of the earlier process have ended with it. It was alive at its last
-		// report; a later flow may belong to the new process, and is dropped once that
-		// returns a packet of it.
-		dropped := c.table.DropBefore(u.reportAt)
-		c.Counts.Ended += uint64(dropped)
-		c.Log.WithFields(logrus.Fields{"event": "flowsDropped", "flows": dropped, "born": r.StartedMillis, "bornBefore": u.last.StartedMillis}).Info("flows of the earlier run have ended")
-		maps.DeleteFunc(c.openings, func(_ flow.Key, o *opening) bool { return o.at < u.reportAt })
-		u.predatesAgent = false
 		c.resetOutcomes()
 	}
 	if u.reported && !restarted && u.reportAt > 0 {
@@ -324,13 +321,24 @@
 	}
 }
 
-// startedWithAgent reports whether the upstream has started at about the same time as
-// the agent, so that it holds no flow of an earlier run. This is so if the report is
-// its first one (Seq of at most 1), or if Seq is at most maxFirstSeq and the upstream
-// started at most minRestartMillis (400 ms) before the agent, so that an earlier run
-// must have ended before.
-func (c *Core) startedWithAgent(r *Report) bool {
-	return r.Seq <= 1 || r.Seq <= maxFirstSeq && r.StartedMillis >= c.self.StartedMillis-minRestartMillis
+// endFlows drops the flows of an upstream that has started again. It was alive at its
+// last report; a later flow may belong to the new process, and is dropped once that
+// returns a packet of it.
+func (c *Core) endFlows(startedMillis int64) {
+	u := &c.upstream
+	dropped := c.table.DropBefore(u.reportAt)
+	c.Counts.Ended += uint64(dropped)
+	c.Log.WithFields(logrus.Fields{"event": "flowsDropped", "flows": dropped, "born": startedMillis, "bornBefore": u.last.StartedMillis}).Info("flows of the earlier run have ended")
+	maps.DeleteFunc(c.openings, func(_ flow.Key, o *opening) bool { return o.at < u.reportAt })
+}
+
+// startedWithAgent reports whether an upstream has started at about the same time as the
+// agent or later, so that it holds no flow of an earlier run of the agent. This is so if
+// the first report received of it is its first one (firstSeq of at most 1), or if firstSeq
+// is at most maxFirstSeq and the upstream started at most minRestartMillis (400 ms) before
+// the agent, so that an earlier run must have ended before.
+func (c *Core) startedWithAgent(firstSeq, startedMillis int64) bool {
+	return firstSeq <= 1 || firstSeq <= maxFirstSeq && startedMillis >= c.self.StartedMillis-minRestartMillis
 }
 
 // NoUpstream handles the result that a connection to the upstream was refused. The
