hostd: a first report that contradicts the settings is a claim

An agent that had heard of no report took any. Its settings name the service and address of its upstream, and a report carries both, but they were not compared. A report that contradicts them is treated as one of a contender now: it is not acknowledged, new flows stay away if it is of another service, and it takes over only if it goes on while the upstream that the settings promise is silent for 1.5 report intervals. Settings without a service or an address change nothing.

Ruled out: to ignore such reports for good, since settings can lag behind, and to compare start times, since the clock of a VM may jump.

--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -49,8 +49,8 @@
 type CoreConfig struct {
 	Instance ident.Instance
 	Place    ident.PlaceName
-	// Service is the service from the settings. A service reported by the
-	// upstream takes precedence.
+	// Service is the service from the settings. One that the upstream reports takes
+	// precedence once it is confirmed.
 	Service ident.ServiceName
 	// Hop is the address that other processes send to. Upstream is the address of
 	// the upstream on this VM.
@@ -157,6 +157,7 @@
 		sendBuf:         make([]byte, 0, frame.MaxSize),
 	}
 	co.upstream.service, co.upstream.reportAt = s.Service, now
+	co.upstream.promised = endpoint{s.Service, s.Upstream}
 	co.upstream.started, co.upstream.expected = now, s.ReportInterval
 	co.upstream.ramp = ramp.New(now, max(s.ReportInterval, defaultReportInterval))
 	co.reported = defaultKinds
--- a/internal/hostd/runs.go
+++ b/internal/hostd/runs.go
@@ -1,8 +1,11 @@
 package hostd
 
 import (
+	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/bramleycourse/bramleycourse/internal/ident"
 )
 
 // runID identifies a run of the upstream.
@@ -13,6 +16,17 @@
 
 func (r *Report) run() runID { return runID{r.ID, r.StartedMillis} }
 
+// endpoint is what the settings promise of an upstream and its reports repeat.
+type endpoint struct {
+	service ident.ServiceName
+	addr    netip.AddrPort
+}
+
+func (r *Report) endpoint() endpoint { return endpoint{r.Service, r.Addr} }
+
+// known reports whether the settings promise anything that a report can contradict.
+func (e endpoint) known() bool { return e.service != "" && e.addr.IsValid() }
+
 const (
 	// maxEndedRuns is the number of earlier runs that an agent remembers.
 	maxEndedRuns = 8
@@ -24,9 +38,10 @@
 	contendedSilence = 1.5
 )
 
-// contender is a run of the upstream that may have replaced the current one although its
-// start time is earlier. Either the report is late and its run has ended, or the clock of
-// the VM has jumped back between the two starts.
+// contender is a run that may be that of the upstream. Its start time is earlier than that
+// of the current run: either its reports are late and it has ended, or the clock of the VM
+// has jumped back between the two starts. Or its reports are claims: they contradict the
+// settings.
 type contender struct {
 	run runID
 	// seq and at belong to the first report of the run since the last one of the
@@ -34,7 +49,8 @@
 	seq int64
 	at  time.Duration
 	// otherService is set if the contender serves another service than the current
-	// run. The upstream then gets no new flows until one of them has reported again.
+	// run, or than the settings before the first report. The upstream then gets no new
+	// flows until one of them has reported again.
 	otherService bool
 }
 
@@ -58,8 +74,11 @@
 func (u *upstream) judge(now time.Duration, r *Report) verdict {
 	run := r.run()
 	switch {
-	case !u.reported:
+	case !u.reported && !u.claims(r):
+		u.contender = nil
 		return newest
+	case !u.reported:
+		return u.contend(now, r)
 	case run == u.last.run() && u.gone:
 		return doubtful
 	case run == u.last.run() && r.Seq <= u.last.Seq:
@@ -70,12 +89,28 @@
 	case r.StartedMillis > u.last.StartedMillis && !slices.Contains(u.ended, run):
 		return replacing
 	}
+	return u.contend(now, r)
+}
+
+// claims reports whether a report contradicts the settings.
+func (u *upstream) claims(r *Report) bool {
+	return u.promised.known() && r.endpoint() != u.promised
+}
+
+// contend records a report of a contender, and returns the verdict on it. A contender that
+// goes on reporting takes over from a run that is silent, or, before the first report, from
+// the upstream that the settings promise.
+func (u *upstream) contend(now time.Duration, r *Report) verdict {
+	run := r.run()
 	k := u.contender
 	if k == nil || k.run != run {
 		u.contender = &contender{run: run, seq: r.Seq, at: now, otherService: r.Service != u.service}
 		return doubtful
 	}
 	if r.Seq > k.seq && float64(now-k.at) >= contenderSpacing*float64(u.expected) && u.silent(now) {
+		if !u.reported {
+			return newest
+		}
 		return replacing
 	}
 	return doubtful
@@ -89,7 +124,8 @@
 	return r.Seq
 }
 
-// silent reports whether the current run has missed a report or has left.
+// silent reports whether the current run has missed a report or has left. Before the first
+// report the time counts from the start of the agent.
 func (u *upstream) silent(now time.Duration) bool {
 	return u.gone || float64(now-u.reportAt) >= contendedSilence*float64(u.expected)
 }
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -73,6 +73,8 @@
 // upstream holds what the agent knows about its upstream.
 type upstream struct {
 	service ident.ServiceName
+	// promised is what the settings say.
+	promised endpoint
 	// reported is set by the first report or deregistration, gone by a
 	// deregistration only.
 	reported bool
@@ -253,8 +255,9 @@
 }
 
 // OnReport handles a report of the upstream and reports whether it is acknowledged.
-// Earlier reports of the current run are ignored. A report of a run that may have ended
-// is ignored too, and not acknowledged, since the agent does not act on it.
+// Earlier reports of the current run are ignored. A report of a run that may have ended, or
+// that contradicts the settings, is ignored too, and not acknowledged, since the agent does
+// not act on it.
 func (c *Core) OnReport(now time.Duration, r Report) (acknowledged bool) {
 	u := &c.upstream
 	stateBefore := u.state()
@@ -262,7 +265,7 @@
 	if v == repeated || v == doubtful {
 		c.Counts.Doubted++
 		c.Log.WithFields(logrus.Fields{
-			"event": "lateReport", "upstream": r.ID, "born": r.StartedMillis, "seq": r.Seq, "acknowledged": v == repeated,
+			"event": "lateReport", "upstream": r.ID, "born": r.StartedMillis, "seq": r.Seq, "service": r.Service, "addr": r.Addr, "acknowledged": v == repeated,
 			"knownUpstream": u.last.ID, "knownBorn": u.last.StartedMillis, "knownSeq": u.last.Seq, "knownAge": now - u.reportAt,
 		}).Info("outdated report ignored")
 		if u.state() != stateBefore {
@@ -302,7 +305,7 @@
 	}
 	u.refusing = false
 	u.reported, u.gone, u.down, u.absent, u.last, u.reportAt, u.service = true, false, false, false, r, now, r.Service
-	u.unansweredSince = 0
+	u.unansweredSince, u.contender = 0, nil
 	u.ramp.Report(now, r.Warmup)
 	c.noteWarmth(now)
 	u.warmupUntil = now + r.Warmup
