hostd: a deregistration of an unknown run needs the silence of the current one

A deregistration of another writer with a later start time ended the upstream for its agent: it announced itself as gone, and open flows of an upstream that lived were reset.

A deregistration carries no service and no address that could be compared with the settings, and it was believed whenever its start time was later than that of the current run. Of a run other than the current one it is a claim now, and counts only while the current run is silent for 1.5 report intervals or has left. A run that replaced a silent one can still leave before its first report, and the run that reports leaves at once as before. Before the first report nothing is confirmed, and any deregistration is believed as before: an upstream that leaves while its agent restarts has to be acknowledged.

TestDeregistrationOfAnotherWriter failed before: "want the deregistration to be ignored". Ruled out: to require a contender of the same run, since a run may leave before it reports. go test ./internal/hostd ./platform passed.

--- a/internal/hostd/runs.go
+++ b/internal/hostd/runs.go
@@ -209,7 +209,8 @@
 }
 
 // leaves reports whether the deregistration of a run is that of the upstream, and not a
-// late one of a run that has ended. A deregistration may lack the start time.
+// late one of a run that has ended, or one of another writer: of other runs than the current
+// one it counts only while that is silent. A deregistration may lack the start time.
 func (u *upstream) leaves(now time.Duration, run runID) bool {
 	last := u.last.run()
 	if run.startedMillis <= 0 {
@@ -218,7 +219,9 @@
 	switch {
 	case !u.reported, run == last:
 		return true
-	case u.contender != nil && u.contender.run == run && u.silent(now):
+	case !u.silent(now):
+		return false
+	case u.contender != nil && u.contender.run == run:
 		return true
 	}
 	return run.startedMillis > last.startedMillis && !slices.Contains(u.ended, run)
