--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -1,13 +1,11 @@
 package hostd
 
 import (
-	"maps"
 	"net/netip"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/bramleycourse/bramleycourse/internal/flow"
 	"github.com/bramleycourse/bramleycourse/internal/frame"
 	"github.com/bramleycourse/bramleycourse/internal/gauge"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
@@ -73,6 +71,8 @@
 // upstream holds what the agent knows about its upstream.
 type upstream struct {
 	service ident.ServiceName
+	// promised is what the settings say.
+	promised endpoint
 	// reported is set by the first report or deregistration, gone by a
 	// deregistration only.
 	reported bool
@@ -83,9 +83,11 @@
 	reportAt time.Duration
 	interval time.Duration
 	// ended are the latest runs that were replaced. contender is a run that may have
-	// replaced the current one; nil if there is none.
+	// replaced the current one; nil if there is none. refuted is set once the current
+	// run has reported beside a claim.
 	ended     []runID
 	contender *contender
+	refuted   bool
 	// warmupUntil is the end of the warm-up; 0 if there is none.
 	warmupUntil time.Duration
 	// ramp limits the requests while the upstream is cold. warmth is its state that was
@@ -111,9 +113,9 @@
 	// seems to be no upstream at all. The next packet or report clears both.
 	down, absent bool
 	// predatesAgent is set if the upstream may have been running before the agent
-	// started: the Seq of the first report received was above maxFirstSeq, or it was
-	// above 1 and the upstream had started more than minRestartMillis (400 ms) before
-	// the agent. A restart of the upstream clears it.
+	// started: the Seq of the first report received of its run was above maxFirstSeq, or
+	// it was above 1 and the upstream had started more than minRestartMillis (400 ms)
+	// before the agent, or it was a claim.
 	predatesAgent bool
 }
 
@@ -123,7 +125,7 @@
 // assumed to: most agents start next to a running upstream, and an opening packet
 // that stays unanswered goes to another agent.
 func (u *upstream) accepts() bool {
-	contended := u.contender != nil && u.contender.otherService
+	contended := u.contender != nil && u.contender.closes
 	return u.service != "" && !u.gone && !u.down && !u.refusing && !u.last.Draining && !contended
 }
 
@@ -253,8 +255,9 @@
 }
 
 // OnReport handles a report of the upstream and reports whether it is acknowledged.
-// Earlier reports of the current run are ignored. A report of a run that may have ended
-// is ignored too, and not acknowledged, since the agent does not act on it.
+// Earlier reports of the current run are ignored. A report of a run that may have ended, or
+// that contradicts the settings, is ignored too, and not acknowledged, since the agent does
+// not act on it.
 func (c *Core) OnReport(now time.Duration, r Report) (acknowledged bool) {
 	u := &c.upstream
 	stateBefore := u.state()
@@ -262,7 +265,7 @@
 	if v == repeated || v == doubtful {
 		c.Counts.Doubted++
 		c.Log.WithFields(logrus.Fields{
-			"event": "lateReport", "upstream": r.ID, "born": r.StartedMillis, "seq": r.Seq, "acknowledged": v == repeated,
+			"event": "lateReport", "upstream": r.ID, "born": r.StartedMillis, "seq": r.Seq, "service": r.Service, "addr": r.Addr, "acknowledged": v == repeated,
 			"knownUpstream": u.last.ID, "knownBorn": u.last.StartedMillis, "knownSeq": u.last.Seq, "knownAge": now - u.reportAt,
 		}).Info("outdated report ignored")
 		if u.state() != stateBefore {
@@ -279,32 +282,22 @@
 func (c *Core) applyReport(now time.Duration, r Report, restarted bool, before view.State) {
 	u := &c.upstream
 	beforeService := u.service
-	if !u.reported {
-		u.predatesAgent = !c.startedWithAgent(&r)
+	if !u.reported || restarted {
+		u.predatesAgent = u.claims(&r) || !c.startedWithAgent(u.firstSeq(&r), r.StartedMillis)
 	}
 	if restarted {
-		u.endRun()
-		// The flows of the earlier process have ended with it. It was alive at its last
-		// report; a later flow may belong to the new process, and is dropped once that
-		// returns a packet of it.
-		dropped := c.table.DropBefore(u.reportAt)
-		c.Counts.Ended += uint64(dropped)
-		c.Log.WithFields(logrus.Fields{"event": "flowsDropped", "flows": dropped, "born": r.StartedMillis, "bornBefore": u.last.StartedMillis}).Info("flows of the earlier run have ended")
-		maps.DeleteFunc(c.openings, func(_ flow.Key, o *opening) bool { return o.at < u.reportAt })
-		u.predatesAgent = false
-		c.resetOutcomes()
+		c.endRun(r.StartedMillis)
 	}
 	if u.reported && !restarted && u.reportAt > 0 {
 		u.interval = now - u.reportAt
 	}
 	wasReported := u.reported
-	if r.Service != u.service {
-		c.rejectWaiting(now, "serviceChanged", c.waiting.Clear()...)
-		c.learning.gauge = gauge.Gauge{}
-		u.ramp = ramp.New(now, max(u.expected, defaultReportInterval))
+	if !wasReported {
+		u.contender = nil
 	}
+	c.changeService(now, r.Service)
 	u.refusing = false
-	u.reported, u.gone, u.down, u.absent, u.last, u.reportAt, u.service = true, false, false, false, r, now, r.Service
+	u.reported, u.gone, u.down, u.absent, u.last, u.reportAt = true, false, false, false, r, now
 	u.unansweredSince = 0
 	u.ramp.Report(now, r.Warmup)
 	c.noteWarmth(now)
@@ -324,13 +317,17 @@
 	}
 }
 
-// startedWithAgent reports whether the upstream has started at about the same time as
-// the agent, so that it holds no flow of an earlier run. This is so if the report is
-// its first one (Seq of at most 1), or if Seq is at most maxFirstSeq and the upstream
-// started at most minRestartMillis (400 ms) before the agent, so that an earlier run
-// must have ended before.
-func (c *Core) startedWithAgent(r *Report) bool {
-	return r.Seq <= 1 || r.Seq <= maxFirstSeq && r.StartedMillis >= c.self.StartedMillis-minRestartMillis
+// changeService discards what belongs to another service than the given one, which the
+// upstream serves.
+func (c *Core) changeService(now time.Duration, n ident.ServiceName) {
+	u := &c.upstream
+	if n == u.service {
+		return
+	}
+	c.rejectWaiting(now, "serviceChanged", c.waiting.Clear()...)
+	c.learning.gauge = gauge.Gauge{}
+	u.ramp = ramp.New(now, max(u.expected, defaultReportInterval))
+	u.service = n
 }
 
 // NoUpstream handles the result that a connection to the upstream was refused. The
