front: only a confirmed hint resets a flow

Packets of flows whose requests may not be repeated were dropped.

Cause: an agent that had stalled took an offer after another agent had taken the flow and the flow had opened there. The balancer put the hint in force for the last agent that said Taken, and abandonFlow reset by the hint alone.

Change: a Taken carries the first sequence number of the upstream in the place of the balancer's address, which receivers do not use, and a flag if the flow is open at the sender. A hint is a claim until a packet of the caller acknowledges that number, or the agent says that it holds the open flow. A claim of another agent replaces it only while no packet of the flow has gone to its agent. An opening packet that goes to other agents makes the hint a claim again. Without a confirmed hint a flow whose agent is down is searched for. A late claim does not end a search.

Why it works: the flow is open where the caller acknowledges the answer, and the balancer sees that packet. A wrong claim costs a search; it resets nothing.

Ruled out: to take any datagram of the agent after a packet of the flow as its confirmation. A ping for each flow costs datagrams.

TestLostFlowsToldAtOnce guards callers of lost flows: reset without a query. It passed before, too. TestHints calls Carry where Get had a parameter for ended flows; it checks the same.

--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -120,6 +120,9 @@
 // Answered reports whether the upstream has answered the opening packet.
 func (e *Entry) Answered() bool { return e.answered }
 
+// First returns the upstream's first sequence number; answered is false if it is unknown.
+func (e *Entry) First() (seq uint32, answered bool) { return e.firstSeq, e.answered }
+
 const (
 	// initialWork is the average work time before the first answer.
 	initialWork = 40 * time.Millisecond
--- a/internal/flow/table_test.go
+++ b/internal/flow/table_test.go
@@ -160,10 +160,10 @@
 	h := NewHints(time.Minute, 3*time.Second, 2)
 	a := Hint{Agent: testPeer, Service: 7}
 	h.Put(0, testKey, a)
-	if have, ok := h.Get(time.Second, testKey, true); !ok || have != a {
+	if have, ok := h.Carry(time.Second, testKey, &Packet{Fin: true}); !ok || have != a {
 		t.Errorf("have %+v, %v", have, ok)
 	}
-	if _, ok := h.Get(5*time.Second, testKey, false); ok {
+	if _, ok := h.Get(5*time.Second, testKey); ok {
 		t.Error("the hint of an ended flow has not expired")
 	}
 	other := KeyOf(testCaller, netip.AddrPortFrom(testRoute.Addr(), 1))
@@ -173,7 +173,7 @@
 		t.Errorf("want 2 hints, have %d", h.Len())
 	}
 	h.Drop(other, netip.MustParseAddrPort("10.0.0.9:1"))
-	if _, ok := h.Get(5*time.Second, other, false); !ok {
+	if _, ok := h.Get(5*time.Second, other); !ok {
 		t.Error("another agent drops the hint")
 	}
 	if h.Drop(other, testPeer); h.Len() != 1 {
@@ -181,6 +181,50 @@
 	}
 }
 
+// TestClaims checks which hint is in force after a sequence of events, and whether it is
+// confirmed. Only that lets a balancer reset the flow without asking other agents.
+func TestClaims(t *testing.T) {
+	first := uint32(0xffffffff)
+	a, b := netip.MustParseAddrPort("10.0.0.1:8000"), netip.MustParseAddrPort("10.0.0.2:8000")
+	put := func(h Hint) func(*Hints) { return func(hs *Hints) { hs.Put(0, testKey, h) } }
+	carry := func(acked uint32) func(*Hints) {
+		return func(hs *Hints) { hs.Carry(0, testKey, &Packet{Ack: true, Acked: acked}) }
+	}
+	reopen := func(hs *Hints) { hs.Reopen(testKey) }
+	claimA, claimB := put(Hint{Agent: a, First: first, Answered: true}), put(Hint{Agent: b, First: 1 << 30, Answered: true})
+	vagueA, openA, openB := put(Hint{Agent: a}), put(Hint{Agent: a, Confirmed: true}), put(Hint{Agent: b, Confirmed: true})
+	ackA, later := carry(first+1), carry(first+1<<20)
+	for name, c := range map[string]struct {
+		events    []func(*Hints)
+		agent     netip.AddrPort
+		confirmed bool
+	}{
+		"claim":                               {[]func(*Hints){claimA}, a, false},
+		"later claim":                         {[]func(*Hints){claimA, claimB}, b, false},
+		"acknowledged":                        {[]func(*Hints){claimA, ackA, later}, a, true},
+		"claim after acknowledgement":         {[]func(*Hints){claimA, ackA, claimB}, a, true},
+		"acknowledgement of another upstream": {[]func(*Hints){claimB, ackA}, b, false},
+		"late in the flow":                    {[]func(*Hints){claimA, later}, a, false},
+		"first number unknown":                {[]func(*Hints){vagueA, ackA}, a, false},
+		"claim after a packet":                {[]func(*Hints){vagueA, ackA, claimB}, a, false},
+		"agent holds the open flow":           {[]func(*Hints){openA, ackA, claimB}, a, true},
+		"agent corrects a claim":              {[]func(*Hints){claimA, ackA, vagueA}, a, false},
+		"repeated":                            {[]func(*Hints){claimA, ackA, claimA}, a, true},
+		"two hold an open flow":               {[]func(*Hints){openA, openB}, b, false},
+		"another agent after a claim":         {[]func(*Hints){claimA, carry(1 << 29), openB}, b, true},
+		"another flow from the address":       {[]func(*Hints){claimA, ackA, carry(1 << 31)}, a, false},
+		"opened again elsewhere":              {[]func(*Hints){claimA, ackA, reopen, claimB}, b, false},
+	} {
+		h := NewHints(time.Minute, time.Second, 1)
+		for _, e := range c.events {
+			e(h)
+		}
+		if have, _ := h.Get(0, testKey); have.Agent != c.agent || have.Confirmed != c.confirmed {
+			t.Errorf("%s: want agent %v, confirmed %v, have %+v", name, c.agent, c.confirmed, have)
+		}
+	}
+}
+
 // TestAtOnce checks how many requests are in progress beside one, and whether it ends
 // before those, from which the room of the upstream is measured. Flows without a request
 // do not count.
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -163,6 +163,9 @@
 	flagTried  = 4
 	// flagWaits announces times on Taken and Refused, see Frame.Waits.
 	flagWaits = 16
+	// flagAnswered and flagOpen are used on Taken. Earlier versions ignore them.
+	flagAnswered = 8
+	flagOpen     = 32
 
 	// Offer and Placed have flags of their own. Earlier versions ignore all of them on
 	// these kinds.
@@ -213,6 +216,10 @@
 	// time in which the sender would answer a new request that is not urgent, and one
 	// that is; zero if it has room.
 	Waits bool
+	// Open is set on Taken if the flow is open at the sender, and Answered if First is the
+	// first sequence number of the upstream; it takes the place of Balancer.
+	Open, Answered bool
+	First          uint32
 	// Pressing is set on Offer and Placed if the caller's client account sends more than
 	// its share while the service is overloaded.
 	Pressing bool
@@ -253,13 +260,17 @@
 	if f.Waits {
 		flags |= flagWaits
 	}
-	trials := f.TrialsLeft
-	if f.Kind.opens() {
+	trials, balancer := f.TrialsLeft, f.Balancer
+	switch {
+	case f.Kind.opens():
 		flags, trials = f.openingFields()
+	case f.Kind == Taken:
+		flags |= f.takenFlags()
+		balancer = f.takenAddr()
 	}
 	b = append(b, version, byte(f.Kind), byte(f.Position), byte(len(f.Candidates)), trials, flags)
 	b = binary.BigEndian.AppendUint32(b, uint32(f.Service))
-	b = appendAddr(b, f.Balancer)
+	b = appendAddr(b, balancer)
 	b = binary.BigEndian.AppendUint16(b, f.ObjectiveMillis)
 	b = binary.BigEndian.AppendUint16(b, f.TimeoutMillis)
 	b = binary.BigEndian.AppendUint16(b, f.AgeMillis)
@@ -289,6 +300,7 @@
 	}
 	f.Service = ServiceID(binary.BigEndian.Uint32(b[6:]))
 	f.Balancer = parseAddr(b[10:])
+	f.parseTakenFields(b[5])
 	f.ObjectiveMillis, f.TimeoutMillis = binary.BigEndian.Uint16(b[16:]), binary.BigEndian.Uint16(b[18:])
 	f.AgeMillis, f.Priority = binary.BigEndian.Uint16(b[20:]), b[22]
 	f.Candidates = f.Candidates[:0]
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -23,6 +23,8 @@
 			Payload:    []byte("packet"),
 		},
 		{Kind: Placed, Balancer: addr("10.0.0.1:7000"), ColdRate: 12, Warmup: 2 * time.Second, Payload: []byte("packet")},
+		{Kind: Taken, Open: true, Balancer: addr("0.0.0.0:0"), Payload: make([]byte, 12)},
+		{Kind: Taken, Answered: true, First: 0xfedcba98, Unsure: true, Waits: true, ObjectiveMillis: 180, Payload: make([]byte, 12)},
 		{Kind: Refused, Waits: true, TrialsLeft: 2, ObjectiveMillis: 180, TimeoutMillis: 40, Balancer: addr("10.0.0.1:7000")},
 		{Kind: Placed, Pressing: true, Balancer: addr("10.0.0.1:7000")},
 		{Kind: Offer, Pressing: true, TrialsLeft: 2, ColdRate: 12, Warmup: 2 * time.Second, Balancer: addr("10.0.0.1:7000")},
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -23,7 +23,7 @@
 )
 
 const (
-	// maxHints bounds the memory for hints; each takes 64 bytes.
+	// maxHints bounds the memory for hints; each takes 180 bytes.
 	maxHints = 1 << 16
 	// hintLinger is how long a hint is kept for the last acknowledgements after
 	// the end of a flow. An upstream retransmits its FIN for up to 3 s.
@@ -212,14 +212,18 @@
 func (c *Core) forward(now time.Duration, k flow.Key, p *flow.Packet, b []byte) {
 	c.Counts.Carried++
 	f := frame.Frame{Kind: frame.Data, Balancer: c.self.Peer, Payload: b}
-	if h, ok := c.hints.Get(now, k, p.Fin || p.Rst); ok {
-		if c.agents.flowsLost(now, h.Agent) {
+	if h, ok := c.hints.Carry(now, k, p); ok {
+		switch lost := c.agents.flowsLost(now, h.Agent); {
+		case !lost:
+			f.Hinted, f.TrialsLeft, f.Service = true, 1, frame.ServiceID(h.Service)
+			c.send(&f, h.Agent)
+			return
+		case h.Confirmed:
 			c.abandonFlow(k, p, h.Agent)
 			return
 		}
-		f.Hinted, f.TrialsLeft, f.Service = true, 1, frame.ServiceID(h.Service)
-		c.send(&f, h.Agent)
-		return
+		// Another agent may hold the flow.
+		c.hints.Drop(k, h.Agent)
 	}
 	name, ok := c.rules.Service(k.Route(), k.Hash())
 	if !ok {
@@ -334,11 +338,14 @@
 		}
 	}
 	c.noteTaken(now, k, f, from)
-	h := flow.Hint{Agent: from, Service: uint32(f.Service)}
+	c.pending.drop(k)
+	h := flow.Hint{Agent: from, Service: uint32(f.Service), First: f.First, Answered: f.Answered, Confirmed: f.Open && !f.Unsure}
+	if o := c.searches.byKey[k]; o != nil {
+		c.endSearch(now, o, f, h)
+		return
+	}
 	c.hints.Put(now, k, h)
 	c.trials.forget(k)
-	c.pending.drop(k)
-	c.endSearch(now, k, h)
 }
 
 // Tick runs the timers that have expired, and housekeeping when it is due.
--- a/internal/front/offer.go
+++ b/internal/front/offer.go
@@ -124,7 +124,7 @@
 		c.searches.end(o)
 	}
 	o := &pendingOpening{key: k, packet: slices.Clone(b), service: frame.ServiceIDOf(r.Service(k.Hash())), route: r}
-	if hint, taken := c.hints.Get(now, k, false); taken {
+	if hint, taken := c.hints.Get(now, k); taken {
 		if p.Acked < 2 {
 			// The packet is the first or second copy. The upstream's answer was
 			// lost, so the same agent must answer again. From the third copy on,
@@ -134,6 +134,7 @@
 			return
 		}
 		o.tried = append(o.tried, hint.Agent)
+		c.hints.Reopen(k)
 	}
 	if len(c.pending.byKey) >= maxPending {
 		c.Counts.GivenUp++
@@ -242,7 +243,7 @@
 	if r == nil {
 		return
 	}
-	if h, taken := c.hints.Get(now, k, false); taken && h.Agent != from {
+	if h, taken := c.hints.Get(now, k); taken && h.Agent != from {
 		// Another agent has taken the flow in the meantime.
 		return
 	}
--- a/internal/front/query.go
+++ b/internal/front/query.go
@@ -107,7 +107,7 @@
 		}
 		switch answers[n] {
 		case frame.Held:
-			c.foundAgent(now, o, flow.Hint{Agent: from, Service: uint32(f.Service)}, o.packets)
+			c.foundAgent(now, o, flow.Hint{Agent: from, Service: uint32(f.Service), Confirmed: true}, o.packets)
 			continue
 		case frame.MaybeHeld:
 			o.suspects = append(o.suspects, suspect{agent: from, service: q.service})
--- a/internal/front/search.go
+++ b/internal/front/search.go
@@ -364,10 +364,17 @@
 	}
 }
 
-// endSearch ends the search for a flow that an agent has taken or found, if there is
-// one. The agent has got the first of the kept packets.
-func (c *Core) endSearch(now time.Duration, k flow.Key, h flow.Hint) {
-	if o := c.searches.byKey[k]; o != nil {
-		c.foundAgent(now, o, h, o.packets[1:])
+// endSearch ends the search for a flow that an agent has found, or has taken before the
+// packets arrived. One that got the opening packet late takes the flow too; the caller has
+// not acknowledged the answer of its upstream. Agents of earlier versions do not say whether
+// the flow is open.
+func (c *Core) endSearch(now time.Duration, o *search, f *frame.Frame, h flow.Hint) {
+	if f.Open || !f.Answered && slices.Contains(o.asked, h.Agent) {
+		c.foundAgent(now, o, h, o.packets[1:]) // The agent has got the first one.
+		return
+	}
+	if p, ok := c.codec.Decode(o.packets[0]); ok && h.AcknowledgedBy(&p) {
+		h.Confirmed = true
+		c.foundAgent(now, o, h, o.packets)
 	}
 }
--- a/internal/front/search_test.go
+++ b/internal/front/search_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bramleycourse/bramleycourse/internal/flow"
+	"github.com/bramleycourse/bramleycourse/internal/frame"
 	"github.com/bramleycourse/bramleycourse/internal/rules"
 )
 
@@ -25,6 +26,34 @@
 	return c, p
 }
 
+// TestClaimDuringSearch guards the packets of a flow that is searched for: an agent that has
+// taken the opening packet gets them only if the caller has acknowledged its upstream.
+func TestClaimDuringSearch(t *testing.T) {
+	delivered := map[netip.AddrPort]bool{}
+	c, p := searchCore(t, func(_ *Core, raw []byte, to netip.AddrPort) {
+		var f frame.Frame
+		if f.Parse(raw) && f.Kind == frame.Data {
+			delivered[to] = true
+		}
+	})
+	*p = flow.Packet{From: benchCaller(1), To: benchRoute, Ack: true, Acked: 8, Size: 100}
+	c.FromCaller(time.Second, make([]byte, 132))
+	k := flow.KeyOf(p.From, p.To)
+	for _, first := range []uint32{9, 7} {
+		found := first == 7
+		for a := range c.agents.byAddr {
+			if delivered[a] || c.searches.byKey[k] == nil {
+				continue // It is the first in the order of the flow.
+			}
+			taken := frame.Frame{Kind: frame.Taken, Answered: true, First: first, Payload: k[:]}
+			c.FromAgent(time.Second, taken.Append(nil), a)
+			if h, _ := c.hints.Get(time.Second, k); h.Confirmed != found || delivered[a] != found || (c.searches.byKey[k] == nil) != found {
+				t.Errorf("first number %d: want it found: %v, have %+v, delivered: %v", first, found, h, delivered[a])
+			}
+		}
+	}
+}
+
 // TestSearchAfterPause guards against a balancer that did not run for some seconds and
 // then resets a flow by answers from before: the caller may have opened another flow
 // with the same addresses through another balancer.
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -225,6 +225,10 @@
 func (c *Core) sendTaken(now time.Duration, k flow.Key, balancer netip.AddrPort) {
 	if balancer.IsValid() && balancer.Port() != 0 {
 		f := frame.Frame{Kind: frame.Taken, Service: c.upstream.id(), Payload: k[:]}
+		if e := c.table.Get(k); e != nil {
+			f.Open = e.Open()
+			f.First, f.Answered = e.First()
+		}
 		c.addWaits(now, &f)
 		c.send(&f, balancer)
 	}
