frame, hostd, front: an agent tells an opening from an open flow

What callers saw: a request on a flow that two agents had taken went unanswered for as long as the wrong agent remembered the opening packet, up to 2 s.

Cause: an agent answered Held to a query for every entry of its table, also for one that has only passed on the opening packet. The balancer gave it the packet of the open flow, the agent denied it, was asked again and answered Held again. Flows of a moment share queries, so they went to and fro together.

Change: a query is answered Held only for an open flow, and Opening, a new value, for the others. The balancer prefers an agent that holds the open flow.

Ruled out: to settle an agent that denies a packet sent by a hint. It ends this loop too, but an agent with an opening would still be preferred to the one that holds the flow.

Balancers of earlier versions take the new value for an agent that is not settled and ask again.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -77,7 +77,7 @@
 const (
 	// NotHeld means that neither the agent nor its upstream holds the flow.
 	NotHeld Holds = iota
-	// Held means that the flow is in the agent's table.
+	// Held means that the flow is open and in the agent's table.
 	Held
 	// MaybeHeld means that the upstream may hold the flow although it is not in the
 	// agent's table. A walk lets the agent try.
@@ -87,6 +87,9 @@
 	Unlikely
 	// NotKnown means that the agent has started and has not heard from its upstream.
 	NotKnown
+	// Opening means that the upstream got the opening packet. The flow may be open at
+	// another one. Earlier versions answer Held, and ask again if they get this answer.
+	Opening
 )
 
 // MaxKeys is the maximum number of flows in a Query. The datagram fits into a packet
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -94,7 +94,7 @@
 // TestQuery checks that the payloads of queries and answers are preserved, and that
 // malformed ones are refused.
 func TestQuery(t *testing.T) {
-	answers := []Holds{Held, NotHeld, MaybeHeld, Unlikely, NotKnown}
+	answers := []Holds{Held, NotHeld, MaybeHeld, Unlikely, NotKnown, Opening}
 	f := Frame{Payload: HoldingPayload(7, answers)}
 	if n, have, ok := f.Holding(); !ok || n != 7 || !reflect.DeepEqual(have, answers) {
 		t.Errorf("want answers %v to query 7, have %v, %d, %v", answers, have, n, ok)
--- a/internal/front/query.go
+++ b/internal/front/query.go
@@ -109,6 +109,8 @@
 		case frame.Held:
 			c.foundAgent(now, o, flow.Hint{Agent: from, Service: uint32(f.Service), Confirmed: true}, o.packets)
 			continue
+		case frame.Opening:
+			o.suspects = append(o.suspects, suspect{agent: from, service: q.service, opening: true})
 		case frame.MaybeHeld:
 			o.suspects = append(o.suspects, suspect{agent: from, service: q.service})
 		case frame.Unlikely:
--- a/internal/front/search.go
+++ b/internal/front/search.go
@@ -76,6 +76,8 @@
 	service frame.ServiceID
 	// silent is set if the agent did not answer a query.
 	silent bool
+	// opening is set if the agent's upstream got the opening packet.
+	opening bool
 }
 
 // search is the search for the agent that holds a flow.
--- a/internal/hostd/trial.go
+++ b/internal/hostd/trial.go
@@ -34,9 +34,12 @@
 	}
 	answers := make([]frame.Holds, len(keys))
 	for n, k := range keys {
+		e := c.table.Get(k)
 		switch {
-		case c.table.Get(k) != nil:
+		case e != nil && e.Open():
 			answers[n] = frame.Held
+		case e != nil:
+			answers[n] = frame.Opening
 		case !c.mayHold(now, k, f.Service):
 		case c.upstream.mayHoldOldFlows():
 			answers[n] = frame.MaybeHeld
