--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -77,7 +77,7 @@
 const (
 	// NotHeld means that neither the agent nor its upstream holds the flow.
 	NotHeld Holds = iota
-	// Held means that the flow is in the agent's table.
+	// Held means that the flow is open and in the agent's table.
 	Held
 	// MaybeHeld means that the upstream may hold the flow although it is not in the
 	// agent's table. A walk lets the agent try.
@@ -87,6 +87,9 @@
 	Unlikely
 	// NotKnown means that the agent has started and has not heard from its upstream.
 	NotKnown
+	// Opening means that the upstream got the opening packet. The flow may be open at
+	// another one. Earlier versions answer Held, and ask again if they get this answer.
+	Opening
 )
 
 // MaxKeys is the maximum number of flows in a Query. The datagram fits into a packet
@@ -163,6 +166,9 @@
 	flagTried  = 4
 	// flagWaits announces times on Taken and Refused, see Frame.Waits.
 	flagWaits = 16
+	// flagAnswered and flagOpen are used on Taken. Earlier versions ignore them.
+	flagAnswered = 8
+	flagOpen     = 32
 
 	// Offer and Placed have flags of their own. Earlier versions ignore all of them on
 	// these kinds.
@@ -213,6 +219,10 @@
 	// time in which the sender would answer a new request that is not urgent, and one
 	// that is; zero if it has room.
 	Waits bool
+	// Open is set on Taken if the flow is open at the sender, and Answered if First is the
+	// first sequence number of the upstream; it takes the place of Balancer.
+	Open, Answered bool
+	First          uint32
 	// Pressing is set on Offer and Placed if the caller's client account sends more than
 	// its share while the service is overloaded.
 	Pressing bool
@@ -253,13 +263,17 @@
 	if f.Waits {
 		flags |= flagWaits
 	}
-	trials := f.TrialsLeft
-	if f.Kind.opens() {
+	trials, balancer := f.TrialsLeft, f.Balancer
+	switch {
+	case f.Kind.opens():
 		flags, trials = f.openingFields()
+	case f.Kind == Taken:
+		flags |= f.takenFlags()
+		balancer = f.takenAddr()
 	}
 	b = append(b, version, byte(f.Kind), byte(f.Position), byte(len(f.Candidates)), trials, flags)
 	b = binary.BigEndian.AppendUint32(b, uint32(f.Service))
-	b = appendAddr(b, f.Balancer)
+	b = appendAddr(b, balancer)
 	b = binary.BigEndian.AppendUint16(b, f.ObjectiveMillis)
 	b = binary.BigEndian.AppendUint16(b, f.TimeoutMillis)
 	b = binary.BigEndian.AppendUint16(b, f.AgeMillis)
@@ -289,6 +303,7 @@
 	}
 	f.Service = ServiceID(binary.BigEndian.Uint32(b[6:]))
 	f.Balancer = parseAddr(b[10:])
+	f.parseTakenFields(b[5])
 	f.ObjectiveMillis, f.TimeoutMillis = binary.BigEndian.Uint16(b[16:]), binary.BigEndian.Uint16(b[18:])
 	f.AgeMillis, f.Priority = binary.BigEndian.Uint16(b[20:]), b[22]
 	f.Candidates = f.Candidates[:0]
