plat: versions belong to an era of the store

A store that comes back from a copy some seconds old gives its revisions out again. A removal of an ended agent that was to be repeated then hit the entry that the next run had written in the meantime, with the same revision.

A call with InEra isn't sent in another era. An answer of another era than the call's version, or of an earlier one than is known, is an EraError: a slow answer undoes nothing, and a list has pages of one era only. PutOnce doesn't repeat its write on an object of another era, and Removal reads the entry anew. An answer without the header belongs to the era known when its call began, so a platform without eras sees no difference. The header may begin at 0; eras are counted from 1, so that 0 stays "none named".

TestStoreCopyRemoval failed before: "have done true, <nil>, entry" (the entry was gone). A removal that is already under way when the store comes back still carries its old revision, as requests have no era; the run at the address then writes its entry again (checkRemovals).

--- a/internal/plat/keeper.go
+++ b/internal/plat/keeper.go
@@ -128,7 +128,7 @@
 func (k *Keeper) remove(ctx context.Context) error {
 	o, err := k.c.Get(ctx, k.kind, k.name)
 	if err == nil {
-		err = k.c.Delete(ctx, k.kind, k.name, o.Version)
+		err = k.c.Delete(ctx, k.kind, k.name, o.Version, InEra(o.Era))
 	}
 	var missing *NotFoundError
 	if errors.As(err, &missing) {
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -35,9 +35,11 @@
 
 // Object is a versioned JSON value stored on the platform.
 type Object struct {
-	Name    string          `json:"name"`
-	Version Version         `json:"version"`
-	Value   json.RawMessage `json:"value,omitempty"`
+	Name    string  `json:"name"`
+	Version Version `json:"version"`
+	// Era is the era of Version.
+	Era   Era             `json:"-"`
+	Value json.RawMessage `json:"value,omitempty"`
 	// Deleted marks the removal of an object in a watch result.
 	Deleted bool `json:"deleted,omitempty"`
 	// Deleting marks an object that is to be removed once others have finished with it.
@@ -47,7 +49,9 @@
 // List is the result of a list or watch call.
 type List struct {
 	// Version is the store's version up to which Objects is complete.
-	Version Version  `json:"version"`
+	Version Version `json:"version"`
+	// Era is the era of Version.
+	Era     Era      `json:"-"`
 	Objects []Object `json:"objects"`
 }
 
@@ -58,6 +62,8 @@
 	// Current is the version that the store held when it refused the write; zero
 	// when the object does not exist.
 	Current Version
+	// Era is the era of Current.
+	Era Era
 	// Found is the value of that version, if the response contained it.
 	Found json.RawMessage
 	// Expected is the version that a put was conditional on; zero if the object
@@ -138,6 +144,10 @@
 	// and the longest time to wait for one.
 	Since Version
 	Wait  time.Duration
+	// Era is the era of Current, Since or After if InEra is set. The call is then not
+	// sent in another era, and an answer of another era does not count.
+	Era   Era
+	InEra bool
 	// After is the name after which the next page of a list starts.
 	After string
 	// Value is the value to write.
@@ -168,6 +178,9 @@
 	// package. more is the name after which the next page of a list starts; it is
 	// empty on the last page.
 	Decode func(op Op, a Answer) (l List, more string, err error)
+	// Era returns the era that the header of a response names; 0 if it names none. It is
+	// nil for a platform without eras.
+	Era func(http.Header) Era
 }
 
 // Client calls the object API. It is safe for concurrent use.
@@ -179,6 +192,7 @@
 	Log *logrus.Entry
 
 	outage  outageLog
+	eras    eras
 	meter   callMeter
 	base    string
 	timeout time.Duration
@@ -224,7 +238,8 @@
 		// Watches start at the version of the first page, so that they also report
 		// changes made while the later pages were read.
 		if o.After == "" {
-			all.Version = l.Version
+			all.Version, all.Era = l.Version, l.Era
+			o.Era, o.InEra = l.Era, true
 		}
 		all.Objects = append(all.Objects, l.Objects...)
 		if more == "" {
@@ -236,9 +251,9 @@
 
 // Watch waits up to the given time for changes after a version and returns them.
 // It returns a *GoneError if the platform no longer keeps them all.
-func (c *Client) Watch(ctx context.Context, k Kind, since Version, wait time.Duration) (List, error) {
+func (c *Client) Watch(ctx context.Context, k Kind, since Version, wait time.Duration, options ...CallOption) (List, error) {
 	c.Calls.Watches.Add(1)
-	l, err := c.call(ctx, Op{Verb: WatchVerb, Kind: k, Since: since, Wait: wait}, wait+c.timeout)
+	l, err := c.call(ctx, newOp(Op{Verb: WatchVerb, Kind: k, Since: since, Wait: wait}, options), wait+c.timeout)
 	var gone *GoneError
 	if errors.As(err, &gone) {
 		gone.Since = since
@@ -254,38 +269,45 @@
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
-	return c.put(ctx, k, name, b, current)
+	o, err := c.put(ctx, Op{Verb: PutVerb, Kind: k, Name: name, Value: b, Current: current})
+	return o.Version, err
 }
 
 // put writes an encoded value and does not count the call.
-func (c *Client) put(ctx context.Context, k Kind, name string, b []byte, current Version) (Version, error) {
-	l, err := c.call(ctx, Op{Verb: PutVerb, Kind: k, Name: name, Value: b, Current: current}, c.timeout)
+func (c *Client) put(ctx context.Context, o Op) (Object, error) {
+	l, err := c.call(ctx, o, c.timeout)
 	var conflict *ConflictError
 	if errors.As(err, &conflict) {
-		conflict.Expected = current
+		conflict.Expected = o.Current
 	}
-	return l.first().Version, err
+	return l.first(), err
 }
 
-// Ensure makes an object that has a single owner hold a value, and returns its version.
-// It takes one call if the object does not exist, or if the conflict returns the wanted
+// Ensure makes an object that has a single owner hold a value, and returns it with its
+// version. It takes one call if the object does not exist, or if the conflict returns the wanted
 // value, and two calls otherwise.
-func (c *Client) Ensure(ctx context.Context, k Kind, name string, value any) (Version, error) {
-	v, err := c.Put(ctx, k, name, value, 0)
+func (c *Client) Ensure(ctx context.Context, k Kind, name string, value any) (Object, error) {
+	c.Calls.Writes.Add(1)
+	b, err := json.Marshal(value)
+	if err != nil {
+		return Object{}, errors.Trace(err)
+	}
+	o, err := c.put(ctx, Op{Verb: PutVerb, Kind: k, Name: name, Value: b})
 	var conflict *ConflictError
 	if !errors.As(err, &conflict) || conflict.Current == 0 {
-		return v, err
+		return o, err
 	}
-	if b, encodeErr := json.Marshal(value); encodeErr == nil && bytes.Equal(b, conflict.Found) {
-		return conflict.Current, nil
+	if bytes.Equal(b, conflict.Found) {
+		return Object{Name: name, Version: conflict.Current, Era: conflict.Era, Value: b}, nil
 	}
-	return c.Put(ctx, k, name, value, conflict.Current)
+	c.Calls.Writes.Add(1)
+	return c.put(ctx, Op{Verb: PutVerb, Kind: k, Name: name, Value: b, Current: conflict.Current, Era: conflict.Era, InEra: true})
 }
 
 // Delete removes an object if its current version is the given one.
-func (c *Client) Delete(ctx context.Context, k Kind, name string, current Version) error {
+func (c *Client) Delete(ctx context.Context, k Kind, name string, current Version, options ...CallOption) error {
 	c.Calls.Writes.Add(1)
-	_, err := c.call(ctx, Op{Verb: DeleteVerb, Kind: k, Name: name, Current: current}, c.timeout)
+	_, err := c.call(ctx, newOp(Op{Verb: DeleteVerb, Kind: k, Name: name, Current: current}, options), c.timeout)
 	return err
 }
 
@@ -309,6 +331,10 @@
 
 // page sends one request and returns its page of the result.
 func (c *Client) page(ctx context.Context, o Op, timeout time.Duration) (l List, more string, err error) {
+	known := c.Era()
+	if err := o.checkEra(known); err != nil {
+		return List{}, "", err
+	}
 	began := time.Now()
 	defer func() { c.recordCall(o, began, len(l.Objects), err) }()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -329,6 +355,7 @@
 		return List{}, "", c.failed(errors.Annotatef(err, "platform call"))
 	}
 	defer resp.Body.Close()
+	era := c.answerEra(resp.Header, known)
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	if err != nil {
 		return List{}, "", c.failed(errors.Annotatef(err, "platform response"))
@@ -339,5 +366,9 @@
 		return List{}, "", c.failed(err)
 	}
 	c.outage.record(c.Log, time.Now(), nil)
+	if stale := c.checkAnswer(o, era); stale != nil {
+		return List{}, "", stale
+	}
+	l.setEra(era, err)
 	return l, more, err
 }
--- a/internal/plat/putonce.go
+++ b/internal/plat/putonce.go
@@ -55,8 +55,11 @@
 	name   string
 	writer string
 	body   []byte
-	// expected is the version that the write is conditional on.
+	// expected is the version that the write is conditional on, and era its era.
 	expected Version
+	era      Era
+	// inEra is set if expected was read.
+	inEra bool
 	// lost is true after an attempt whose response did not arrive.
 	lost bool
 }
@@ -74,7 +77,7 @@
 	if err != nil && !errors.As(err, &missing) {
 		return 0, errors.Trace(err)
 	}
-	w := conditionalWrite{c: c, kind: k, name: name, writer: rand.Text(), expected: current.Version}
+	w := conditionalWrite{c: c, kind: k, name: name, writer: rand.Text(), expected: current.Version, era: current.Era, inEra: current.Version != 0}
 	value, err := build(current, w.writer)
 	if err != nil {
 		return 0, errors.Trace(err)
@@ -107,14 +110,14 @@
 // the object back. done is false if the write has to be repeated.
 func (w *conditionalWrite) attempt(ctx context.Context) (v Version, done bool, err error) {
 	w.c.Calls.Writes.Add(1)
-	v, err = w.c.put(ctx, w.kind, w.name, w.body, w.expected)
+	o, err := w.c.put(ctx, Op{Verb: PutVerb, Kind: w.kind, Name: w.name, Value: w.body, Current: w.expected, Era: w.era, InEra: w.inEra})
 	var (
 		conflict *ConflictError
 		status   *StatusError
 	)
 	switch {
 	case err == nil:
-		return v, true, nil
+		return o.Version, true, nil
 	case errors.As(err, &conflict) && !w.lost:
 		return 0, true, err
 	case errors.As(err, &status) && status.Code < http.StatusInternalServerError:
@@ -147,7 +150,7 @@
 	if err == nil && json.Unmarshal(o.Value, &t) == nil && t.Writer == w.writer {
 		return o.Version, true, nil
 	}
-	if o.Version == w.expected {
+	if o.Version == w.expected && o.Era == w.era {
 		return 0, false, cause
 	}
 	return 0, true, &OutcomeError{Kind: w.kind, Name: w.name, Expected: w.expected, Current: o.Version, Err: cause}
--- a/internal/roster/removal.go
+++ b/internal/roster/removal.go
@@ -23,13 +23,15 @@
 	Removed bool
 	// version is the version of the entry in the list that is removed; 0 until it was read.
 	version plat.Version
+	// era is the era of version. In a later one the entry is read anew.
+	era plat.Era
 }
 
 // Try reads the entry unless an earlier try did, and removes it. It calls confirm before
 // the removal is sent, and ends if that returns false. done is false if the removal has
 // to be tried again.
 func (r *Removal) Try(ctx context.Context, store *plat.Client, confirm func() bool) (done bool, err error) {
-	if r.version == 0 {
+	if r.version == 0 || r.era != store.Era() {
 		done, err := r.read(ctx, store)
 		if done || err != nil {
 			return done, err
@@ -38,7 +40,7 @@
 	if !confirm() {
 		return true, nil
 	}
-	err = store.Delete(ctx, plat.KindEndpoint, r.Hop.String(), r.version)
+	err = store.Delete(ctx, plat.KindEndpoint, r.Hop.String(), r.version, plat.InEra(r.era))
 	r.Removed = err == nil
 	if settled(err) {
 		return true, nil
@@ -60,7 +62,7 @@
 	if json.Unmarshal(o.Value, &a) == nil && r.Seq > 0 && a.Rewritten > r.Seq {
 		return true, nil
 	}
-	r.version = o.Version
+	r.version, r.era = o.Version, o.Era
 	return false, nil
 }
 
@@ -81,6 +83,8 @@
 	// version is the version of the entry that was last written or found; 0 if it is not
 	// known.
 	version plat.Version
+	// era is the era of the store that the last write or removal has settled.
+	era plat.Era
 	// removing is set while a removal may still be carried out.
 	removing bool
 }
@@ -93,22 +97,29 @@
 		a.Rewritten = seq
 	}
 	l.version = 0
-	v, err := l.Store.Ensure(ctx, plat.KindEndpoint, a.Hop.String(), a)
+	o, err := l.Store.Ensure(ctx, plat.KindEndpoint, a.Hop.String(), a)
 	if err != nil {
 		return err
 	}
-	l.version, l.removing = v, false
+	l.version, l.era, l.removing = o.Version, o.Era, false
 	return nil
 }
 
 // Remove removes the entry if the agent has written it, or has found it and has written
 // none since.
 func (l *Listing) Remove(ctx context.Context, hop netip.AddrPort) error {
-	r := Removal{Hop: hop, version: l.version}
+	r := Removal{Hop: hop, version: l.version, era: l.era}
 	done, err := r.Try(ctx, l.Store, func() bool { l.removing = true; return true })
-	l.version = r.version
+	l.version, l.era = r.version, r.era
+	if done && r.version == 0 {
+		l.era = l.Store.Era()
+	}
 	if done {
 		l.version, l.removing = 0, false
 	}
 	return err
 }
+
+// Outdated returns a channel that is closed once the store may have lost the last write or
+// removal: it has come back from a copy.
+func (l *Listing) Outdated() <-chan struct{} { return l.Store.EraAfter(l.era) }
