front, evac: nothing of an earlier era of the store is continued

After the store had come back from a copy, balancers missed configurations and evacuations: a watch from a revision that was given out again says nothing of the changes below it, and a set of evacuated places with a lower version did not count, so operators had to stop all processes.

A watcher continues only from a list of the era that the client knows, and otherwise lists again after a short random delay. Balancers that don't watch don't list for it. Sets of evacuated places are ordered by era before version, also in digests; a set of a process of an earlier version names none, which is the lowest. Generations order configurations as before: an older one that the store names until the operator's is written again is not put in force.

TestEras guards the order of sets.

--- a/internal/evac/evac.go
+++ b/internal/evac/evac.go
@@ -24,13 +24,16 @@
 // Set is the evacuated places at one version of the platform's store. It is not changed
 // after its creation. The zero Set knows nothing of the store.
 type Set struct {
+	// Era is the era of the store that Version belongs to. Processes of an earlier version
+	// leave it out.
+	Era plat.Era `json:"era,omitempty"`
 	// Version is the version of the store up to which the set is complete.
 	Version plat.Version `json:"version"`
 	// Places are the evacuated places, in ascending order.
 	Places []ident.PlaceName `json:"places,omitempty"`
 	// Since is the first version from which on this process knows these places. One
 	// that knows an earlier version has to be told.
-	Since plat.Version `json:"-"`
+	Since plat.Stamp `json:"-"`
 	// all also holds the places that do not fit into a datagram; nil in a set from another
 	// process.
 	all []ident.PlaceName
@@ -42,31 +45,34 @@
 	return found
 }
 
+// Stamp returns the era and the version of the set, which order it among others.
+func (s Set) Stamp() plat.Stamp { return plat.Stamp{Era: s.Era, Version: s.Version} }
+
 // Tells reports whether the set may be news to a process that knows a version. One that
 // knows nothing of the store needs no empty set.
-func (s Set) Tells(known plat.Version) bool {
-	return known < s.Since && (known > 0 || len(s.Places) > 0)
+func (s Set) Tells(known plat.Stamp) bool {
+	return known.Before(s.Since) && (known.Version > 0 || len(s.Places) > 0)
 }
 
 // Corrects reports whether the places that another process takes for evacuated are outdated.
 // Since does not tell where this process was not told of an evacuation that has ended.
 func (s Set) Corrects(o Set) bool {
-	return 0 < o.Version && o.Version < s.Version && !slices.Equal(s.Places, o.Places)
+	return 0 < o.Version && o.Stamp().Before(s.Stamp()) && !slices.Equal(s.Places, o.Places)
 }
 
 // Merge returns the newer one of two sets, and whether the places differ from s.
 func (s Set) Merge(o Set) (newer Set, changed bool) {
-	if o.Version <= s.Version {
+	if !s.Stamp().Before(o.Stamp()) {
 		return s, false
 	}
 	if slices.Equal(s.Places, o.Places) {
-		s.Version = o.Version
-		if s.Since == 0 {
-			s.Since = o.Version
+		s.Era, s.Version = o.Era, o.Version
+		if s.Since.Version == 0 {
+			s.Since = o.Stamp()
 		}
 		return s, false
 	}
-	o.Since = o.Version
+	o.Since = o.Stamp()
 	return o, true
 }
 
@@ -96,7 +102,7 @@
 	}
 	places, dropped := bound(all)
 	odd += max(0, dropped-max(0, len(s.all)-len(s.Places)))
-	return Set{Version: l.Version, Places: places, Since: l.Version, all: all}, odd
+	return Set{Era: l.Era, Version: l.Version, Places: places, Since: plat.Stamp{Era: l.Era, Version: l.Version}, all: all}, odd
 }
 
 // usable reports whether a name can be passed on as the name of a place. Its encoding must
--- a/internal/evac/evac_test.go
+++ b/internal/evac/evac_test.go
@@ -45,11 +45,11 @@
 func TestMerge(t *testing.T) {
 	var s Set
 	s, changed := s.Merge(Set{Version: 5})
-	if want(t, s, 5); changed || s.Tells(0) {
-		t.Errorf("no place: changed %v, tells %v", changed, s.Tells(0))
+	if want(t, s, 5); changed || s.Tells(plat.Stamp{Version: 0}) {
+		t.Errorf("no place: changed %v, tells %v", changed, s.Tells(plat.Stamp{Version: 0}))
 	}
 	s, changed = s.Merge(Set{Version: 8, Places: []ident.PlaceName{"a"}})
-	if want(t, s, 8, "a"); !changed || !s.Tells(0) || !s.Tells(7) || s.Tells(8) {
+	if want(t, s, 8, "a"); !changed || !s.Tells(plat.Stamp{Version: 0}) || !s.Tells(plat.Stamp{Version: 7}) || s.Tells(plat.Stamp{Version: 8}) {
 		t.Errorf("a place: changed %v, since %d", changed, s.Since)
 	}
 	for _, o := range []Set{{Version: 8}, {Version: 7, Places: []ident.PlaceName{"b"}}} {
@@ -57,10 +57,10 @@
 			t.Errorf("version %d replaces 8", o.Version)
 		}
 	}
-	if s, changed = s.Merge(Set{Version: 20, Places: []ident.PlaceName{"a"}}); changed || s.Tells(8) {
+	if s, changed = s.Merge(Set{Version: 20, Places: []ident.PlaceName{"a"}}); changed || s.Tells(plat.Stamp{Version: 8}) {
 		t.Errorf("the same place: changed %v, since %d", changed, s.Since)
 	}
-	if s, changed = s.Merge(Set{Version: 21}); !changed || !s.Tells(20) || s.Tells(0) {
+	if s, changed = s.Merge(Set{Version: 21}); !changed || !s.Tells(plat.Stamp{Version: 20}) || s.Tells(plat.Stamp{Version: 0}) {
 		t.Errorf("taken back: changed %v, since %d", changed, s.Since)
 	}
 }
@@ -110,3 +110,31 @@
 		}
 	})
 }
+
+// TestEras guards the places that a store names after it has come back from a copy, with
+// lower versions, against those that were known before and arrive late.
+func TestEras(t *testing.T) {
+	later := plat.List{Era: 2, Version: 5, Objects: []plat.Object{{Name: "b"}}}
+	s, _ := Listed(list(8, plat.Object{Name: "a"}))
+	next, _ := Listed(later)
+	s, changed := s.Merge(next)
+	if want(t, s, 5, "b"); !changed || s.Era != 2 || !s.Tells(plat.Stamp{Version: 8}) || !s.Tells(plat.Stamp{Era: 1, Version: 9}) || s.Tells(plat.Stamp{Era: 2, Version: 5}) {
+		t.Errorf("changed %v, have %+v", changed, s)
+	}
+	for _, late := range []Set{{Version: 90, Places: []ident.PlaceName{"a"}}, {Era: 1, Version: 90}, {Era: 2, Version: 4}} {
+		if _, changed := s.Merge(late); changed || late.Corrects(s) || !s.Corrects(late) {
+			t.Errorf("%+v replaces %+v", late, s)
+		}
+	}
+	b, _ := json.Marshal(s)
+	if have, ok := Parse(b); !ok || have.Stamp() != s.Stamp() {
+		t.Errorf("%s came back as %+v", b, have)
+	}
+	s, changed = s.Merge(Set{Era: 3, Version: 1, Places: s.Places})
+	if s.Stamp() != (plat.Stamp{Era: 3, Version: 1}) || changed || s.Tells(plat.Stamp{Era: 2, Version: 5}) {
+		t.Errorf("the same places: changed %v, have %+v", changed, s)
+	}
+	if b, _ = json.Marshal(Set{Version: 8}); string(b) != `{"version":8}` {
+		t.Errorf("without an era: %s", b)
+	}
+}
--- a/internal/front/evacuations.go
+++ b/internal/front/evacuations.go
@@ -27,8 +27,7 @@
 	// set is replaced only by newer ones.
 	set evac.Set
 	// read is what this balancer has read on the platform by itself. It is behind set if
-	// another one has read more, or if the store was restored from a copy. A watch returns
-	// the changes since read.
+	// another one has read more. A watch returns the changes since read.
 	read evac.Set
 	// confirmed records the answers of the platform about evacuations.
 	confirmed confirmation
@@ -80,7 +79,7 @@
 	}
 	c.Counts.Evacuations++
 	c.Log.WithFields(logrus.Fields{
-		"event": "evacuation", "version": s.Version, "places": s.Places, "before": before, "source": source,
+		"event": "evacuation", "era": s.Era, "version": s.Version, "places": s.Places, "before": before, "source": source,
 	}).Info("evacuated places changed")
 	c.agents.regroup(c)
 	for a, st := range c.agents.byAddr {
@@ -106,7 +105,7 @@
 
 // tellEvacuations sends the evacuated places to a balancer or agent that knows those of an
 // earlier version.
-func (c *Core) tellEvacuations(known plat.Version, to netip.AddrPort) {
+func (c *Core) tellEvacuations(known plat.Stamp, to netip.AddrPort) {
 	if c.Evacuates() && c.evacuations.set.Tells(known) {
 		c.sendJSON(frame.Evacuations, c.evacuations.set, to)
 	}
@@ -128,5 +127,5 @@
 		c.sendJSON(frame.Evacuations, c.evacuations.set, from)
 		return
 	}
-	c.tellEvacuations(s.Version, from)
+	c.tellEvacuations(s.Stamp(), from)
 }
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -68,6 +68,8 @@
 	// Evacuations is the version of the evacuated places that the sender knows; 0 if it
 	// knows of none.
 	Evacuations plat.Version `json:"evacuations,omitempty"`
+	// EvacuationEra is the era of Evacuations.
+	EvacuationEra plat.Era `json:"evacuationEra,omitempty"`
 	// Answer is set on a Digest that answers another one; it gets no answer itself.
 	Answer bool `json:"answer,omitempty"`
 }
@@ -173,6 +175,7 @@
 	c.sendJSON(frame.Digest, digestBody{
 		Self: self, Generation: c.rules.Generation(), Buckets: buckets, Answer: answer,
 		ConfirmedMillis: 1 + (now - c.confirmed.at).Milliseconds(), Evacuations: c.evacuations.set.Version,
+		EvacuationEra: c.evacuations.set.Era,
 	}, to)
 }
 
@@ -262,7 +265,7 @@
 		c.sendDigest(now, from, true)
 	}
 	c.noteGeneration(now, d.Generation, from)
-	c.tellEvacuations(d.Evacuations, from)
+	c.tellEvacuations(plat.Stamp{Era: d.EvacuationEra, Version: d.Evacuations}, from)
 }
 
 // noteGeneration schedules reading a newer configuration. A balancer that watches the
--- a/internal/front/watcher.go
+++ b/internal/front/watcher.go
@@ -32,31 +32,37 @@
 
 // run reads and watches the objects until ctx ends.
 func (w *watcher) run(ctx context.Context) {
-	var since plat.Version
-	retry, patient := minRetry, false
+	var since plat.Stamp
+	read, retry, patient := false, minRetry, false
 	for ctx.Err() == nil {
 		if w.b.store.OverBudget() {
 			sleep(ctx, overBudgetPause)
 		}
-		if since > 0 && !w.watching() {
+		if read && !w.watching() {
 			w.pause(ctx, watcherCheckInterval)
 			continue
 		}
+		if since.Version > 0 && since.Era != w.b.store.Era() {
+			// The store has come back from a copy, and what it held at since is not known.
+			since = plat.Stamp{}
+			sleep(ctx, rand.N(minRetry))
+		}
 		v, err := w.poll(ctx, since, patient)
 		if err == nil {
 			since, retry, patient = v, minRetry, false
+			read = read || v.Version > 0
 			continue
 		}
 		patient = !patient && w.overdue()
 		var gone *plat.GoneError
-		if errors.As(err, &gone) && since > 0 {
-			since = 0
+		if errors.As(err, &gone) && since.Version > 0 {
+			since = plat.Stamp{}
 			continue
 		}
 		var missing *plat.NotFoundError
-		if errors.As(err, &missing) && since > 0 {
+		if errors.As(err, &missing) && since.Version > 0 {
 			// The store cannot watch a kind without objects; it is listed in place of that.
-			since = 0
+			since = plat.Stamp{}
 			w.pause(ctx, w.wait())
 			continue
 		}
@@ -111,27 +117,27 @@
 	return wait
 }
 
-// poll reads the objects if since is zero, and otherwise waits for a change; patiently if
-// the last call has failed. It returns the version to continue from, which is the version
-// of the list: an object's own version may be older than the store's history.
-func (w *watcher) poll(ctx context.Context, since plat.Version, patient bool) (plat.Version, error) {
+// poll reads the objects if the version of since is zero, and otherwise waits for a change;
+// patiently if the last call has failed. It returns the version to continue from, which is
+// the version of the list: an object's own version may be older than the store's history.
+func (w *watcher) poll(ctx context.Context, since plat.Stamp, patient bool) (plat.Stamp, error) {
 	var (
 		l   plat.List
 		err error
 	)
 	switch {
-	case since == 0:
+	case since.Version == 0:
 		l, err = w.list(ctx)
 	case patient:
-		l, err = w.b.store.Watch(ctx, w.kind, since, patientWait)
+		l, err = w.b.store.Watch(ctx, w.kind, since.Version, patientWait, plat.InEra(since.Era))
 	default:
 		l, err = w.watchOnce(ctx, since)
 	}
 	if err != nil {
-		return 0, err
+		return since, err
 	}
-	w.apply(l, since == 0)
-	return max(since, l.Version), nil
+	w.apply(l, since.Version == 0)
+	return plat.Stamp{Era: l.Era, Version: max(since.Version, l.Version)}, nil
 }
 
 // list reads all objects. The store may name no version if the kind has none. Then they are
@@ -146,6 +152,9 @@
 		return l, err
 	}
 	l, err = w.b.store.List(ctx, w.kind)
+	if err == nil && l.Era != before.Era {
+		return l, &plat.EraError{Expected: before.Era, Found: l.Era}
+	}
 	if l.Version = max(l.Version, before.Version); err == nil && l.Version == 0 {
 		err = errors.Errorf("the platform names no version of %s objects", w.kind)
 	}
@@ -155,17 +164,17 @@
 // watchOnce waits for a change. The call is canceled when a configuration is read from a
 // peer, because the watch has then missed it, and when an answer of the platform is
 // overdue.
-func (w *watcher) watchOnce(ctx context.Context, since plat.Version) (plat.List, error) {
+func (w *watcher) watchOnce(ctx context.Context, since plat.Stamp) (plat.List, error) {
 	wait := w.wait()
 	if wait == 0 {
 		ctx, cancel := context.WithTimeout(ctx, overdueTimeout)
 		defer cancel()
-		return w.b.store.Watch(ctx, w.kind, since, minWatchWait)
+		return w.b.store.Watch(ctx, w.kind, since.Version, minWatchWait, plat.InEra(since.Era))
 	}
 	waiting, interrupt := context.WithTimeout(ctx, wait+watchSlack)
 	defer interrupt()
 	w.cancel.Store(&interrupt)
-	l, err := w.b.store.Watch(waiting, w.kind, since, wait)
+	l, err := w.b.store.Watch(waiting, w.kind, since.Version, wait, plat.InEra(since.Era))
 	if err != nil && errors.Is(waiting.Err(), context.Canceled) && ctx.Err() == nil {
 		err = errInterrupted
 	}
--- a/internal/hostd/evacuation.go
+++ b/internal/hostd/evacuation.go
@@ -27,7 +27,7 @@
 		return
 	}
 	c.Log.WithFields(logrus.Fields{
-		"event": "evacuation", "version": s.Version, "places": s.Places, "source": from, "evacuated": c.evacuated(),
+		"event": "evacuation", "era": s.Era, "version": s.Version, "places": s.Places, "source": from, "evacuated": c.evacuated(),
 	}).Info("evacuated places changed")
 	switch {
 	case c.evacuated() && !before:
