front, hostd: entries that a copy of the store lacks are written again

After the store had come back from a copy, the entries that balancers and agents had written since were missing for good: balancers that started did not hear of those agents, nor agents without seeds of those balancers.

A process remembers the era in which it last wrote or removed its entry and does so again in a later one, after a random delay of up to 1 s (balancers) or 0.5 to 1.5 s (agents): one call, two if the store holds another value. A balancer that learns of the era from an answer tells the other balancers once; digests carry the era for those that miss it, announcements of agents too, and a balancer answers with a later one (frame Era, eight bytes). Agents make no call for minutes, so they learn of it within a second that way. Nothing is sent, and no field is added, while no era is known; processes of an earlier version name none and are told nothing but the announcement, which they count as foreign.

TestStoreCopyLosesBalancer and TestStoreCopyLosesAgent failed before: "not within 4s: the entry after the copy". TestStoreEraTold bounds the frames at three for each process, also when the announcement is lost; TestNoStoreEra guards stores without the header.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -67,8 +67,11 @@
 	// Evacuations carries the evacuated places, to balancers and to agents. The payload is
 	// JSON.
 	Evacuations
+	// Era carries the latest era of the platform's store that the sender knows, to a
+	// balancer or agent that knows an earlier one. The payload is eight bytes.
+	Era
 
-	lastKind = Evacuations
+	lastKind = Era
 )
 
 // Holds is an agent's answer whether it holds a flow.
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -75,6 +75,10 @@
 	InterruptWatch func()
 	// InterruptEvacuationWatch is InterruptWatch for evacuations.
 	InterruptEvacuationWatch func()
+	// StoreEra returns the latest era of the platform's store that this process knows, and
+	// HearEra is called with a later one that another process knows.
+	StoreEra func() plat.Era
+	HearEra  func(plat.Era)
 	// OnAgentGone is called with the entry of an agent that has been down for
 	// agentForgetTime and has been marked as gone.
 	OnAgentGone func(agent view.Entry)
@@ -119,6 +123,8 @@
 	peers                      peerExchange
 	confirmed                  confirmation
 	evacuations                evacuations
+	// toldEra is the latest era of the store that another process has told this one.
+	toldEra plat.Era
 	// out, frame and ids are buffers that are reused for each datagram.
 	out   []byte
 	frame frame.Frame
@@ -148,6 +154,7 @@
 		co.urgentRetries = budget.New(retryBudget, budgetTime(now))
 	}
 	co.InterruptWatch, co.InterruptEvacuationWatch = func() {}, func() {}
+	co.StoreEra, co.HearEra = func() plat.Era { return 0 }, func(plat.Era) {}
 	co.confirmed.init(now, plat.KindConfig, cmp.Or(s.ConfigLimit, defaultConfigLimit), meanWatchInterval)
 	co.evacuations.confirmed.init(now, plat.KindEvacuation, s.EvacuationLimit, s.EvacuationLimit/evacuationPolls)
 	co.isolation.markAgent(now)
@@ -311,7 +318,7 @@
 		c.handleRejected(now, f)
 	case frame.Holding:
 		c.handleHolding(now, f, from)
-	case frame.Announce, frame.Digest, frame.Entries, frame.Generation, frame.Evacuations:
+	case frame.Announce, frame.Digest, frame.Entries, frame.Generation, frame.Evacuations, frame.Era:
 		c.handleGossip(now, f, from)
 	default:
 		c.Counts.Foreign++
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -130,6 +130,7 @@
 	b.core.InterruptWatch = b.configWatch.interrupt
 	b.evacuationWatch = newWatcher(b, &b.core.evacuations.confirmed, b.applyEvacuations)
 	b.core.InterruptEvacuationWatch = b.evacuationWatch.interrupt
+	b.core.StoreEra, b.core.HearEra = store.Era, store.NoteEra
 	b.core.FetchConfig = func(from netip.AddrPort) { go b.fetchNewer(from) }
 	return b, nil
 }
@@ -161,6 +162,7 @@
 		b.parts.Spawn(func() { b.evacuationWatch.run(ctx) })
 	}
 	b.parts.Spawn(func() { b.register(ctx) })
+	b.parts.Spawn(func() { b.followEras(ctx) })
 	b.log.WithFields(logrus.Fields{
 		"event": "start", "place": b.settings.Place, "hop": b.settings.Hop, "peer": b.settings.Peer, "seeds": b.settings.Seeds,
 	}).Info("balancer started")
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -68,8 +68,10 @@
 	// Evacuations is the version of the evacuated places that the sender knows; 0 if it
 	// knows of none.
 	Evacuations plat.Version `json:"evacuations,omitempty"`
-	// EvacuationEra is the era of Evacuations.
+	// EvacuationEra is the era of Evacuations, and Era the latest era of the platform's
+	// store that the sender knows; 0 if there is none.
 	EvacuationEra plat.Era `json:"evacuationEra,omitempty"`
+	Era           plat.Era `json:"era,omitempty"`
 	// Answer is set on a Digest that answers another one; it gets no answer itself.
 	Answer bool `json:"answer,omitempty"`
 }
@@ -175,7 +177,7 @@
 	c.sendJSON(frame.Digest, digestBody{
 		Self: self, Generation: c.rules.Generation(), Buckets: buckets, Answer: answer,
 		ConfirmedMillis: 1 + (now - c.confirmed.at).Milliseconds(), Evacuations: c.evacuations.set.Version,
-		EvacuationEra: c.evacuations.set.Era,
+		EvacuationEra: c.evacuations.set.Era, Era: c.StoreEra(),
 	}, to)
 }
 
@@ -238,6 +240,8 @@
 		c.mergeItems(now, items)
 	case frame.Evacuations:
 		c.handleEvacuations(now, f, from)
+	case frame.Era:
+		c.handleEra(f, from)
 	case frame.Announce:
 		var a announcement
 		if json.Unmarshal(f.Payload, &a) != nil || a.Key.IsBalancer() {
@@ -246,6 +250,7 @@
 		}
 		c.handleAnnounce(now, a.Item, from)
 		c.noteAnnounced(now, a.Evacuations, from)
+		c.noteEra(a.Era, from)
 	}
 }
 
@@ -266,6 +271,7 @@
 	}
 	c.noteGeneration(now, d.Generation, from)
 	c.tellEvacuations(plat.Stamp{Era: d.EvacuationEra, Version: d.Evacuations}, from)
+	c.noteEra(d.Era, from)
 }
 
 // noteGeneration schedules reading a newer configuration. A balancer that watches the
@@ -302,6 +308,8 @@
 	view.Item
 	// Evacuations are the evacuated places that the agent knows; nil if it was told of none.
 	Evacuations *evac.Set `json:"evacuations"`
+	// Era is the latest era of the platform's store that the agent knows; 0 if none.
+	Era plat.Era `json:"era"`
 }
 
 // handleAnnounce handles the announcement of an agent. Other entries at its
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -173,10 +173,9 @@
 // their seeds. It then reads the list of balancers whenever none is known.
 func (b *Balancer) register(ctx context.Context) {
 	b.retryCall(ctx, b.loadAgents)
-	b.retryCall(ctx, func(ctx context.Context) error {
-		_, err := b.store.Ensure(ctx, plat.KindBalancer, b.settings.Name, roster.BalancerEntry{Peer: b.settings.Peer})
-		return err
-	})
+	entered := make(chan struct{})
+	go b.enter(ctx, func() { close(entered) })
+	<-entered
 	sleep(ctx, noPeersDelay)
 	for ctx.Err() == nil {
 		n := 0
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -14,6 +14,7 @@
 	"github.com/bramleycourse/bramleycourse/internal/frame"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/place"
+	"github.com/bramleycourse/bramleycourse/internal/plat"
 	"github.com/bramleycourse/bramleycourse/internal/queue"
 	"github.com/bramleycourse/bramleycourse/internal/ramp"
 	"github.com/bramleycourse/bramleycourse/internal/shed"
@@ -93,6 +94,10 @@
 	// CheckListed starts checking whether the platform's list contains the agent.
 	// If it does not, Unlisted is to be called.
 	CheckListed func()
+	// StoreEra returns the latest era of the platform's store that this process knows, and
+	// HearEra is called with a later one that a balancer knows.
+	StoreEra func() plat.Era
+	HearEra  func(plat.Era)
 	// RecordWait records how long an opening packet waited for a slot.
 	RecordWait func(time.Duration)
 	// Log is the log of the agent. Sample reports whether one more line about a
@@ -162,6 +167,7 @@
 	co.reported = defaultKinds
 	co.waiting.ByObjective = s.RejectEarly
 	co.registration.init(now, s.Seeds)
+	co.StoreEra, co.HearEra = func() plat.Era { return 0 }, func(plat.Era) {}
 	return co
 }
 
@@ -192,6 +198,8 @@
 		c.registration.handleEntries(now, f.Payload, from, c)
 	case frame.Evacuations:
 		c.handleEvacuations(now, f, from)
+	case frame.Era:
+		c.handleEra(f)
 	default:
 		c.Counts.Foreign++
 	}
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -43,6 +43,9 @@
 	// minRetry and maxRetry bound the time between attempts to write the entry.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 2 * time.Second
+	// eraSpread bounds the random delay with which an agent writes its entry again after
+	// the store has come back from a copy.
+	eraSpread = time.Second
 	// platformTimeout bounds a read or write of the platform's lists.
 	platformTimeout = 3 * time.Second
 )
@@ -123,6 +126,7 @@
 	a.core.ToCaller = func(b []byte, caller netip.Addr) { a.hop.Send(b, netip.AddrPortFrom(caller, s.CallerPort)) }
 	a.core.FindBalancers = func() { go a.findBalancers() }
 	a.core.CheckListed = func() { go a.checkListed() }
+	a.core.StoreEra, a.core.HearEra = store.Era, store.NoteEra
 	a.core.UpdateListing = func(service ident.ServiceName) {
 		a.listingPending.Store(true)
 		a.listings.Put(listing{service, a.core.registration.seq, a.core.registration.disputed})
@@ -140,10 +144,14 @@
 	again bool
 }
 
-// maintainListing writes queued changes of the agent's entry to the platform's list
-// and retries failed writes.
+// maintainListing writes queued changes of the agent's entry to the platform's list,
+// retries failed writes, and repeats the last one when the store may have lost it.
 func (a *Agent) maintainListing() {
-	var wanted listing
+	var (
+		wanted listing
+		// lost is closed when the store may have lost the last change; nil before that.
+		lost <-chan struct{}
+	)
 	pending := false
 	retry := minRetry
 	for {
@@ -157,10 +165,17 @@
 		case wanted = <-a.listings.Items():
 			retry = minRetry
 		case <-again:
+		case <-lost:
+			lost = nil
+			pending, retry = true, eraSpread
+			continue
 		case <-a.parts.Done():
 			return
 		}
-		pending = a.updateListing(wanted) != nil
+		lost = nil
+		if pending = a.updateListing(wanted) != nil; !pending {
+			lost, retry = a.listed.Outdated(), minRetry
+		}
 	}
 }
 
--- a/internal/hostd/registration.go
+++ b/internal/hostd/registration.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"encoding/json"
 	"net/netip"
 	"slices"
@@ -11,6 +12,7 @@
 	"github.com/bramleycourse/bramleycourse/internal/flow"
 	"github.com/bramleycourse/bramleycourse/internal/frame"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
+	"github.com/bramleycourse/bramleycourse/internal/plat"
 	"github.com/bramleycourse/bramleycourse/internal/view"
 )
 
@@ -141,6 +143,9 @@
 	view.Item
 	// Evacuations are the evacuated places that the agent knows; nil if it was told of none.
 	Evacuations *evac.Set `json:"evacuations,omitempty"`
+	// Era is the latest era of the platform's store that the agent knows; 0 if none. A
+	// balancer that knows a later one answers with it.
+	Era plat.Era `json:"era,omitempty"`
 }
 
 // knownEvacuations returns the evacuated places to announce; nil if the agent knows nothing
@@ -158,7 +163,7 @@
 		Key:   view.Key{Hop: c.self.Hop, Instance: c.self.Instance},
 		State: r.state, Seq: r.seq, Service: c.upstream.service, Place: c.self.Place,
 	}
-	b, err := json.Marshal(announcement{view.Item{Entry: e}, c.knownEvacuations()})
+	b, err := json.Marshal(announcement{view.Item{Entry: e}, c.knownEvacuations(), c.StoreEra()})
 	if err != nil {
 		c.Log.WithError(err).Error("announcement cannot be encoded")
 		return
@@ -181,6 +186,16 @@
 	}
 }
 
+// handleEra handles the era of the store that a balancer knows. Agents make too few calls to
+// hear of it soon by themselves.
+func (c *Core) handleEra(f *frame.Frame) {
+	if len(f.Payload) != 8 {
+		c.Counts.Foreign++
+		return
+	}
+	c.HearEra(plat.Era(binary.BigEndian.Uint64(f.Payload)))
+}
+
 // tick sends due announcements, counts balancers that do not answer and starts a
 // lookup if none has answered for long.
 func (r *registration) tick(now time.Duration, c *Core) {
