front: an evacuated place stays closed while the store is written again

A store that has just come back from a copy may lack for a moment what the operator has written since. A balancer that lists in that moment would open a place that is still evacuated. Within an era nothing changes.

TestEvacuationOutlivesCopy failed before: "the place is open at once".

--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -365,6 +365,7 @@
 	c.nextHousekeeping = now + tickInterval
 	c.checkIsolation(now)
 	c.checkRemovals(now)
+	c.releaseEvacuations(now)
 	c.checkOverdue(now)
 	c.hints.Sweep(now)
 	c.trials.expire(now, c.self.FlowLifetime)
--- a/internal/front/evacuations.go
+++ b/internal/front/evacuations.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/bramleycourse/bramleycourse/internal/evac"
 	"github.com/bramleycourse/bramleycourse/internal/frame"
+	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/plat"
 )
 
@@ -29,6 +31,9 @@
 	// read is what this balancer has read on the platform by itself. It is behind set if
 	// another one has read more. A watch returns the changes since read.
 	read evac.Set
+	// held is a set of a later era that lacks places of set. It counts from heldUntil on.
+	held      evac.Set
+	heldUntil time.Duration
 	// confirmed records the answers of the platform about evacuations.
 	confirmed confirmation
 }
@@ -74,6 +79,9 @@
 func (c *Core) mergeEvacuations(now time.Duration, s evac.Set, source string) bool {
 	var changed bool
 	before := c.evacuations.set.Places
+	if c.holdEvacuations(now, s) {
+		return false
+	}
 	if c.evacuations.set, changed = c.evacuations.set.Merge(s); !changed {
 		return false
 	}
@@ -90,6 +98,31 @@
 	return true
 }
 
+// holdEvacuations reports whether a set does not count yet. A store that has just come back
+// from a copy may lack what the operator has written since, until it is written again.
+func (c *Core) holdEvacuations(now time.Duration, s evac.Set) bool {
+	e := &c.evacuations
+	lacks := slices.ContainsFunc(e.set.Places, func(p ident.PlaceName) bool { return !s.Has(p) })
+	if s.Era <= e.set.Era || !lacks {
+		return false
+	}
+	if e.held.Era < s.Era {
+		e.heldUntil = now + c.self.EvacuationLimit/evacuationPolls
+	}
+	if e.held.Stamp().Before(s.Stamp()) {
+		e.held = s
+	}
+	return now < e.heldUntil
+}
+
+// releaseEvacuations takes over a set that was held for long enough.
+func (c *Core) releaseEvacuations(now time.Duration) {
+	if e := &c.evacuations; e.held.Version > 0 && now >= e.heldUntil {
+		c.mergeEvacuations(now, e.held, "platform, after a copy")
+		e.held = evac.Set{}
+	}
+}
+
 // handleEvacuations handles the evacuated places that another balancer knows.
 func (c *Core) handleEvacuations(now time.Duration, f *frame.Frame, from netip.AddrPort) {
 	var body evacuationsBody
--- a/internal/front/evacuationsread_test.go
+++ b/internal/front/evacuationsread_test.go
@@ -36,6 +36,33 @@
 	}
 }
 
+// TestEvacuationOutlivesCopy guards an evacuated place after the store has come back from an
+// older copy and until the operator's object is written again; and one that was taken back.
+func TestEvacuationOutlivesCopy(t *testing.T) {
+	const moment = 100 * time.Millisecond
+	for _, again := range []bool{true, false} {
+		c := evacuating(100, "a", "b")
+		c.NoteEvacuations(0, plat.List{Era: 2, Version: 50, Objects: []plat.Object{{Name: "b"}}}, true)
+		if !c.Evacuations().Has("a") {
+			t.Error("the place is open at once")
+		}
+		if again {
+			c.NoteEvacuations(moment, plat.List{Era: 2, Version: 51, Objects: []plat.Object{{Name: "a"}}}, false)
+		}
+		if s := c.Evacuations(); again != (s.Stamp() == plat.Stamp{Era: 2, Version: 51}) || !s.Has("a") {
+			t.Errorf("written again %v: have %+v", again, s)
+		}
+		c.releaseEvacuations(c.self.EvacuationLimit / 4)
+		if s := c.Evacuations(); s.Has("a") != again || !s.Has("b") || s.Era != 2 {
+			t.Errorf("written again %v, later: have %+v", again, s)
+		}
+		c.NoteEvacuations(c.self.EvacuationLimit/4, plat.List{Era: 2, Version: 52, Objects: []plat.Object{{Name: "b", Deleted: true}}}, false)
+		if s := c.Evacuations(); s.Has("b") {
+			t.Errorf("a place taken back in this era: have %+v", s)
+		}
+	}
+}
+
 // TestEvacuationsBeyondDatagram checks that a place for which the datagram had no room is
 // evacuated once there is.
 func TestEvacuationsBeyondDatagram(t *testing.T) {
