front: processes that know no era are told of one too

In the soak agents that had written their entries before the store named its first era did not hear of the copy that lacked them: an announcement without an era was answered with none. A balancer now answers whoever knows an earlier era, and none is the earliest. Processes of an earlier version count the answer as foreign.

TestStoreEraTold failed before: "process 17 has not heard of the era".

--- a/internal/front/eras.go
+++ b/internal/front/eras.go
@@ -16,13 +16,15 @@
 // store has come back from a copy. All processes do so at about the same time.
 const eraSpread = time.Second
 
-// noteEra handles the era of the store that another process knows; 0 if it knows none.
+// noteEra handles the era of the store that another process knows; 0 if it knows none, for
+// instance because the store has named none when it last made a call. One of an earlier
+// version of the program counts the answer as foreign.
 func (c *Core) noteEra(e plat.Era, from netip.AddrPort) {
 	switch own := c.StoreEra(); {
 	case e > own:
 		c.toldEra = e
 		c.HearEra(e)
-	case 0 < e && e < own:
+	case e < own:
 		c.sendEra(own, from)
 	}
 }
