hostd: an agent enters itself again after a deregistration

An agent whose upstream had deregistered, and then had another one of the same service, stayed removed from the store's list: balancers that started did not load it, and after a copy of the store it would have removed itself once more. It was written only after the first report of all or with another service.

It takes one write for each replaced upstream whose agent stays.

--- a/internal/hostd/listing_test.go
+++ b/internal/hostd/listing_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -61,3 +62,21 @@
 		t.Errorf("told twice with version %d: want the entry written once, with a higher one; have store version %d after %d, %+v", seq, after, before, e)
 	}
 }
+
+// TestEnteredAfterDeregistration guards an agent whose upstream has deregistered and another
+// one has come against staying removed from the platform's list.
+func TestEnteredAfterDeregistration(t *testing.T) {
+	c := NewCore(0, CoreConfig{Service: "s", ReportInterval: time.Second}, flow.Codec{})
+	c.Log = node.NewOutput(io.Discard).NewLog("agent", "side1")
+	c.ToPeer = func([]byte, netip.AddrPort) {}
+	var written []ident.ServiceName
+	c.UpdateListing = func(s ident.ServiceName) { written = append(written, s) }
+	c.OnReport(0, Report{ID: "u1", StartedMillis: 10, Seq: 1, Service: "s"})
+	c.OnDeregister(time.Second, "u1", 10)
+	for n := range int64(3) {
+		c.OnReport(2*time.Second, Report{ID: "u2", StartedMillis: 2000, Seq: 1 + n, Service: "s"})
+	}
+	if want := []ident.ServiceName{"s", "", "s"}; !slices.Equal(written, want) {
+		t.Errorf("want %q written, have %q", want, written)
+	}
+}
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -297,7 +297,7 @@
 	if u.reported && !restarted && u.reportAt > 0 {
 		u.interval = now - u.reportAt
 	}
-	wasReported := u.reported
+	wasReported, wasGone := u.reported, u.gone
 	if r.Service != u.service {
 		c.rejectWaiting(now, "serviceChanged", c.waiting.Clear()...)
 		c.learning.gauge = gauge.Gauge{}
@@ -312,7 +312,7 @@
 	if r.Warmup <= 0 {
 		u.warmupUntil = 0
 	}
-	if beforeService != u.service || !wasReported {
+	if beforeService != u.service || !wasReported || wasGone {
 		c.UpdateListing(u.service)
 	}
 	if !wasReported || restarted || before != u.state() || beforeService != u.service {
