--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -291,7 +291,7 @@
 	if u.reported && !restarted && u.reportAt > 0 {
 		u.interval = now - u.reportAt
 	}
-	wasReported := u.reported
+	wasReported, wasGone := u.reported, u.gone
 	if !wasReported {
 		u.contender = nil
 	}
@@ -305,7 +305,7 @@
 	if r.Warmup <= 0 {
 		u.warmupUntil = 0
 	}
-	if beforeService != u.service || !wasReported {
+	if beforeService != u.service || !wasReported || wasGone {
 		c.UpdateListing(u.service)
 	}
 	if !wasReported || restarted || before != u.state() || beforeService != u.service {
