--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -299,12 +299,7 @@
 	u.refusing = false
 	u.reported, u.gone, u.down, u.absent, u.last, u.reportAt = true, false, false, false, r, now
 	u.unansweredSince = 0
-	u.ramp.Report(now, r.Warmup)
-	c.noteWarmth(now)
-	u.warmupUntil = now + r.Warmup
-	if r.Warmup <= 0 {
-		u.warmupUntil = 0
-	}
+	c.noteWarmup(now, r.Warmup)
 	if beforeService != u.service || !wasReported || wasGone {
 		c.UpdateListing(u.service)
 	}
@@ -317,6 +312,16 @@
 	}
 }
 
+// noteWarmup records how much longer the upstream is slow after its start.
+func (c *Core) noteWarmup(now, left time.Duration) {
+	c.upstream.ramp.Report(now, left)
+	c.noteWarmth(now)
+	c.upstream.warmupUntil = now + left
+	if left <= 0 {
+		c.upstream.warmupUntil = 0
+	}
+}
+
 // changeService discards what belongs to another service than the given one, which the
 // upstream serves.
 func (c *Core) changeService(now time.Duration, n ident.ServiceName) {
