hostd: an upstream that is silent about a packet on trial holds its flow

What callers saw: after a planned restart of the agents in turn, requests of three packets on flows that had paused were never answered.

Cause: an upstream acknowledges every second packet. It got the first one on trial, held the flow and stayed silent. The agent dropped the others for 0.3 s, then denied the flow, and the search tried it at the upstreams of all other restarted agents. A bare acknowledgement used up the trial in the same way.

Change: packets that arrive during a trial are kept (16 of a flow, 2048 in all). After 30 ms without a returned packet the agent claims the flow: it tells the balancer, whose search ends, and passes a second packet on. The rest follows once the upstream has sent anything. If it returns the packet after all, or shows no sign of life, what was kept goes back to the balancers, and the search goes on. The claim is marked (Unsure on Taken, Claimed in Holding): it replaces no hint, ends no opening and does not clear the count of stray trials. An upstream that is down, refuses connections or does not answer opening packets claims nothing. A balancer keeps a packet that comes back while it searches for its flow.

Why it works: the second packet makes an upstream speak that holds the flow, and its packet puts the flow into the table. An upstream that does not hold the flow gets two packets of it at most.

Tests: TestSilentTrial failed before ("want at most 0 packets at upstreams that do not hold their flows, have 120", "want 2 answers, have 1 (reset: false)"), TestSilentTrialSearched and TestSilentTrialAcknowledgement with the latter, TestSilentTrialElsewhere for 40 of 40 flows. The simulated upstream can acknowledge every second packet and stand still now; what it did before is unchanged.

Left: a balancer keeps the hint of a claim like any other until hints tell claims apart.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -87,6 +87,9 @@
 	Unlikely
 	// NotKnown means that the agent has started and has not heard from its upstream.
 	NotKnown
+	// Claimed means that the upstream did not return a packet of the flow, and has not
+	// sent one either. Most likely it holds the flow.
+	Claimed
 )
 
 // MaxKeys is the maximum number of flows in a Query. The datagram fits into a packet
@@ -204,7 +207,8 @@
 	// Hinted is set on Data if the agent had told the balancer that it holds the flow.
 	Hinted bool
 	// Unsure is set by an agent whose upstream may hold the flow although it is not
-	// in the agent's table.
+	// in the agent's table. On Taken, the upstream seems to hold it because it did not
+	// return a packet on trial.
 	Unsure bool
 	// Tried is set by an agent that has passed the packet to its upstream, which
 	// returned it.
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -324,6 +324,10 @@
 		return
 	}
 	k := flow.Key(f.Payload)
+	if f.Unsure {
+		c.handleClaim(now, k, f, from)
+		return
+	}
 	if o := c.pending.byKey[k]; o != nil && o.offerCount > 0 {
 		c.pending.recordAnswer(now - o.firstOffered)
 		c.RecordAnswerTime(now - o.firstOffered)
--- a/internal/front/query.go
+++ b/internal/front/query.go
@@ -109,6 +109,9 @@
 		case frame.Held:
 			c.foundAgent(now, o, flow.Hint{Agent: from, Service: uint32(f.Service)}, o.packets)
 			continue
+		case frame.Claimed:
+			c.foundClaim(now, o, flow.Hint{Agent: from, Service: uint32(f.Service)}, o.packets)
+			continue
 		case frame.MaybeHeld:
 			o.suspects = append(o.suspects, suspect{agent: from, service: q.service})
 		case frame.Unlikely:
--- a/internal/front/search.go
+++ b/internal/front/search.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"net/netip"
 	"slices"
 	"time"
@@ -228,9 +229,15 @@
 
 // foundAgent ends a search and delivers packets to the agent that holds the flow.
 func (c *Core) foundAgent(now time.Duration, o *search, h flow.Hint, packets [][]byte) {
+	c.trials.forget(o.key)
+	c.foundClaim(now, o, h, packets)
+}
+
+// foundClaim does the same for an agent whose upstream seems to hold the flow. The trials
+// still count, since it may turn out that it does not.
+func (c *Core) foundClaim(now time.Duration, o *search, h flow.Hint, packets [][]byte) {
 	c.searches.end(o)
 	c.hints.Put(now, o.key, h)
-	c.trials.forget(o.key)
 	for _, b := range packets {
 		c.send(&frame.Frame{
 			Kind: frame.Data, Balancer: c.self.Peer, Service: frame.ServiceID(h.Service), Hinted: true, TrialsLeft: 1, Payload: b,
@@ -275,7 +282,23 @@
 			}
 		}
 		c.visitSuspects(now, o)
+	case !slices.ContainsFunc(o.packets, func(b []byte) bool { return bytes.Equal(b, f.Payload) }):
+		// An agent had kept it with the packet that is searched for.
+		c.searches.keep(o, f.Payload)
+	}
+}
+
+// handleClaim ends the search for a flow that an upstream seems to hold: it has got the
+// first of the packets and did not return it. A claim replaces no hint.
+func (c *Core) handleClaim(now time.Duration, k flow.Key, f *frame.Frame, from netip.AddrPort) {
+	o := c.searches.byKey[k]
+	if _, known := c.hints.Get(now, k, false); known || o == nil {
+		return
+	}
+	if o.stage == walking {
+		c.trials.record(now, k, max(1, int(o.allowed)-int(f.TrialsLeft)+1))
 	}
+	c.foundClaim(now, o, flow.Hint{Agent: from, Service: uint32(f.Service)}, o.packets[1:])
 }
 
 // endRound resets the flow if no agent holds it, or asks again later if that is not
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -113,8 +113,11 @@
 	waiting         *queue.Queue
 	waitingOpenings map[flow.Key]*opening
 	// trials holds the packets that were passed to the upstream although their
-	// flow is not in the table.
+	// flow is not in the table. undecided are those that it may still return at once,
+	// oldest first, and kept is the number of packets that wait in all of them.
 	trials       map[flow.Key]*trial
+	undecided    []*trial
+	kept         int
 	registration registration
 	// evacuations are the evacuated places that the agent knows.
 	evacuations evac.Set
@@ -320,16 +323,20 @@
 	if t := c.trials[k]; t != nil && !t.returned {
 		t.returned = true
 		c.upstream.triedAt = 0
-		if t.frame.Kind == frame.Trial {
-			return
+		if f := t.frame; f.Kind != frame.Trial {
+			f.Payload, f.TrialsLeft, f.Unsure, f.Tried = b, f.TrialsLeft-1, t.unsure, true
+			c.forwardMissed(&f)
 		}
-		f := t.frame
-		f.Payload, f.TrialsLeft, f.Unsure, f.Tried = b, f.TrialsLeft-1, t.unsure, true
-		c.forwardMissed(&f)
+		c.returnKept(t)
 		return
 	}
-	if e := c.table.Get(k); e != nil && e.Open() {
+	e := c.table.Get(k)
+	switch {
+	case e != nil && e.Open():
 		c.dropReturned(k, e, p, b)
+	case e == nil && c.trials[k] != nil && c.trials[k].claimed:
+		t := c.trials[k]
+		c.forwardMissed(&frame.Frame{Kind: frame.Data, Service: t.frame.Service, Balancer: t.frame.Balancer, Tried: true, Payload: b})
 	}
 }
 
@@ -347,11 +354,14 @@
 }
 
 // Due returns the time until Tick has to be called.
-func (c *Core) Due(now time.Duration) time.Duration { return max(0, c.nextTick-now) }
+func (c *Core) Due(now time.Duration) time.Duration {
+	return max(0, min(c.nextTick, c.nextDecision())-now)
+}
 
 // Tick does the periodic work: it removes old state, admits waiting packets, checks
 // the upstream and announces the agent.
 func (c *Core) Tick(now time.Duration) {
+	c.decideTrials(now)
 	if now < c.nextTick {
 		return
 	}
@@ -368,11 +378,7 @@
 			c.Counts.Unanswered++
 		}
 	}
-	for k, t := range c.trials {
-		if now-t.at >= c.self.FlowLifetime {
-			delete(c.trials, k)
-		}
-	}
+	c.checkTrials(now)
 	c.table.Sweep(now, defaultIdle)
 	c.noteWarmth(now)
 	c.admitWaiting(now)
--- a/internal/hostd/counts.go
+++ b/internal/hostd/counts.go
@@ -13,6 +13,7 @@
 	Returned     uint64 `help:"Packets that the upstream did not accept."`
 	Recovered    uint64 `help:"Flows added to the table again because the upstream sent a packet."`
 	Tried        uint64 `help:"Packets passed to the upstream on trial."`
+	Claimed      uint64 `help:"Flows taken for the upstream's because it did not return a packet on trial."`
 	Reset        uint64 `help:"Flows reset because the upstream has lost them."`
 	Reopened     uint64 `help:"Open flows dropped because of another opening packet from the same address."`
 	Ended        uint64 `help:"Flows dropped because another run of the upstream has replaced the one that held them."`
--- a/internal/hostd/trial.go
+++ b/internal/hostd/trial.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bramleycourse/bramleycourse/internal/flow"
 	"github.com/bramleycourse/bramleycourse/internal/frame"
 )
@@ -11,8 +13,19 @@
 // trial holds the frame of a packet that was passed to the upstream although another
 // upstream may hold its flow.
 type trial struct {
+	key   flow.Key
 	frame frame.Frame
-	at    time.Duration
+	// sum is the hash of the packet. passed is the number of the flow's packets that were
+	// passed to the upstream, the latest one at the time at.
+	sum    uint64
+	passed int
+	at     time.Duration
+	// decided is set once the upstream has been silent for silentTime after the first of
+	// them, at silentAt, and claimed once it has counted as the one that holds the flow.
+	decided, claimed bool
+	silentAt         time.Duration
+	// kept are the packets that wait, oldest first.
+	kept []keptPacket
 	// returned is set once the upstream has returned the packet.
 	returned bool
 	// unsure is set if an earlier agent of the walk may hold the flow.
@@ -37,6 +50,8 @@
 		switch {
 		case c.table.Get(k) != nil:
 			answers[n] = frame.Held
+		case c.claims(now, c.trials[k]):
+			answers[n] = frame.Claimed
 		case !c.mayHold(now, k, f.Service):
 		case c.upstream.mayHoldOldFlows():
 			answers[n] = frame.MaybeHeld
@@ -84,13 +99,11 @@
 
 // tryUpstream passes a packet to the upstream because the agent may have lost the
 // table entry of its flow in a restart. Each flow is tried once. The result is true if
-// the packet has been passed on or dropped, and false if the caller of tryUpstream has
+// the packet has been passed on or kept, and false if the caller of tryUpstream has
 // to forward it as missed.
 func (c *Core) tryUpstream(now time.Duration, k flow.Key, f *frame.Frame, unsure bool) bool {
 	if t := c.trials[k]; t != nil {
-		// Until the first packet is answered, further packets are dropped; the
-		// caller retransmits them.
-		return now-t.at < openingTimeout
+		return c.continueTrial(now, t, f)
 	}
 	if f.TrialsLeft == 0 || len(c.trials) >= maxTrials || !f.Hinted && !c.upstream.mayHoldOldFlows() {
 		return false
@@ -102,9 +115,10 @@
 // passOnTrial passes a packet to the upstream and remembers its frame.
 func (c *Core) passOnTrial(now time.Duration, k flow.Key, f *frame.Frame, unsure bool) {
 	c.Counts.Tried++
-	t := &trial{frame: *f, at: now, unsure: unsure}
+	t := &trial{key: k, frame: *f, at: now, unsure: unsure, sum: xxhash.Sum64(f.Payload), passed: 1, silentAt: now + silentTime}
 	t.frame.Candidates, t.frame.Payload = slices.Clone(f.Candidates), nil
 	c.trials[k] = t
+	c.undecided = append(c.undecided, t)
 	c.ToUpstream(f.Payload)
 }
 
@@ -131,10 +145,19 @@
 		return nil
 	}
 	c.Counts.Recovered++
-	if t := c.trials[k]; t != nil {
-		e.Balancer = t.frame.Balancer
-		delete(c.trials, k)
-		c.sendTaken(now, k, e.Balancer)
+	t := c.trials[k]
+	if t == nil {
+		return c.table.FromUpstream(now, k, p)
+	}
+	e.Balancer = t.frame.Balancer
+	delete(c.trials, k)
+	c.sendTaken(now, k, e.Balancer)
+	e = c.table.FromUpstream(now, k, p)
+	for _, b := range c.takeKept(t) {
+		if q, ok := c.codec.Decode(b.payload); ok {
+			c.table.FromCaller(now, k, &q, b.balancer)
+		}
+		c.ToUpstream(b.payload)
 	}
-	return c.table.FromUpstream(now, k, p)
+	return e
 }
