--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -93,6 +93,9 @@
 	// Opening means that the upstream got the opening packet. The flow may be open at
 	// another one. Earlier versions answer Held, and ask again if they get this answer.
 	Opening
+	// Claimed means that the upstream did not return a packet of the flow, and has not
+	// sent one either. Most likely it holds the flow.
+	Claimed
 )
 
 // MaxKeys is the maximum number of flows in a Query. The datagram fits into a packet
@@ -213,7 +216,8 @@
 	// Hinted is set on Data if the agent had told the balancer that it holds the flow.
 	Hinted bool
 	// Unsure is set by an agent whose upstream may hold the flow although it is not
-	// in the agent's table.
+	// in the agent's table. On Taken, the upstream seems to hold it because it did not
+	// return a packet on trial.
 	Unsure bool
 	// Tried is set by an agent that has passed the packet to its upstream, which
 	// returned it.
--- a/internal/front/query.go
+++ b/internal/front/query.go
@@ -111,6 +111,9 @@
 			continue
 		case frame.Opening:
 			o.suspects = append(o.suspects, suspect{agent: from, service: q.service, opening: true})
+		case frame.Claimed:
+			c.foundClaim(now, o, flow.Hint{Agent: from, Service: uint32(f.Service)}, o.packets)
+			continue
 		case frame.MaybeHeld:
 			o.suspects = append(o.suspects, suspect{agent: from, service: q.service})
 		case frame.Unlikely:
