--- a/internal/plat/era_test.go
+++ b/internal/plat/era_test.go
@@ -1,6 +1,7 @@
 package plat_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -131,11 +132,13 @@
 		t.Fatal(err)
 	}
 	s.era.Store(4)
-	_, err := c.PutOnce(t.Context(), plat.KindConfig, "main", func(_ plat.Object, writer string) (any, error) {
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	_, err := c.PutOnce(ctx, plat.KindConfig, "main", func(_ plat.Object, writer string) (any, error) {
 		return map[string]string{"writer": writer}, nil
 	})
 	var outcome *plat.OutcomeError
-	if !errors.As(err, &outcome) {
+	if !errors.As(err, &outcome) || ctx.Err() != nil {
 		t.Errorf("want an unknown outcome, have %v", err)
 	}
 	if o, err := c.Get(t.Context(), plat.KindConfig, "main"); err != nil || string(o.Value) != `{"a":1}` || o.Era != 5 {
