hostd: a deregistration before the first report ends no flows

Callers saw open flows reset although their upstream served: an agent had been started again beside it, and the first thing that it heard was a late deregistration of an earlier run at the address.

Cause: before the first report any deregistration was believed. The agent announced itself as gone and denied all flows until the next report, and balancers reset what was used in between. It names a run that the agent does not know, so it is a claim by docs/design/late-evidence.md.

The agent now acknowledges it and treats the upstream like one that refuses connections: no new flows, and packets of flows that it may hold are tried there before anything is reset. A report of the run that has deregistered is still not believed.

TestLateFirstDeregistration failed before with "want 2 answers, have 1 (reset: true)". TestLeaveBeforeFirstReport passed before and passes now: where the deregistration was true, callers are told within the 1.4 s of the test and not at once, and new flows go elsewhere. The other tests of ./platform, ./internal/hostd, ./internal/front and ./internal/flow passed.

Ruled out: comparing the start time in the deregistration with that of the agent, because the clock of a VM may jump.

--- a/internal/hostd/runs.go
+++ b/internal/hostd/runs.go
@@ -81,6 +81,8 @@
 func (u *upstream) judge(now time.Duration, r *Report) verdict {
 	run := r.run()
 	switch {
+	case !u.reported && u.refusing && run == u.last.run():
+		return doubtful // Its deregistration has come first.
 	case !u.reported && !u.claims(r):
 		u.confirm()
 		return newest
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -73,8 +73,7 @@
 	service ident.ServiceName
 	// promised is what the settings say.
 	promised endpoint
-	// reported is set by the first report or deregistration, gone by a
-	// deregistration only.
+	// reported is set by the first report, gone by a deregistration after it.
 	reported bool
 	gone     bool
 	// last is the latest report, received at reportAt; interval is the time between
@@ -99,9 +98,9 @@
 	// unansweredSince is when the upstream got the first opening packet after which
 	// it has sent nothing; 0 if there is none.
 	unansweredSince time.Duration
-	// refusing is set if a connection was refused before the first report. unlisted
-	// is set if the platform's list does not contain the agent, and listChecked once
-	// that check has been started.
+	// refusing is set if a connection was refused, or a deregistration came, before the
+	// first report. unlisted is set if the platform's list does not contain the agent, and
+	// listChecked once that check has been started.
 	refusing, unlisted, listChecked bool
 	// triedAt is when a packet was first passed on trial to an upstream that refuses
 	// connections; 0 if none was, or if it has sent a packet since.
@@ -358,6 +357,14 @@
 	}
 }
 
+// noteFirstLeave handles a deregistration before the first report, which may be a late one of
+// an earlier run: the upstream may still run and hold flows, as one that refuses connections.
+func (c *Core) noteFirstLeave(now time.Duration, id string) {
+	c.upstream.refusing = true
+	c.Log.WithFields(logrus.Fields{"event": "unknownLeave", "upstream": id}).Info("deregistration before the first report")
+	c.announceChange(now)
+}
+
 // OnDeregister handles the deregistration of the upstream with the given name and start
 // time, and reports whether it is acknowledged. That of a run that has ended is not.
 func (c *Core) OnDeregister(now time.Duration, id string, startedMillis int64) (acknowledged bool) {
@@ -373,7 +380,11 @@
 	if u.gone {
 		return true
 	}
-	u.reported, u.gone, u.contender = true, true, nil
+	if !u.reported {
+		c.noteFirstLeave(now, id)
+		return true
+	}
+	u.gone, u.contender = true, nil
 	c.UpdateListing("")
 	c.Log.WithFields(logrus.Fields{"event": "upstreamGone", "upstream": id}).Info("upstream has deregistered")
 	c.announceChange(now)
