front: a late denial of another packet ends no question to an agent

A balancer that asks one agent for a flow took any Missed of that flow as the answer, also a late one about an earlier flow from the same address. It then counted the agent as one that certainly does not hold the flow, asked the others only, and could reset a flow that is open at that agent.

A Missed brings the packet back. It answers a search only if that is the packet of the search; another one changes the hint as before, and the search goes on until its own answer or its deadline.

TestLateDenialDuringSearch failed before: "late denial: true, have stage 1, settled [8]". The tests of ./internal/front passed.

--- a/internal/front/search.go
+++ b/internal/front/search.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"net/netip"
 	"slices"
 	"time"
@@ -265,6 +266,8 @@
 		if o = c.startSearch(now, k, f.Payload); o != nil {
 			c.beginRound(now, o)
 		}
+	case !bytes.Equal(f.Payload, o.packets[0]):
+		// The answer is late; the search is for another packet.
 	case o.stage == askingFirst && len(f.Candidates) == 0:
 		if !f.Unsure {
 			c.settle(o, from)
--- a/internal/front/search_test.go
+++ b/internal/front/search_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"net/netip"
 	"slices"
 	"testing"
@@ -88,3 +89,22 @@
 		}
 	}
 }
+
+// TestLateDenialDuringSearch guards an open flow against a denial of a packet of an earlier
+// flow from the same address, which arrives while its agent is asked for a packet of this one.
+func TestLateDenialDuringSearch(t *testing.T) {
+	c, p := searchCore(t, func(*Core, []byte, netip.AddrPort) {})
+	k := flow.KeyOf(benchCaller(1), benchRoute)
+	*p = flow.Packet{From: k.Caller(), To: benchRoute, Ack: true, Seq: 9000, Acked: 800, Size: 100}
+	packet := make([]byte, 132)
+	c.FromCaller(time.Second, packet)
+	o := c.searches.byKey[k]
+	asked := o.asked[0]
+	for _, b := range [][]byte{bytes.Repeat([]byte{1}, 132), packet} {
+		f := frame.Frame{Kind: frame.Missed, Payload: b}
+		c.FromAgent(time.Second, f.Append(nil), asked)
+		if late := b[0] == 1; late != (o.stage == askingFirst) || late != (o.settled.countWithout(nil) == 0) {
+			t.Errorf("late denial: %v, have stage %d, settled %v", late, o.stage, o.settled)
+		}
+	}
+}
