flow: the number of an earlier attempt is not kept for an open flow

If a caller used its address again while an agent still had the opening of an earlier attempt, which was never acknowledged, the new flow opened in the entry of that attempt and kept its sequence number. The next copy of the flow's own opening packet, even one that was not late, then counted as that of another flow, and the agent dropped the open flow.

The caller's packet that opens the flow shows which opening packet it belongs to. If the recorded number cannot precede it, the entry falls back to the numbers that the caller has sent, as for flows that were found at the upstream.

TestIsCopy failed before: "after an earlier attempt: want true, have false" and "of the earlier attempt: want false, have true". The tests of ./internal/flow and ./internal/hostd passed.

--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -42,8 +42,8 @@
 	// addedAt is when the flow was added to the table.
 	addedAt time.Duration
 	// opening is the sequence number of the caller's opening packet; valid if openingKnown.
-	// callerNext is the next one that the upstream expects; valid for a flow that was found
-	// at the upstream.
+	// callerNext is the next one that the upstream expects; valid otherwise, once the flow is
+	// open.
 	opening, callerNext uint32
 	openingKnown        bool
 	// firstSeq is the upstream's first sequence number; valid if answered.
@@ -94,7 +94,7 @@
 
 // IsCopy reports whether an opening packet belongs to this flow, however late it arrives, and
 // not to another one from the same address. A flow that is not open yet cannot be told from
-// another one. For one that the agent found at its upstream, the sequence number has to
+// another one. Where the number of its opening packet is unknown, that of the other one has to
 // precede what the caller has sent.
 func (e *Entry) IsCopy(p *Packet) bool {
 	switch {
@@ -220,6 +220,10 @@
 			return nil
 		}
 		e.open = true
+		// The opening packet that is known may be of an earlier attempt from this address.
+		if !e.openingKnown || p.Seq-e.opening > maxFirstAcked {
+			e.openingKnown, e.callerNext = false, p.Seq
+		}
 	}
 	e.LastPacketAt, e.Balancer = now, balancer
 	if p.Size > 0 && e.isNewData(p) {
--- a/internal/flow/table_test.go
+++ b/internal/flow/table_test.go
@@ -266,6 +266,10 @@
 	found.FromUpstream(start, testKey, &Packet{Ack: true, Seq: 1001, Acked: 500})
 	unopened := NewTable(4)
 	unopened.AddOpening(start, testKey, testPeer)
+	attempted := NewTable(4)
+	attempted.AddOpening(start, testKey, testPeer).SetOpening(1 << 30)
+	attempted.FromUpstream(start, testKey, &Packet{Syn: true, Ack: true, Seq: 1000})
+	attempted.FromCaller(start, testKey, &Packet{Ack: true, Seq: 8, Acked: 1001}, testPeer)
 	for _, c := range []struct {
 		name  string
 		table *Table
@@ -278,6 +282,8 @@
 		{"after it", found, 501, false},
 		{"far before it", found, 1 << 31, false},
 		{"not open yet", unopened, 9, true},
+		{"after an earlier attempt", attempted, 7, true},
+		{"of the earlier attempt", attempted, 1 << 30, false},
 	} {
 		e := c.table.Get(testKey)
 		if have := e.IsCopy(&Packet{Syn: true, Seq: c.seq}); have != c.want {
