--- a/internal/front/search.go
+++ b/internal/front/search.go
@@ -273,7 +273,10 @@
 			c.beginRound(now, o)
 		}
 	case !bytes.Equal(f.Payload, o.packets[0]):
-		// The answer is late; the search is for another packet.
+		// An agent had kept it with the packet that is searched for, or the answer is late.
+		if !slices.ContainsFunc(o.packets, func(b []byte) bool { return bytes.Equal(b, f.Payload) }) {
+			c.searches.keep(o, f.Payload)
+		}
 	case o.stage == askingFirst && len(f.Candidates) == 0:
 		if !f.Unsure {
 			c.settle(o, from)
@@ -286,9 +289,6 @@
 			}
 		}
 		c.visitSuspects(now, o)
-	case !slices.ContainsFunc(o.packets, func(b []byte) bool { return bytes.Equal(b, f.Payload) }):
-		// An agent had kept it with the packet that is searched for.
-		c.searches.keep(o, f.Payload)
 	}
 }
 
