flow, hostd: an answered flow waits for its caller's first packet

A caller who had the answer of its upstream was reset, or was not told at all where requests may not be repeated, if the balancer that its first packets went to was frozen meanwhile.

Cause: an agent forgot a flow that its caller had not acknowledged 2 s after the answer, since a caller gives up opening after 1.4 s. One that has the answer does not give up, and its packets may be seconds late. The agent then denied a flow that its upstream still held.

An entry that the upstream has answered is kept like an open one. Opening packets with another number are judged beside it, as for open flows, and the upstream's next answer decides. Only an opening without an answer is forgotten after 2 s.

TestFirstPacketAfterFrozenBalancer failed before: "want 1 answers, have 0 (reset: true)". ./platform, ./internal/hostd, ./internal/front and ./internal/flow passed.

Ruled out: a longer time, which a longer freeze meets again.

--- a/internal/flow/entry.go
+++ b/internal/flow/entry.go
@@ -65,12 +65,12 @@
 func (e *Entry) SetOpening(seq uint32) { e.opening, e.openingKnown = seq, true }
 
 // IsCopy reports whether an opening packet belongs to this flow, however late it arrives, and
-// not to another one from the same address. A flow that is not open yet cannot be told from
-// another one. Where the number of its opening packet is unknown, that of the other one has to
-// precede what the caller has sent.
+// not to another one from the same address. A flow that is not answered yet cannot be
+// told from another one. Where the number of its opening packet is unknown, that of the other
+// one has to precede what the caller has sent.
 func (e *Entry) IsCopy(p *Packet) bool {
 	switch {
-	case !e.open:
+	case !e.answered && !e.open:
 		return true
 	case e.openingKnown:
 		return p.Seq == e.opening
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -40,7 +40,7 @@
 	initialHandshake = 8 * time.Millisecond
 	// averageSamples is the number of samples that the moving averages cover.
 	averageSamples = 16
-	// openingTimeout is how long a flow that does not become open is kept. Callers
+	// openingTimeout is how long a flow is kept that the upstream does not answer. Callers
 	// give up 1.4 s after their first opening packet.
 	openingTimeout = 2 * time.Second
 	// endedTimeout is how long an ended flow is kept for the last acknowledgements.
@@ -181,7 +181,7 @@
 	}
 	e.LastPacketAt = now
 	if p.Syn {
-		if e.open && e.answered && p.Seq != e.firstSeq {
+		if e.answered && p.Seq != e.firstSeq {
 			// The upstream has opened another flow from the same address.
 			t.Drop(k)
 			e = t.AddOpening(now, k, e.Balancer)
@@ -289,7 +289,7 @@
 	}
 }
 
-// Sweep removes flows that have ended, were never opened or have been idle for the
+// Sweep removes flows that have ended, were never answered or have been idle for the
 // given time. It also stops counting requests without an end. It may be called often:
 // both have intervals of their own.
 func (t *Table) Sweep(now, idle time.Duration) {
@@ -305,7 +305,7 @@
 		switch {
 		case e.callerClosed && e.upstreamClosed:
 			limit = endedTimeout
-		case !e.open:
+		case !e.open && !e.answered:
 			limit = openingTimeout
 		}
 		if now-e.LastPacketAt >= limit {
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -375,7 +375,7 @@
 	for k, o := range c.openings {
 		if now-o.at >= openingTimeout {
 			delete(c.openings, k)
-			if e := c.table.Get(k); e != nil && !e.Open() {
+			if e := c.table.Get(k); e != nil && !e.Answered() && !e.Open() {
 				c.table.Drop(k)
 			}
 			c.Counts.Unanswered++
--- a/internal/hostd/opening.go
+++ b/internal/hostd/opening.go
@@ -19,6 +19,8 @@
 type opening struct {
 	frame frame.Frame
 	at    time.Duration
+	// seq is the sequence number of the packet, once it has been admitted.
+	seq uint32
 }
 
 // handleOffer admits, queues, forwards or refuses an opening packet.
@@ -66,7 +68,7 @@
 // noteAnswered handles that the upstream has answered an opening packet. was is the entry of
 // the flow before; it differs if the upstream has opened another flow from the same address.
 func (c *Core) noteAnswered(now time.Duration, k flow.Key, e, was *flow.Entry) {
-	if e != was {
+	if e != was && was.Open() {
 		c.Counts.Reopened++
 		if c.Sample(true) {
 			c.decisionLog("flowDropped", k, "reopened", now).WithFields(logrus.Fields{
@@ -80,6 +82,7 @@
 	}
 	delete(c.openings, k)
 	if e != was {
+		e.SetOpening(o.seq)
 		e.Class = o.frame.Priority
 	}
 	if e != was || e.Open() {
@@ -186,8 +189,8 @@
 // admit passes an opening packet to the upstream.
 func (c *Core) admit(now time.Duration, k flow.Key, o *opening, packet []byte) {
 	p, _ := c.codec.Decode(packet) // Cannot fail: handleOffer has decoded it before.
-	// A flow that is open from the same address goes on until the upstream opens this one.
-	if e := c.table.Get(k); e == nil || !e.Open() {
+	// A flow from the same address that was answered goes on until the upstream opens this one.
+	if e := c.table.Get(k); e == nil || !e.Answered() && !e.Open() {
 		if e = c.table.AddOpening(now, k, o.frame.Balancer); e == nil {
 			c.Counts.Full++
 			c.refuseOpening(now, o, packet)
@@ -206,7 +209,7 @@
 			"age": age, "waited": waited, "priority": o.frame.Priority, "balancer": o.frame.Balancer,
 		}).Info("flow admitted to the upstream")
 	}
-	o.at = now
+	o.at, o.seq = now, p.Seq
 	c.openings[k] = o
 	c.upstream.noteOpening(now)
 	c.ToUpstream(packet)
@@ -281,7 +284,7 @@
 		return
 	}
 	delete(c.openings, k)
-	if e := c.table.Get(k); e != nil && !e.Open() {
+	if e := c.table.Get(k); e != nil && !e.Answered() && !e.Open() {
 		c.table.Drop(k)
 	}
 	f := o.frame
