front: a test that only a confirmed hint lets a balancer reset

TestClaimOfDownAgent passes, and failed without the condition: "confirmed false: have reset true, searched for false".

--- a/internal/front/search_test.go
+++ b/internal/front/search_test.go
@@ -108,3 +108,25 @@
 		}
 	}
 }
+
+// TestClaimOfDownAgent guards an open flow against a reset because an agent is down that has
+// only claimed the flow: the others are asked for it.
+func TestClaimOfDownAgent(t *testing.T) {
+	const now = time.Second
+	for _, confirmed := range []bool{false, true} {
+		c, p := searchCore(t, func(*Core, []byte, netip.AddrPort) {})
+		reset := false
+		c.ToCaller = func([]byte, netip.Addr) { reset = true }
+		*p = flow.Packet{From: benchCaller(1), To: benchRoute, Ack: true, Acked: 8, Size: 100}
+		for a, st := range c.agents.byAddr {
+			c.hints.Put(now, flow.KeyOf(p.From, p.To), flow.Hint{Agent: a, Confirmed: confirmed})
+			st.downAt = now - flowLossDelay
+			break
+		}
+		c.agents.regroup(c)
+		c.FromCaller(now, make([]byte, 132))
+		if asks := len(c.searches.byKey) == 1; reset != confirmed || asks == confirmed {
+			t.Errorf("confirmed %v: have reset %v, searched for %v", confirmed, reset, asks)
+		}
+	}
+}
