--- a/internal/hostd/runs.go
+++ b/internal/hostd/runs.go
@@ -83,32 +83,32 @@
 	switch {
 	case !u.reported && u.refusing && run == u.last.run():
 		return doubtful // Its deregistration has come first.
-	case !u.reported && !u.claims(r):
+	case !u.reported && !u.contradictedBy(r):
 		u.confirm()
 		return newest
 	case !u.reported:
 		return u.contend(now, r)
-	case run == u.last.run() && (u.gone || u.claims(r)):
+	case run == u.last.run() && (u.gone || u.contradictedBy(r)):
 		return doubtful
 	case run == u.last.run() && r.Seq <= u.last.Seq:
 		return repeated
 	case run == u.last.run():
 		u.confirm()
 		return newest
-	case !u.claims(r) && r.StartedMillis > u.last.StartedMillis && !slices.Contains(u.ended, run):
+	case !u.contradictedBy(r) && r.StartedMillis > u.last.StartedMillis && !slices.Contains(u.ended, run):
 		return replacing
 	}
 	return u.contend(now, r)
 }
 
-// claims reports whether a report contradicts the settings and the current run, which may
+// contradictedBy reports whether a report contradicts the settings and the current run, which may
 // have taken over from what the settings promise.
-func (u *upstream) claims(r *Report) bool {
+func (u *upstream) contradictedBy(r *Report) bool {
 	return u.promised.known() && r.endpoint() != u.promised && r.endpoint() != u.last.endpoint()
 }
 
-// claimed reports whether the current run is one whose reports contradict the settings.
-func (u *upstream) claimed() bool {
+// contradictsSettings reports whether the current run is one whose reports contradict the settings.
+func (u *upstream) contradictsSettings() bool {
 	return u.reported && u.promised.known() && u.last.endpoint() != u.promised
 }
 
@@ -116,7 +116,7 @@
 // not end one that agrees with the settings.
 func (u *upstream) confirm() {
 	k := u.contender
-	if k == nil || u.claimed() && !k.claim {
+	if k == nil || u.contradictsSettings() && !k.claim {
 		return
 	}
 	u.refuted = u.refuted || k.claim
@@ -131,7 +131,7 @@
 	run := r.run()
 	k := u.contender
 	if k == nil || k.run != run {
-		claim := u.claims(r)
+		claim := u.contradictedBy(r)
 		if k == nil || k.claim || !claim {
 			u.contender = &contender{
 				run: run, seq: r.Seq, at: now, claim: claim,
@@ -140,7 +140,7 @@
 		}
 		return doubtful
 	}
-	if r.Seq > k.seq && float64(now-k.at) >= contenderSpacing*float64(u.expected) && (u.silent(now) || u.claimed() && !k.claim) {
+	if r.Seq > k.seq && float64(now-k.at) >= contenderSpacing*float64(u.expected) && (u.silent(now) || u.contradictsSettings() && !k.claim) {
 		if !u.reported {
 			return newest
 		}
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -282,7 +282,7 @@
 	u := &c.upstream
 	beforeService := u.service
 	if !u.reported || restarted {
-		u.predatesAgent = u.claims(&r) || !c.startedWithAgent(u.firstSeq(&r), r.StartedMillis)
+		u.predatesAgent = u.contradictedBy(&r) || !c.startedWithAgent(u.firstSeq(&r), r.StartedMillis)
 	}
 	if restarted {
 		c.endRun(r.StartedMillis)
