hostd: an upstream that was never asked is not absent

Callers would see open flows reset after a planned restart of an agent: if the reports of its upstream fail for more than 2.5 s and the upstream is idle, the agent announced itself as gone and denied all flows.

Cause: silence counted as evidence although nothing had been asked: an upstream without flows in use sends nothing. An agent without a refused connection or an unanswered opening packet takes such an upstream for down now, not for absent. It answers queries with Unlikely, so the balancer lets it try the packet; the upstream that holds the flow answers, one that does not returns it, and one that is silent for 0.2 s counts as absent.

TestFlowsDeniedBeforeFirstReport failed before ("want 2 answers, have 1 (reset: true)") and leaves KNOWN-RED. go test ./platform ./internal/frame ./internal/hostd ./internal/front passed, with the tests of what agents conclude after a power loss (TestReturnAfterPowerLoss, TestNoSignOfLife) unchanged.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -85,8 +85,9 @@
 	// MaybeHeld means that the upstream may hold the flow although it is not in the
 	// agent's table. A walk lets the agent try.
 	MaybeHeld
-	// Unlikely is MaybeHeld from an agent whose upstream refuses connections and has
-	// not reported yet: most likely there is no upstream. A Trial lets the agent try.
+	// Unlikely is MaybeHeld from an agent whose upstream has not reported yet and refuses
+	// connections or should have reported: most likely there is no upstream. A Trial lets
+	// the agent try.
 	Unlikely
 	// NotKnown means that the agent has started and has not heard from its upstream.
 	NotKnown
--- a/internal/hostd/trial.go
+++ b/internal/hostd/trial.go
@@ -58,7 +58,7 @@
 		case !c.mayHold(now, k, f.Service):
 		case c.upstream.mayHoldOldFlows():
 			answers[n] = frame.MaybeHeld
-		case c.upstream.refusing:
+		case c.upstream.refusing || c.upstream.unheard():
 			answers[n] = frame.Unlikely
 			c.checkListing()
 		default:
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -175,12 +175,16 @@
 	}
 }
 
-// trialSilent reports whether an upstream that refuses connections has not answered a
-// packet on trial either.
+// trialSilent reports whether an upstream that refuses connections, or was never heard, has
+// not answered a packet on trial either.
 func (u *upstream) trialSilent(now time.Duration) bool {
-	return u.refusing && u.triedAt > 0 && now-u.triedAt >= silentTrialTimeout
+	return (u.refusing || u.unheard()) && u.triedAt > 0 && now-u.triedAt >= silentTrialTimeout
 }
 
+// unheard reports whether the upstream is down and has sent nothing since the agent started. It
+// may run and hold flows nevertheless: its reports may fail.
+func (u *upstream) unheard() bool { return u.down && !u.reported && u.lastPacketAt == 0 }
+
 // concurrency returns the number of requests that the upstream processes concurrently.
 func (u *upstream) concurrency() int {
 	if !u.reported {
@@ -211,10 +215,12 @@
 	return wasDown
 }
 
-// noSignOfLife reports whether the upstream has sent nothing since the agent started
-// although it would have done so by now.
+// noSignOfLife reports whether the upstream has sent nothing since the agent started although
+// it would have done so by now: it was asked by a connection, an opening packet or a packet on
+// trial.
 func (u *upstream) noSignOfLife(now time.Duration) bool {
-	waited := u.unlisted || u.trialSilent(now) || now-u.started >= u.expected*5/4+firstReportSlack
+	asked := u.refusing || u.unansweredSince > 0
+	waited := u.unlisted || u.trialSilent(now) || asked && now-u.started >= u.expected*5/4+firstReportSlack
 	return waited && !u.reported && u.lastPacketAt == 0
 }
 
