--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -16,7 +16,6 @@
 	"syscall"
 	"time"
 
-	"github.com/bramleycourse/bramleycourse/internal/flow"
 	"github.com/bramleycourse/bramleycourse/platform/standin"
 )
 
@@ -57,9 +56,8 @@
 	Store *standin.Store
 	// Balancers and Agents are the processes under test.
 	Balancers, Agents []*Process
-	// OnPacket is called for each packet that an upstream gets, other than those that open
-	// flows; own is set if the flow is open there. It may be nil, and is set before the start.
-	OnPacket func(at *Process, k flow.Key, own bool)
+	// Work is the time that an upstream takes for a request; set before the start.
+	Work time.Duration
 
 	dir     string
 	net     [2]byte
@@ -101,7 +99,7 @@
 	pid := os.Getpid()
 	s := &Stage{
 		Store: standin.NewStore(), net: [2]byte{byte(1 + pid>>8%120), byte(pid)}, begin: time.Now(),
-		trouble: os.Getenv("TROUBLE") != "0", record: record,
+		trouble: os.Getenv("TROUBLE") != "0", record: record, Work: 30 * time.Millisecond,
 	}
 	if s.dir, err = os.MkdirTemp("", "review"); err != nil {
 		return nil, err
@@ -197,13 +195,9 @@
 	s := p.stage
 	u, err := standin.StartUpstream(standin.UpstreamConfig{
 		ID: id, Service: p.Service, Addr: p.App(), Outbound: s.Addr(p.host, OutboundPort), Reports: p.Control(),
-		Slots: 4, Work: 30 * time.Millisecond, ReportInterval: HeartbeatInterval, DrainLimit: 3 * time.Second,
+		Slots: 4, Work: s.Work, ReportInterval: HeartbeatInterval, DrainLimit: 3 * time.Second,
 		OnViolation: func(invariant, detail string) { s.Logf("%s: %s", invariant, detail) },
-		RecentFault: func() bool { return true }, OnPacket: func(k flow.Key, own bool) {
-			if s.OnPacket != nil {
-				s.OnPacket(p, k, own)
-			}
-		},
+		RecentFault: func() bool { return true },
 	})
 	if err != nil {
 		return err
