Review case 14: a balancer never ends when it is stopped in an outage of the store

A hang, a script: a balancer that has started while the store is down, and is stopped before it could read the list of agents, never ends after SIGTERM.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
-for n in 12 13; do
+for n in 12 13 14; do
   go build -ldflags=-linkmode=external -o "target/review-$n" "./review/$n"
 done
