--- a/internal/front/agents.go
+++ b/internal/front/agents.go
@@ -1,7 +1,10 @@
 package front
 
 import (
+	"cmp"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/bramleycourse/bramleycourse/internal/frame"
@@ -168,18 +171,18 @@
 			delete(newest, a)
 		}
 	}
-	for a, e := range newest {
+	for _, a := range slices.SortedFunc(maps.Keys(newest), netip.AddrPort.Compare) {
 		if old := t.byAddr[a]; old == nil {
-			t.byAddr[a] = &agentState{entry: e, index: t.newIndex(c.lastTick)}
+			t.byAddr[a] = &agentState{entry: newest[a], index: t.newIndex(c.lastTick)}
 			t.probe(now, a, c)
 		} else {
-			old.update(now, e)
+			old.update(now, newest[a])
 		}
 	}
-	for a, st := range t.byAddr {
-		if _, ok := newest[a]; !ok {
+	for _, st := range t.sorted() {
+		if _, ok := newest[st.entry.Key.Hop]; !ok {
 			t.freed = append(t.freed, freedIndex{st.index, c.lastTick})
-			delete(t.byAddr, a)
+			delete(t.byAddr, st.entry.Key.Hop)
 		}
 	}
 	t.known = hashOf(t.byAddr)
@@ -204,7 +207,12 @@
 	if (e.State == view.Gone) != (o.State == view.Gone) {
 		return o.State == view.Gone
 	}
-	return e.Seq > o.Seq
+	return cmp.Or(cmp.Compare(e.Seq, o.Seq), cmp.Compare(e.Key.Instance, o.Key.Instance)) > 0
+}
+
+// sorted returns the known agents by index.
+func (t *agentTable) sorted() []*agentState {
+	return slices.SortedFunc(maps.Values(t.byAddr), func(a, b *agentState) int { return cmp.Compare(a.index, b.index) })
 }
 
 // regroup derives the groups from byAddr.
@@ -220,7 +228,8 @@
 	}
 	services := map[frame.ServiceID]*lists{}
 	t.byIndex, t.reachable, t.unreachable = make([]*agentState, t.lastIndex+1), nil, nil
-	for a, st := range t.byAddr {
+	for _, st := range t.sorted() {
+		a := st.entry.Key.Hop
 		id := frame.ServiceIDOf(st.entry.Service)
 		l := services[id]
 		if l == nil {
@@ -351,7 +360,8 @@
 	changed := false
 	var silent []*agentState
 	defer func() { c.askWitnesses(now, silent) }()
-	for a, st := range t.byAddr {
+	for _, st := range t.sorted() {
+		a := st.entry.Key.Hop
 		if st.pingedAt > 0 && now-st.pingedAt >= pingTimeoutFactor*c.pending.timeout() {
 			c.Log.WithField("event", "agentDown").WithField("agent", a).WithField("silentFor", now-st.lastHeard).Warn("agent does not answer")
 			st.pingedAt, st.downAt, st.nextPing = 0, now, now
--- a/internal/front/confirm.go
+++ b/internal/front/confirm.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -29,7 +28,7 @@
 // missing in the list that was read at the start, may hold the flow.
 func (c *Core) confirm(now time.Duration, o *search) {
 	peers := c.Peers()
-	rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
+	c.self.Random.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
 	peers = peers[:min(len(peers), confirmers)]
 	o.awaited, o.agreed, o.disagreed = len(peers), false, false
 	c.searches.enter(o, confirming, now+searchTimeout)
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -58,6 +59,8 @@
 	RejectEarly bool
 	// Seeds are the message addresses of balancers that may be running.
 	Seeds []netip.AddrPort
+	// Random is the source of random decisions; a source of its own if it is nil.
+	Random *rand.Rand
 }
 
 // Core implements the balancer's logic without sockets and clocks: it decides
@@ -136,6 +139,9 @@
 
 // NewCore returns the core of a balancer that starts at now.
 func NewCore(now time.Duration, s CoreConfig, c flow.Codec) *Core {
+	if s.Random == nil {
+		s.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
 	co := &Core{
 		self:       s,
 		codec:      c,
@@ -155,8 +161,8 @@
 	}
 	co.InterruptWatch, co.InterruptEvacuationWatch = func() {}, func() {}
 	co.StoreEra, co.HearEra = func() plat.Era { return 0 }, func(plat.Era) {}
-	co.confirmed.init(now, plat.KindConfig, cmp.Or(s.ConfigLimit, defaultConfigLimit), meanWatchInterval)
-	co.evacuations.confirmed.init(now, plat.KindEvacuation, s.EvacuationLimit, s.EvacuationLimit/evacuationPolls)
+	co.confirmed.init(now, s.Random, plat.KindConfig, cmp.Or(s.ConfigLimit, defaultConfigLimit), meanWatchInterval)
+	co.evacuations.confirmed.init(now, s.Random, plat.KindEvacuation, s.EvacuationLimit, s.EvacuationLimit/evacuationPolls)
 	co.isolation.markAgent(now)
 	co.agents.init()
 	co.searches.init()
--- a/internal/front/evacuations.go
+++ b/internal/front/evacuations.go
@@ -90,9 +90,9 @@
 		"event": "evacuation", "era": s.Era, "version": s.Version, "places": s.Places, "before": before, "source": source,
 	}).Info("evacuated places changed")
 	c.agents.regroup(c)
-	for a, st := range c.agents.byAddr {
+	for _, st := range c.agents.sorted() {
 		if st.announcedAt > 0 && now-st.announcedAt <= maxAnnounceAge {
-			c.sendJSON(frame.Evacuations, c.evacuations.set, a)
+			c.sendJSON(frame.Evacuations, c.evacuations.set, st.entry.Key.Hop)
 		}
 	}
 	return true
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -126,7 +126,7 @@
 // marked as gone.
 func (c *Core) earlierRuns(k view.Key) []view.Item {
 	var items []view.Item
-	for _, e := range c.view.EntriesUnsorted() {
+	for _, e := range c.view.Entries() {
 		if e.Key.Hop == k.Hop && e.Key != k && !e.Key.IsBalancer() {
 			e.State = view.Gone
 			items = append(items, view.Item{Entry: e})
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"encoding/json"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -154,7 +153,7 @@
 		}
 		return
 	}
-	a := known[rand.IntN(len(known))]
+	a := known[c.self.Random.IntN(len(known))]
 	if since, asked := p.askedAt[a]; !asked {
 		p.askedAt[a] = now
 	} else if now-since >= peerForgetTime {
@@ -329,7 +328,7 @@
 	news := c.mergeItems(now, items)
 	if len(news) > 0 {
 		c.flood(news, from)
-	} else if stored, _ := c.view.Get(i.Key); stored == i.Entry && rand.IntN(balancerListEvery) > 0 {
+	} else if stored, _ := c.view.Get(i.Key); stored == i.Entry && c.self.Random.IntN(balancerListEvery) > 0 {
 		c.sendJSON(frame.Entries, []view.Item{}, from)
 		return
 	}
@@ -338,7 +337,7 @@
 		answer = append(answer, stored)
 	}
 	bs := c.view.Balancers()
-	rand.Shuffle(len(bs), func(a, b int) { bs[a], bs[b] = bs[b], bs[a] })
+	c.self.Random.Shuffle(len(bs), func(a, b int) { bs[a], bs[b] = bs[b], bs[a] })
 	for _, e := range bs[:min(len(bs), maxItemsPerMessage-1)] {
 		answer = append(answer, view.Item{Entry: e})
 	}
--- a/internal/front/query.go
+++ b/internal/front/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"math"
 	"net/netip"
 	"slices"
@@ -69,7 +70,8 @@
 	qs.nextSend = now + max(minQueryInterval, time.Duration(len(qs.gathered))*timePerQuery)
 	gathered := qs.gathered
 	qs.gathered = map[netip.AddrPort]*query{}
-	for _, g := range gathered {
+	for _, a := range slices.SortedFunc(maps.Keys(gathered), netip.AddrPort.Compare) {
+		g := gathered[a]
 		searched := slices.DeleteFunc(g.searches, func(o *search) bool { return o.done })
 		for part := range slices.Chunk(searched, frame.MaxKeys) {
 			c.sendQuery(&query{agent: g.agent, service: g.service, searches: part, deadline: now + searchTimeout})
@@ -150,7 +152,8 @@
 	if len(qs.gathered) > 0 {
 		qs.nextDue = qs.nextSend
 	}
-	for number, q := range qs.open {
+	for _, number := range slices.Sorted(maps.Keys(qs.open)) {
+		q := qs.open[number]
 		if now < q.deadline {
 			qs.nextDue = min(qs.nextDue, q.deadline)
 			continue
--- a/internal/front/removals.go
+++ b/internal/front/removals.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -57,7 +59,8 @@
 // returns the entry of the run at an address, if there is one.
 func (r removals) due(now time.Duration, current func(netip.AddrPort) (view.Entry, bool)) []view.Entry {
 	var due []view.Entry
-	for a, m := range r {
+	for _, a := range slices.SortedFunc(maps.Keys(r), netip.AddrPort.Compare) {
+		m := r[a]
 		e, ok := current(a)
 		switch {
 		case ok && e.Key == m.told.Key && e.Seq > m.told.Seq, !ok && now-m.at >= removalMemory:
--- a/internal/front/search.go
+++ b/internal/front/search.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -368,6 +369,7 @@
 			c.searches.nextDeadline = min(c.searches.nextDeadline, o.deadline)
 		}
 	}
+	slices.SortFunc(due, func(a, b *search) int { return cmp.Or(cmp.Compare(a.began, b.began), bytes.Compare(a.key[:], b.key[:])) })
 	for _, o := range due {
 		for _, a := range o.asked {
 			c.agents.probe(now, a, c)
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -56,9 +56,9 @@
 	substitute bool
 }
 
-func (c *confirmation) init(now time.Duration, k plat.Kind, limit, interval time.Duration) {
+func (c *confirmation) init(now time.Duration, random *rand.Rand, k plat.Kind, limit, interval time.Duration) {
 	c.kind, c.at, c.interval = k, now, interval
-	c.limit = time.Duration((minOverdueShare + maxOverdueSpread*rand.Float64()) * float64(limit))
+	c.limit = time.Duration((minOverdueShare + maxOverdueSpread*random.Float64()) * float64(limit))
 }
 
 // overdue reports whether there was no answer for too long.
@@ -126,7 +126,7 @@
 	if o.substitute {
 		wait = min(wait, o.limit/2)
 	}
-	return wait/2 + rand.N(wait)
+	return wait/2 + time.Duration(c.self.Random.Int64N(int64(wait)))
 }
 
 // checkOverdue makes this balancer a substitute for the watchers of each kind of which an
--- a/internal/front/witness.go
+++ b/internal/front/witness.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -75,7 +74,7 @@
 		agents = append(agents, st.entry.Key.Hop)
 	}
 	peers := c.Peers()
-	rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
+	c.self.Random.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
 	for part := range slices.Chunk(agents, frame.MaxHeard) {
 		for _, p := range peers[:min(len(peers), maxWitnesses)] {
 			c.send(&frame.Frame{Kind: frame.Unheard, Balancer: c.self.Peer, Payload: frame.UnheardPayload(part)}, p)
--- a/internal/hostd/claim.go
+++ b/internal/hostd/claim.go
@@ -1,6 +1,9 @@
 package hostd
 
 import (
+	"bytes"
+	"cmp"
+	"maps"
 	"math"
 	"net/netip"
 	"slices"
@@ -164,9 +167,15 @@
 	}, balancer)
 }
 
+// compareTrials orders trials by the time of their last packet.
+func compareTrials(a, b *trial) int {
+	return cmp.Or(cmp.Compare(a.at, b.at), bytes.Compare(a.key[:], b.key[:]))
+}
+
 // checkTrials passes on or returns packets that wait, and removes old trials.
 func (c *Core) checkTrials(now time.Duration) {
-	for k, t := range c.trials {
+	for _, t := range slices.SortedFunc(maps.Values(c.trials), compareTrials) {
+		k := t.key
 		switch {
 		case now-t.at >= c.self.FlowLifetime:
 			c.takeKept(t)
--- a/internal/hostd/registration.go
+++ b/internal/hostd/registration.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -116,10 +117,7 @@
 		}
 	}
 	if len(addrs) == 0 {
-		for a := range r.balancers {
-			addrs = append(addrs, a)
-		}
-		return append(addrs, r.seeds...)
+		return append(r.sorted(), r.seeds...)
 	}
 	slices.SortFunc(addrs, func(a, b netip.AddrPort) int {
 		return cmp.Compare(flow.KeyOf(self, a).Hash(), flow.KeyOf(self, b).Hash())
@@ -127,10 +125,15 @@
 	return addrs[:min(announceTargets, len(addrs))]
 }
 
+// sorted returns the known balancers by address.
+func (r *registration) sorted() []netip.AddrPort {
+	return slices.SortedFunc(maps.Keys(r.balancers), netip.AddrPort.Compare)
+}
+
 // all returns all known balancers and the seeds.
 func (r *registration) all() []netip.AddrPort {
 	addrs := slices.Clone(r.seeds)
-	for a := range r.balancers {
+	for _, a := range r.sorted() {
 		if !slices.Contains(addrs, a) {
 			addrs = append(addrs, a)
 		}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -152,7 +152,7 @@
 	return es
 }
 
-// Balancers returns the entries of balancers that are not gone, in no order.
+// Balancers returns the entries of balancers that are not gone, ordered by key.
 func (v *View) Balancers() []Entry {
 	var es []Entry
 	for k, r := range v.records {
@@ -160,6 +160,7 @@
 			es = append(es, r.entry)
 		}
 	}
+	slices.SortFunc(es, func(a, b Entry) int { return a.Key.compare(b.Key) })
 	return es
 }
 
@@ -194,7 +195,7 @@
 	return ns
 }
 
-// Items returns the entries of the given buckets, tombstones included.
+// Items returns the entries of the given buckets, tombstones included, ordered by key.
 func (v *View) Items(now time.Duration, buckets []int) []Item {
 	var wanted [Buckets]bool
 	for _, n := range buckets {
@@ -208,6 +209,7 @@
 			is = append(is, r.item(now))
 		}
 	}
+	slices.SortFunc(is, func(a, b Item) int { return a.Key.compare(b.Key) })
 	return is
 }
 
