front, hostd: one type holds the right to reset an open flow

Cause: "all have denied it" was said of an empty or older set of agents, in four ways.

Change: internal/front/reset.go. resetRight knows the runs that have denied the flow, the list that other balancers were asked about and their answers; resetGround is what the balancer knows at this moment; resetGuards are the conditions, and resetOpen is the only path that resets an open flow. Denials belong to a run of an agent; hashes of lists include runs; all balancers that are asked must answer and agree; a balancer that may not know all agents says so; conditions are checked again when the answers are there. Agents are witnesses, too: a balancer that does not hear an agent asks two others besides four balancers, and hands packets on by way of them. A balancer says that an agent is lost only after the time that its own knowledge calls for, and an agent that only others heard gets the time of a planned restart.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -81,10 +81,10 @@
 	Carry
 	// Confirm asks a balancer whether it knows the same agents as the sender, which is about
 	// to reset a flow that all of them have denied. The payload is the hash of the agents'
-	// addresses, eight bytes, and the key of the flow.
+	// addresses and instances, eight bytes, and the key of the flow.
 	Confirm
-	// Confirmed answers Confirm. The payload is the hash of the agents that the sender knows
-	// and the key of the flow.
+	// Confirmed answers Confirm. The payload is the hash of the agents that the sender knows, 0
+	// if it may not know all of them, and the key of the flow.
 	Confirmed
 
 	lastKind = Confirmed
--- a/internal/front/agents.go
+++ b/internal/front/agents.go
@@ -55,7 +55,7 @@
 // in its own traffic.
 type agentState struct {
 	entry view.Entry
-	// index is the agent's number in sets of agents.
+	// index is the number of the agent's run in sets of agents.
 	index int
 	// lastHeard is when the last datagram from the agent arrived.
 	lastHeard time.Duration
@@ -100,8 +100,8 @@
 	byIndex     []*agentState
 	reachable   agentSet
 	unreachable []*agentState
-	// known is the hash of the addresses of the known agents.
-	known uint64
+	// known is the hash of the runs of the known agents.
+	known rosterHash
 	// pendingPings is the number of agents with an unanswered Ping that are not yet
 	// marked as down.
 	pendingPings int
@@ -113,6 +113,8 @@
 	// agents that were removed, which are used again once no search knows them.
 	lastIndex int
 	freed     []freedIndex
+	// isNewRun reports whether the process of an entry is another one than that of a key.
+	isNewRun func(old *view.Entry, k view.Key) bool
 }
 
 var emptyGroup = group{usable: route.NewGroup(nil), all: route.NewGroup(nil), known: route.NewGroup(nil)}
@@ -120,6 +122,7 @@
 func (t *agentTable) init() {
 	t.byAddr = map[netip.AddrPort]*agentState{}
 	t.groups = map[frame.ServiceID]*group{}
+	t.isNewRun = func(old *view.Entry, k view.Key) bool { return old.Key != k }
 }
 
 func (t *agentTable) group(s frame.ServiceID) *group {
@@ -176,6 +179,10 @@
 			t.byAddr[a] = &agentState{entry: newest[a], index: t.newIndex(c.lastTick)}
 			t.probe(now, a, c)
 		} else {
+			if t.isNewRun(&old.entry, newest[a].Key) {
+				t.freed = append(t.freed, freedIndex{old.index, c.lastTick})
+				old.index = t.newIndex(c.lastTick)
+			}
 			old.update(now, newest[a])
 		}
 	}
@@ -298,7 +305,7 @@
 		return
 	}
 	st.lastHeard, st.heard = now, true
-	c.answerAskers(st, true)
+	c.answerAskers(st)
 	if st.pingedAt > 0 {
 		st.pingedAt = 0
 		c.agents.pendingPings--
@@ -367,7 +374,6 @@
 			st.pingedAt, st.downAt, st.nextPing = 0, now, now
 			t.pendingPings--
 			changed = true
-			c.answerAskers(st, false)
 		}
 		if st.downAt > 0 && now >= st.nextPing {
 			st.nextPing = now + downPingInterval
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -113,8 +113,10 @@
 	gate      shed.Gate
 	isolation isolation
 	searches  searches
-	trials    trials
-	removals  removals
+	// resetGuards are the conditions of a reset of an open flow.
+	resetGuards []resetGuard
+	trials      trials
+	removals    removals
 	// started is when the balancer started, on the same clock as now.
 	started time.Duration
 	stopped bool
@@ -143,16 +145,17 @@
 		s.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	co := &Core{
-		self:       s,
-		codec:      c,
-		hints:      flow.NewHints(s.FlowLifetime, hintLinger, maxHints),
-		view:       view.New(),
-		pending:    pendingOpenings{byKey: map[flow.Key]*pendingOpening{}},
-		trials:     trials{},
-		removals:   removals{},
-		rejections: rejections{gap: retryGap},
-		started:    now,
-		out:        make([]byte, 0, frame.MaxSize),
+		self:        s,
+		codec:       c,
+		hints:       flow.NewHints(s.FlowLifetime, hintLinger, maxHints),
+		view:        view.New(),
+		pending:     pendingOpenings{byKey: map[flow.Key]*pendingOpening{}},
+		trials:      trials{},
+		removals:    removals{},
+		rejections:  rejections{gap: retryGap},
+		started:     now,
+		resetGuards: resetGuards,
+		out:         make([]byte, 0, frame.MaxSize),
 	}
 	co.retries = budget.New(retryBudget, budgetTime(now))
 	if s.RejectEarly {
@@ -233,12 +236,6 @@
 // announce themselves every second.
 const discoveryTime = 3 * time.Second
 
-// allKnown reports whether the balancer can be assumed to know all agents. The list alone may
-// lack some, which other balancers know.
-func (c *Core) allKnown(now time.Duration) bool {
-	return c.listRead && (!c.peers.expected(c.self.Peer) || len(c.Peers()) > 0) || now-c.started >= discoveryTime
-}
-
 // AddListedAgents adds the agents of the platform's list. An agent's own announcement
 // takes precedence: a listed entry is used only until the agent announces itself.
 func (c *Core) AddListedAgents(now time.Duration, agents []view.Entry) {
@@ -291,7 +288,7 @@
 	case frame.Confirm:
 		c.handleConfirm(now, f, from)
 	case frame.Confirmed:
-		c.handleConfirmed(now, f)
+		c.handleConfirmed(now, f, from)
 	case frame.Announce, frame.Digest, frame.Entries, frame.Generation, frame.Evacuations, frame.Era:
 		c.handleGossip(now, f, from)
 	default:
--- a/internal/front/counts.go
+++ b/internal/front/counts.go
@@ -5,7 +5,7 @@
 type Counts struct {
 	Opened           uint64 `help:"Callers' opening packets, including copies."`
 	Carried          uint64 `help:"Callers' packets that do not open a flow."`
-	CarriedOn        uint64 `help:"Packets handed to another balancer, which hears the agent of their flow."`
+	CarriedOn        uint64 `help:"Packets handed to another balancer or agent, which hears the agent of their flow."`
 	Foreign          uint64 `help:"Datagrams that could not be decoded or were not expected."`
 	NoRoute          uint64 `help:"Packets without a route or service."`
 	NoUpstream       uint64 `help:"New flows rejected because no agent takes them or an agent rejected them."`
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -1,11 +1,8 @@
 package front
 
 import (
-	"net/netip"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/bramleycourse/bramleycourse/internal/flow"
 	"github.com/bramleycourse/bramleycourse/internal/frame"
 )
@@ -19,14 +16,14 @@
 		st := c.agents.byAddr[h.Agent]
 		switch lost := c.agents.flowsLost(now, h.Agent); {
 		case !carried && st != nil && st.downAt > 0 && st.testimony.heard(now):
-			c.carryOn(b, st.testimony.witness)
+			c.passOn(b, st)
 			return
 		case !lost:
 			f.Hinted, f.TrialsLeft, f.Service = true, 1, frame.ServiceID(h.Service)
 			c.send(&f, h.Agent)
 			return
 		case h.Confirmed:
-			c.abandonFlow(k, p, h.Agent)
+			c.abandonFlow(now, k, p, h.Agent)
 			return
 		}
 		// Another agent may hold the flow.
@@ -47,19 +44,3 @@
 		c.askFirst(now, o, &f)
 	}
 }
-
-// abandonFlow resets a flow whose agent is down, so that the caller sends the
-// request again on another flow. It does so only if the route's requests may be
-// repeated.
-func (c *Core) abandonFlow(k flow.Key, p *flow.Packet, agent netip.AddrPort) {
-	r := c.rules.Route(k.Route())
-	if p.Rst || r == nil || !r.Repeatable {
-		return
-	}
-	c.hints.Drop(k, agent)
-	c.Counts.Reset++
-	c.reset(k, p)
-	if c.Sample(true) {
-		c.decisionLog("flowAbandoned", k, "reset").WithFields(logrus.Fields{"agent": agent, "seq": p.Seq}).Info("agent of the flow does not answer")
-	}
-}
--- a/internal/front/loss.go
+++ b/internal/front/loss.go
@@ -9,19 +9,29 @@
 )
 
 // overdue reports whether the agent has been down for so long that it is not expected to resume
-// its flows. Other balancers have not heard it meanwhile: if one has, and is gone, the silence
-// that this one observes says nothing.
+// its flows. Other balancers have said so, too, and agents have said that they do not hear it
+// either: if one has heard it, and is gone, the silence that this balancer observes says nothing.
 func (st *agentState) overdue(now time.Duration) bool {
+	t := &st.testimony
+	since := st.silentSince()
+	return st.silentLong(now) && t.answeredAt >= since && t.agentAnsweredAt >= since && t.heardAt < st.downAt
+}
+
+// silentSince returns when the agent was last known to be heard by a process.
+func (st *agentState) silentSince() time.Duration { return max(st.downAt, st.testimony.withdrawnAt) }
+
+// silentLong reports whether the agent has been silent for longer than a restart takes, by what
+// this balancer has heard of it. An agent that only others heard could not tell this one that it
+// stops as planned.
+func (st *agentState) silentLong(now time.Duration) bool {
 	limit := flowLossDelay
 	switch {
-	case st.entry.Stopping:
+	case st.entry.Stopping, st.testimony.withdrawnAt > st.downAt:
 		limit = stoppingLossDelay
 	case st.entry.State != view.Serving:
 		limit = drainingLossDelay
 	}
-	t := &st.testimony
-	since := max(st.downAt, t.withdrawnAt)
-	return st.downAt > 0 && now-since >= limit && t.answeredAt >= since && t.heardAt < st.downAt
+	return st.downAt > 0 && now-st.silentSince() >= limit
 }
 
 // forgettable reports whether the agent counts as gone, since no balancer has heard it for
--- a/internal/front/search.go
+++ b/internal/front/search.go
@@ -99,9 +99,9 @@
 	queried agentSet
 	awaited int
 	scope   searchScope
-	// settled are the agents that certainly do not hold the flow. They are not asked
-	// again.
-	settled agentSet
+	// right says what a reset of the flow still lacks. Agents that have denied the flow are not
+	// asked again.
+	right resetRight
 	// suspects are the agents that are still to be visited in this round.
 	suspects []suspect
 	// unlikely are the agents without a running upstream as it seems, which still may
@@ -113,9 +113,6 @@
 	// returned is set if an upstream has returned a packet of the flow, maybe one that another
 	// balancer has sent.
 	returned bool
-	// agreed is set if another balancer knows the same agents, disagreed if one knows others;
-	// valid in the stage confirming, in which awaited counts answers of balancers.
-	agreed, disagreed bool
 	// carried is set if another balancer has handed on the packet that began the search.
 	carried bool
 	// tried is set once the unlikely agents have got the packet.
@@ -188,6 +185,7 @@
 	}
 	a := c.ids[0].Addr
 	o.asked = []netip.AddrPort{a}
+	o.queried.add(c.agents.byAddr[a].index)
 	c.searches.enter(o, askingFirst, now+searchTimeout)
 	c.send(f, a)
 }
@@ -278,63 +276,54 @@
 		c.searches.end(o)
 		return
 	}
-	unsure := c.agents.reachable.countWithout(o.settled)
-	noneMissing := c.allKnown(now) && c.absentAgents(now, r) == 0
+	g := c.resetGround(now, o.began, r)
+	unsure := g.up.countWithout(o.right.denied)
+	noneMissing := g.derived && g.complete && g.awaited == 0
 	delay := searchRetryDelay
 	if noneMissing && unsure > 0 && unsure == len(o.unlikely) && c.sendTrials(now, o, &p) {
 		delay = trialDelay
 	}
-	if w, ok := c.witnessFor(now, o, r); ok && unsure == 0 {
+	if unsure == 0 && c.passOnAll(now, o, r) {
 		c.searches.end(o)
-		for _, b := range o.packets {
-			c.carryOn(b, w)
-		}
 		return
 	}
-	c.decideLost(now, o, r.Repeatable, noneMissing && unsure == 0, delay)
+	c.decideLost(now, o, g, delay)
 }
 
-// decideLost resets a flow that all agents have denied, once other balancers know no other
-// agents, and has them asked again after a delay if some have not. Flows whose requests may not
-// be repeated are never reset, and asking again could deliver a packet after its caller has given
-// up, so their search ends.
-func (c *Core) decideLost(now time.Duration, o *search, repeatable, denied bool, delay time.Duration) {
-	switch age := now - o.began; {
-	case !repeatable || age >= searchLifetime+searchTimeout:
-		// A much later result means that this process did not run for a while. The caller
-		// may use the port for another flow by now.
-		c.endLost(now, o, false)
-	case denied && c.alone(now):
-		c.endLost(now, o, true)
-	case denied:
+// decideLost resets a flow if nothing is lacking, asks other balancers if only their word is, and
+// otherwise has the agents asked again after a delay. Flows whose requests may not be repeated are
+// never reset, and asking again could deliver a packet after its caller has given up, so their
+// search ends.
+func (c *Core) decideLost(now time.Duration, o *search, g *resetGround, delay time.Duration) {
+	switch l := o.right.lack(g, c.resetGuards); {
+	case l == "", l == lacksRepeatable, l == lacksTime:
+		c.endLost(now, o, g)
+	case l.confirmable():
 		c.confirm(now, o)
-	case age >= searchLifetime:
-		c.endLost(now, o, false)
+	case g.age >= searchLifetime:
+		c.endLost(now, o, g)
 	default:
 		c.searches.enter(o, pausing, now+delay)
 	}
 }
 
 // endLost ends the search for a flow that no agent was found to hold, and resets the flow if
-// that is certain.
-func (c *Core) endLost(now time.Duration, o *search, certain bool) {
+// nothing is lacking.
+func (c *Core) endLost(now time.Duration, o *search, g *resetGround) {
 	c.searches.end(o)
 	c.Counts.Lost++
 	p, _ := c.codec.Decode(o.packets[0]) // Cannot fail: it was decoded before.
 	outcome := "dropped"
-	if certain {
+	if c.resetOpen(o.key, &p, &o.right, g) {
 		outcome = "reset"
-		c.Counts.Reset++
-		c.reset(o.key, &p)
 	}
-	r := c.rules.Route(o.key.Route())
-	if r == nil || !c.Sample(true) {
+	if !c.Sample(true) {
 		return
 	}
-	unsure := c.agents.reachable.countWithout(o.settled)
 	c.decisionLog("flowLost", o.key, outcome).WithFields(logrus.Fields{
-		"seq": p.Seq, "size": p.Size, "repeatable": r.Repeatable, "settled": c.allKnown(now), "absentAgents": c.absentAgents(now, r), "unsure": unsure > 0, "unsureAgents": unsure,
-		"deniedBy": o.settled.countWithout(nil), "took": now - o.began, "disagreed": o.disagreed,
+		"seq": p.Seq, "size": p.Size, "repeatable": g.repeatable, "lacks": o.right.lack(g, c.resetGuards), "agents": g.known, "absentAgents": g.awaited,
+		"unsureAgents": g.up.countWithout(o.right.denied), "deniedBy": o.right.denied.countWithout(nil), "took": now - o.began,
+		"agreed": o.right.agreed, "unanswered": len(o.right.awaited), "disagreed": o.right.disagreed,
 	}).Info("no agent holds the flow")
 }
 
@@ -369,7 +358,9 @@
 			c.searches.nextDeadline = min(c.searches.nextDeadline, o.deadline)
 		}
 	}
-	slices.SortFunc(due, func(a, b *search) int { return cmp.Or(cmp.Compare(a.began, b.began), bytes.Compare(a.key[:], b.key[:])) })
+	slices.SortFunc(due, func(a, b *search) int {
+		return cmp.Or(cmp.Compare(a.began, b.began), bytes.Compare(a.key[:], b.key[:]))
+	})
 	for _, o := range due {
 		for _, a := range o.asked {
 			c.agents.probe(now, a, c)
--- a/internal/front/search_test.go
+++ b/internal/front/search_test.go
@@ -103,8 +103,8 @@
 	for _, b := range [][]byte{bytes.Repeat([]byte{1}, 132), packet} {
 		f := frame.Frame{Kind: frame.Missed, Payload: b}
 		c.FromAgent(time.Second, f.Append(nil), asked)
-		if late := b[0] == 1; late != (o.stage == askingFirst) || late != (o.settled.countWithout(nil) == 0) {
-			t.Errorf("late denial: %v, have stage %d, settled %v", late, o.stage, o.settled)
+		if late := b[0] == 1; late != (o.stage == askingFirst) || late != (o.right.denied.countWithout(nil) == 0) {
+			t.Errorf("late denial: %v, have stage %d, settled %v", late, o.stage, o.right.denied)
 		}
 	}
 }
@@ -124,7 +124,7 @@
 			c.hints.Put(now, flow.KeyOf(p.From, p.To), flow.Hint{Agent: a, Confirmed: confirmed})
 			st.downAt = now - flowLossDelay
 			if on.told {
-				st.testimony.answeredAt = now
+				st.testimony.answeredAt, st.testimony.agentAnsweredAt = now, now
 			}
 			break
 		}
--- a/internal/front/searchagents.go
+++ b/internal/front/searchagents.go
@@ -32,7 +32,7 @@
 		id := frame.ServiceIDOf(s.Service)
 		n := c.agents.group(id).all.Rank(o.key.Hash(), maxLocalCandidates, c.ids[:maxNearAgents])
 		for _, e := range c.ids[:n] {
-			if st := c.agents.byAddr[e.Addr]; st != nil && !o.settled.has(st.index) {
+			if st := c.agents.byAddr[e.Addr]; st != nil && !o.right.denied.has(st.index) {
 				as = append(as, suspect{agent: e.Addr, service: id})
 			}
 		}
@@ -46,7 +46,7 @@
 	for _, s := range r.Shares {
 		id := frame.ServiceIDOf(s.Service)
 		for _, a := range c.agents.group(id).reachable {
-			if st := c.agents.byAddr[a]; st != nil && !o.settled.has(st.index) {
+			if st := c.agents.byAddr[a]; st != nil && !o.right.denied.has(st.index) {
 				us = append(us, suspect{agent: a, service: id})
 			}
 		}
@@ -57,7 +57,7 @@
 // unsettled returns the agents of all services that are up and may hold a flow.
 func (c *Core) unsettled(o *search) []suspect {
 	var us []suspect
-	for index := range c.agents.reachable.without(o.settled) {
+	for index := range c.agents.reachable.without(o.right.denied) {
 		e := &c.agents.byIndex[index].entry
 		us = append(us, suspect{agent: e.Key.Hop, service: frame.ServiceIDOf(e.Service)})
 	}
@@ -84,9 +84,10 @@
 	return n
 }
 
-// settle records that an agent certainly does not hold a flow.
+// settle records that an agent certainly does not hold a flow. A denial is the word of the run
+// that was asked: if another one has started since, that is to be asked.
 func (c *Core) settle(o *search, a netip.AddrPort) {
-	if st := c.agents.byAddr[a]; st != nil {
-		o.settled.add(st.index)
+	if st := c.agents.byAddr[a]; st != nil && o.queried.has(st.index) {
+		o.right.denied.add(st.index)
 	}
 }
--- a/internal/front/trials.go
+++ b/internal/front/trials.go
@@ -99,7 +99,7 @@
 	if len(o.unaware) > 0 || !c.allKnown(now) || c.absentAgents(now, r) > 0 {
 		return false
 	}
-	for index := range c.agents.reachable.without(o.settled) {
+	for index := range c.agents.reachable.without(o.right.denied) {
 		if !o.queried.has(index) {
 			return false
 		}
@@ -111,7 +111,7 @@
 func (c *Core) likeliest(o *search, s frame.ServiceID) (suspect, bool) {
 	n := c.agents.group(s).known.Rank(o.key.Hash(), maxLocalCandidates, c.ids[:maxNearAgents])
 	for _, e := range c.ids[:n] {
-		if st := c.agents.byAddr[e.Addr]; st != nil && !o.settled.has(st.index) {
+		if st := c.agents.byAddr[e.Addr]; st != nil && !o.right.denied.has(st.index) {
 			return suspect{agent: e.Addr, service: s}, true
 		}
 	}
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -124,6 +124,7 @@
 	undecided    []*trial
 	kept         int
 	registration registration
+	witness      witness
 	// evacuations are the evacuated places that the agent knows.
 	evacuations evac.Set
 	outcomes    outcomes
@@ -160,6 +161,7 @@
 		waiting:         queue.New(maxWaiting),
 		waitingOpenings: map[flow.Key]*opening{},
 		trials:          map[flow.Key]*trial{},
+		witness:         witness{},
 		started:         now,
 		meanBusyAt:      now,
 		sendBuf:         make([]byte, 0, frame.MaxSize),
@@ -198,6 +200,10 @@
 		c.handleTrial(now, f)
 	case frame.Ping:
 		c.send(&frame.Frame{Kind: frame.Pong}, from)
+	case frame.Pong:
+		c.witness.tell(from, true, c)
+	case frame.Unheard:
+		c.handleUnheard(now, f, from)
 	case frame.Entries:
 		c.registration.handleEntries(now, f.Payload, from, c)
 	case frame.Evacuations:
@@ -353,5 +359,6 @@
 	if c.upstream.checkAlive(now, c.Log) || released {
 		c.announceChange(now)
 	}
+	c.witness.expire(now, c)
 	c.registration.tick(now, c)
 }
