field, platform, roster: what another writer sends is refused whole

Cause: documents from outside were decoded field by field where they were used, and a field that no decision read was not looked at. A report without Zone and Version, with a later start time, counted as a new run of the upstream, whose agent dropped the flows and denied them.

Change: internal/field reads such documents in one place. Reports, deregistrations, the entries of agents and balancers and the operator's configuration with its routes are read this way. A report that names another place than the settings counts as one that contradicts them, as with service and address. TestReports wants the place.

Ruled out: refusing a configuration for an odd entry under Services, which costs only that entry's rate (TestServices).

--- a/cmd/bramleyflow/roles.go
+++ b/cmd/bramleyflow/roles.go
@@ -69,6 +69,7 @@
 		Beat:  a.Report,
 		Leave: a.UpstreamDeregistered,
 		Refused: func(err error) {
+			a.Refused.Note(err)
 			log.WithError(err).WithField("event", "badReport").Warn("report refused")
 		},
 	}
--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -88,6 +88,7 @@
 func (b *Balancer) applyObject(o plat.Object, source string) {
 	t, err := b.config.Parse(o.Value)
 	if err != nil {
+		b.store.Refused.Note(err)
 		b.log.WithError(err).WithFields(logrus.Fields{"event": "badConfiguration", "version": o.Version}).Error("invalid configuration ignored")
 		return
 	}
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -167,7 +167,7 @@
 		sendBuf:         make([]byte, 0, frame.MaxSize),
 	}
 	co.upstream.service, co.upstream.reportAt = s.Service, now
-	co.upstream.promised = endpoint{s.Service, s.Upstream}
+	co.upstream.promised = endpoint{s.Service, s.Upstream, s.Place}
 	co.upstream.started, co.upstream.expected = now, s.ReportInterval
 	co.upstream.ramp = ramp.New(now, max(s.ReportInterval, defaultReportInterval))
 	co.reported = defaultKinds
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bramleycourse/bramleycourse/internal/drain"
+	"github.com/bramleycourse/bramleycourse/internal/field"
 	"github.com/bramleycourse/bramleycourse/internal/flow"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/node"
@@ -79,6 +80,9 @@
 
 // Agent is a running agent.
 type Agent struct {
+	// Refused counts the reports and deregistrations that were refused.
+	Refused field.Refusals
+
 	settings Settings
 	core     *Core
 	loop     *node.Loop
--- a/internal/hostd/metrics.go
+++ b/internal/hostd/metrics.go
@@ -27,6 +27,7 @@
 		m.Gauge("reportAgeSeconds", "Time since the last report of the upstream.", (now - a.core.upstream.reportAt).Seconds())
 	})
 	m.Counters(c)
+	m.Refusals("reports", "Reports and deregistrations", &a.Refused)
 	m.Shared(a.store, a.out)
 }
 
--- a/internal/hostd/runs.go
+++ b/internal/hostd/runs.go
@@ -24,9 +24,16 @@
 type endpoint struct {
 	service ident.ServiceName
 	addr    netip.AddrPort
+	// place is empty if it is not known.
+	place ident.PlaceName
 }
 
-func (r *Report) endpoint() endpoint { return endpoint{r.Service, r.Addr} }
+func (r *Report) endpoint() endpoint { return endpoint{r.Service, r.Addr, r.Place} }
+
+// differs reports whether two endpoints contradict each other.
+func (e endpoint) differs(o endpoint) bool {
+	return e.service != o.service || e.addr != o.addr || e.place != o.place && e.place != "" && o.place != ""
+}
 
 // known reports whether the settings promise anything that a report can contradict.
 func (e endpoint) known() bool { return e.service != "" && e.addr.IsValid() }
@@ -104,12 +111,12 @@
 // contradictedBy reports whether a report contradicts the settings and the current run, which may
 // have taken over from what the settings promise.
 func (u *upstream) contradictedBy(r *Report) bool {
-	return u.promised.known() && r.endpoint() != u.promised && r.endpoint() != u.last.endpoint()
+	return u.promised.known() && u.promised.differs(r.endpoint()) && r.endpoint() != u.last.endpoint()
 }
 
 // contradictsSettings reports whether the current run is one whose reports contradict the settings.
 func (u *upstream) contradictsSettings() bool {
-	return u.reported && u.promised.known() && u.last.endpoint() != u.promised
+	return u.reported && u.promised.known() && u.promised.differs(u.last.endpoint())
 }
 
 // confirm records that the current run has reported, which ends a contender. A claim does
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -25,6 +25,8 @@
 	Service ident.ServiceName
 	// Addr is the address at which the upstream receives packets.
 	Addr netip.AddrPort
+	// Place is the place of the VM.
+	Place ident.PlaceName
 	// Slots is the number of requests that the upstream processes concurrently.
 	Slots int
 	// Draining is set while the upstream drains and accepts no new flows.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/bramleycourse/bramleycourse/internal/field"
 	"github.com/bramleycourse/bramleycourse/internal/plat"
 	"github.com/bramleycourse/bramleycourse/internal/scrape"
 )
@@ -70,6 +71,15 @@
 	m.page.Gauge(name, nil, value)
 }
 
+// Refusals sets the counters of refused documents, one for each reason.
+func (m *Metrics) Refusals(prefix, documents string, r *field.Refusals) {
+	for why, name := range map[field.Reason]string{
+		field.Malformed: "Malformed", field.Missing: "MissingField", field.WrongType: "OtherType", field.OutOfRange: "OutOfRange",
+	} {
+		m.Counter(prefix+name, documents+" that were refused, of which one field or the whole "+why.String()+".", r.Count(why))
+	}
+}
+
 // Handler serves the metrics at /metrics.
 func (m *Metrics) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -85,5 +95,6 @@
 	m.Counter("storeWatches", "Watches of the store.", c.Calls.Watches.Load())
 	m.Counter("storeFailures", "Calls to the store that failed.", c.Calls.Failures.Load())
 	m.Counter("storeOverBudget", "Calls to the store that brought nothing new and were above the budget.", c.Calls.OverBudget.Load())
+	m.Refusals("store", "Objects of the store", &c.Refused)
 	m.Counter("logLinesDropped", "Log lines that were counted in place of written.", out.Dropped())
 }
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -14,6 +14,8 @@
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
+
+	"github.com/bramleycourse/bramleycourse/internal/field"
 )
 
 // Kind is the kind of an object, which is part of its path.
@@ -187,6 +189,8 @@
 type Client struct {
 	// Calls counts every call, including failed ones.
 	Calls Calls
+	// Refused counts the objects that users of the client could not use.
+	Refused field.Refusals
 	// Log receives lines when calls begin to fail, when they succeed again and when
 	// they exceed the call budget. It may be nil and is set before the first call.
 	Log *logrus.Entry
--- a/internal/roster/removal.go
+++ b/internal/roster/removal.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/netip"
 
 	"github.com/juju/errors"
@@ -57,9 +56,8 @@
 		}
 		return false, err
 	}
-	var a AgentEntry
-	// An entry that cannot be parsed is not one that an agent has written again.
-	if json.Unmarshal(o.Value, &a) == nil && r.Seq > 0 && a.Rewritten > r.Seq {
+	// An entry that is refused is not one that an agent has written again.
+	if a, err := parseAgent(r.Hop.String(), o.Value); err == nil && r.Seq > 0 && a.Rewritten > r.Seq {
 		return true, nil
 	}
 	r.version, r.era = o.Version, o.Era
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -5,11 +5,12 @@
 
 import (
 	"context"
-	"encoding/json"
+	"math"
 	"net/netip"
 
 	"github.com/juju/errors"
 
+	"github.com/bramleycourse/bramleycourse/internal/field"
 	"github.com/bramleycourse/bramleycourse/internal/ident"
 	"github.com/bramleycourse/bramleycourse/internal/plat"
 	"github.com/bramleycourse/bramleycourse/internal/view"
@@ -34,18 +35,29 @@
 	Rewritten ident.Seq `json:"rewritten,omitempty"`
 }
 
-// maxNameBytes bounds the names in an entry, which are passed on in datagrams.
-const maxNameBytes = 255
+// maxSeq bounds the versions of announcements.
+const maxSeq = math.MaxInt64
 
-// valid reports whether an entry of the given name was written by an agent. Another writer
-// may have left anything in the list.
-func (a *AgentEntry) valid(name string) bool {
-	return usable(a.Hop) && name == a.Hop.String() && a.Service != "" &&
-		len(a.Service) <= maxNameBytes && len(a.Place) <= maxNameBytes
+// parseAgent decodes the entry of the given name. Another writer may have left anything in the
+// list; that names no agent to use.
+func parseAgent(name string, b []byte) (AgentEntry, error) {
+	f := field.Read("agent entry", b)
+	a := AgentEntry{Hop: f.Addr("hop"), Service: ident.ServiceName(f.Text("service")), Place: ident.PlaceName(f.Text("place"))}
+	if f.Has("rewritten") {
+		a.Rewritten = ident.Seq(f.Whole("rewritten", 0, maxSeq))
+	}
+	if f.Err() == nil && name != a.Hop.String() {
+		f.Refuse("hop")
+	}
+	return a, f.Err()
 }
 
-// usable reports whether datagrams can be sent to an address.
-func usable(a netip.AddrPort) bool { return a.Addr().Is4() && a.Port() != 0 }
+// parseBalancer decodes the entry of a balancer.
+func parseBalancer(b []byte) (BalancerEntry, error) {
+	f := field.Read("balancer entry", b)
+	e := BalancerEntry{Peer: f.Addr("peer")}
+	return e, f.Err()
+}
 
 // Balancers reads the addresses of the balancers. Some of them may have ended.
 func Balancers(ctx context.Context, store *plat.Client) ([]netip.AddrPort, error) {
@@ -55,11 +67,13 @@
 	}
 	var as []netip.AddrPort
 	for _, o := range l.Objects {
-		var b BalancerEntry
-		// An entry that cannot be parsed is skipped; the others are still valid.
-		if json.Unmarshal(o.Value, &b) == nil && usable(b.Peer) {
-			as = append(as, b.Peer)
+		// An entry that is refused is skipped; the others are still valid.
+		b, err := parseBalancer(o.Value)
+		if err != nil {
+			store.Refused.Note(err)
+			continue
 		}
+		as = append(as, b.Peer)
 	}
 	return as, nil
 }
@@ -76,9 +90,10 @@
 	}
 	var es []view.Entry
 	for _, o := range l.Objects {
-		var a AgentEntry
-		// An entry that cannot be parsed is skipped; the others are still valid.
-		if json.Unmarshal(o.Value, &a) != nil || !a.valid(o.Name) {
+		// An entry that is refused is skipped; the others are still valid.
+		a, err := parseAgent(o.Name, o.Value)
+		if err != nil {
+			store.Refused.Note(err)
 			continue
 		}
 		es = append(es, view.Entry{
