hostd: a first report with number 1 does not prove that the upstream has no flows

Cause: the next run of an agent took an upstream whose first report it was sent for one that had started with it, and denied the flows that the upstream had taken through the earlier run before it reported. The denial stood while the run stopped in turn.

Ruled out: an answer of the later run that was lost; the log shows outlived=false of the run that started at 5.112 s.

--- a/internal/hostd/runs.go
+++ b/internal/hostd/runs.go
@@ -199,11 +199,12 @@
 
 // startedWithAgent reports whether an upstream has started at about the same time as the
 // agent or later, so that it holds no flow of an earlier run of the agent. This is so if
-// the first report received of it is its first one (firstSeq of at most 1), or if firstSeq
-// is at most maxFirstSeq and the upstream started at most minRestartMillis (400 ms) before
-// the agent, so that an earlier run must have ended before.
+// firstSeq, the number of the first report received of it, is at most maxFirstSeq and the
+// upstream started at most minRestartMillis (400 ms) before the agent, so that an earlier run must
+// have ended before. That no report came before says nothing: an upstream takes flows before it
+// reports.
 func (c *Core) startedWithAgent(firstSeq, startedMillis int64) bool {
-	return firstSeq <= 1 || firstSeq <= maxFirstSeq && startedMillis >= c.self.StartedMillis-minRestartMillis
+	return firstSeq <= maxFirstSeq && startedMillis >= c.self.StartedMillis-minRestartMillis
 }
 
 // expireContender forgets a contender that has stopped reporting, and reports whether
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -115,8 +115,8 @@
 	down, absent bool
 	// predatesAgent is set if the upstream may have been running before the agent
 	// started: the Seq of the first report received of its run was above maxFirstSeq, or
-	// it was above 1 and the upstream had started more than minRestartMillis (400 ms)
-	// before the agent, or it was a claim.
+	// the upstream had started more than minRestartMillis (400 ms) before the agent, or it
+	// was a claim.
 	predatesAgent bool
 }
 
