front: a balancer that has started in an outage ends when it is stopped

Cause: register waited for the first write of the balancer's entry. After a cancelled read of the list, the loop that was to say so was not run at all, and the stop waits for register.

Change: the wait ends with the context, too.

Evidence: TestStopOfBalancerInOutage failed before (not ended 2.0 s after the signal, after a run of 50 ms) and passes.

--- a/internal/front/platform.go
+++ b/internal/front/platform.go
@@ -176,7 +176,10 @@
 	b.retryCall(ctx, b.loadAgents)
 	entered := make(chan struct{})
 	go b.enter(ctx, func() { close(entered) })
-	<-entered
+	select {
+	case <-entered:
+	case <-ctx.Done():
+	}
 	sleep(ctx, noPeersDelay)
 	for ctx.Err() == nil {
 		n := 0
