hostd, node: the stop of an agent does not wait for calls to the store

Cause: calls of maintainListing to the store had a timeout of 3 s of their own, and the stop waits for them after a drain that already takes up to GraceS less 1 s. An agent whose upstream has left during an outage was killed.

Change: Parts has a context that ends with it, which these calls use.

--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -184,7 +184,7 @@
 }
 
 func (a *Agent) updateListing(l listing) error {
-	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
+	ctx, cancel := context.WithTimeout(a.parts.Context(), platformTimeout)
 	defer cancel()
 	if l.service == "" {
 		return a.listed.Remove(ctx, a.settings.Hop)
@@ -194,7 +194,7 @@
 }
 
 func (a *Agent) findBalancers() {
-	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
+	ctx, cancel := context.WithTimeout(a.parts.Context(), platformTimeout)
 	defer cancel()
 	addrs, err := roster.Balancers(ctx, a.store)
 	if err != nil {
@@ -265,7 +265,7 @@
 
 // checkListed checks whether the platform's list contains the agent.
 func (a *Agent) checkListed() {
-	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
+	ctx, cancel := context.WithTimeout(a.parts.Context(), platformTimeout)
 	defer cancel()
 	listed, err := roster.HasAgent(ctx, a.store, a.settings.Hop)
 	if err != nil {
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -15,8 +16,10 @@
 	Metrics *Metrics
 	Log     *logrus.Entry
 
-	// done is closed by Close.
+	// done is closed by Close, which also ends ctx.
 	done    chan struct{}
+	ctx     context.Context
+	end     context.CancelFunc
 	sockets []*Socket
 	servers []*http.Server
 	wg      sync.WaitGroup
@@ -25,9 +28,14 @@
 // NewParts returns the parts of a process, at first only its loop. Metrics must be
 // set before Close.
 func NewParts(loop *Loop, log *logrus.Entry) *Parts {
-	return &Parts{Loop: loop, Log: log, done: make(chan struct{})}
+	p := &Parts{Loop: loop, Log: log, done: make(chan struct{})}
+	p.ctx, p.end = context.WithCancel(context.Background())
+	return p
 }
 
+// Context returns a context for calls that Close is not to wait for.
+func (p *Parts) Context() context.Context { return p.ctx }
+
 // Done returns a channel that is closed by Close. Goroutines end when it is closed.
 func (p *Parts) Done() <-chan struct{} { return p.done }
 
@@ -78,5 +86,6 @@
 		_ = s.Close()
 	}
 	close(p.done)
+	p.end()
 	p.wg.Wait()
 }
