hostd, front: an agent that stops leaves the flows of its upstream with balancers

Cause: the next run of an agent does not know the idle flows of its upstream, and its word on any other flow is unsure. Packets were therefore tried at one upstream after the other, counted by each balancer for itself and forgotten by agents in their restarts.

Change: an agent that stops sends the list of its upstream's open flows to four balancers (frame.Flows), which know from then on where these flows are, and hand the list back to the next run of the agent when it announces itself. That run knows the flows, and if the list is complete, it denies others for certain, so nothing is to be tried. A list is not complete if the run that made it did not know all flows itself, or if a third run fits in between (1 s); the flows are dropped if another upstream reports. An agent that is killed leaves no list, and packets are tried as before.

TestRestartsOfBothRoles failed before (200 packets tried, 140 at upstreams that do not hold their flow) and tries none.

Ruled out: a budget of trials that balancers share: it bounds strays, and the flows still pause until the right upstream is tried.

--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -220,6 +220,17 @@
 	}
 }
 
+// OpenKeys returns the flows that are open, in no order.
+func (t *Table) OpenKeys() []Key {
+	var ks []Key
+	for k, e := range t.entries {
+		if e.open && !(e.callerClosed && e.upstreamClosed) {
+			ks = append(ks, k)
+		}
+	}
+	return ks
+}
+
 // DropBefore removes the flows that were added before a time and returns their number.
 func (t *Table) DropBefore(at time.Duration) int {
 	before := len(t.entries)
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -86,8 +86,11 @@
 	// Confirmed answers Confirm. The payload is the hash of the agents that the sender knows, 0
 	// if it may not know all of them, and the key of the flow.
 	Confirmed
+	// Flows carries a part of the list of the flows of an agent that stops to balancers, and
+	// from them to the next run of the agent. The payload is that of a FlowList.
+	Flows
 
-	lastKind = Confirmed
+	lastKind = Flows
 )
 
 // Holds is an agent's answer whether it holds a flow.
--- a/internal/front/agents.go
+++ b/internal/front/agents.go
@@ -185,6 +185,7 @@
 			}
 			old.update(now, newest[a])
 		}
+		c.handBack(now, a, newest[a].Key.Instance)
 	}
 	for _, st := range t.sorted() {
 		if _, ok := newest[st.entry.Key.Hop]; !ok {
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -117,6 +117,7 @@
 	resetGuards []resetGuard
 	trials      trials
 	removals    removals
+	kept        kept
 	// started is when the balancer started, on the same clock as now.
 	started time.Duration
 	stopped bool
@@ -152,6 +153,7 @@
 		pending:     pendingOpenings{byKey: map[flow.Key]*pendingOpening{}},
 		trials:      trials{},
 		removals:    removals{},
+		kept:        kept{lists: map[netip.AddrPort]*keptList{}},
 		rejections:  rejections{gap: retryGap},
 		started:     now,
 		resetGuards: resetGuards,
@@ -283,6 +285,8 @@
 		c.handleUnheard(now, f, from)
 	case frame.Heard:
 		c.handleHeard(now, f, from)
+	case frame.Flows:
+		c.handleFlows(now, f, from)
 	case frame.Carry:
 		c.handleCarry(now, f)
 	case frame.Confirm:
@@ -343,6 +347,7 @@
 	c.nextHousekeeping = now + tickInterval
 	c.checkIsolation(now)
 	c.checkRemovals(now)
+	c.expireKept(now)
 	c.releaseEvacuations(now)
 	c.checkOverdue(now)
 	c.hints.Sweep(now)
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -125,6 +125,7 @@
 	kept         int
 	registration registration
 	witness      witness
+	handover     handover
 	// evacuations are the evacuated places that the agent knows.
 	evacuations evac.Set
 	outcomes    outcomes
@@ -200,6 +201,8 @@
 		c.handleTrial(now, f)
 	case frame.Ping:
 		c.send(&frame.Frame{Kind: frame.Pong}, from)
+	case frame.Flows:
+		c.handleFlows(now, f)
 	case frame.Pong:
 		c.witness.tell(from, true, c)
 	case frame.Unheard:
@@ -360,5 +363,8 @@
 		c.announceChange(now)
 	}
 	c.witness.expire(now, c)
+	if c.leaving {
+		c.leaveFlows(now)
+	}
 	c.registration.tick(now, c)
 }
--- a/internal/hostd/counts.go
+++ b/internal/hostd/counts.go
@@ -12,6 +12,7 @@
 	Missed       uint64 `help:"Packets of flows that the agent does not hold."`
 	Returned     uint64 `help:"Packets that the upstream did not accept."`
 	Recovered    uint64 `help:"Flows added to the table again because the upstream sent a packet."`
+	Inherited    uint64 `help:"Flows taken over from the run of the agent before."`
 	Tried        uint64 `help:"Packets passed to the upstream on trial."`
 	Claimed      uint64 `help:"Flows taken for the upstream's because it did not return a packet on trial."`
 	Reset        uint64 `help:"Flows reset because the upstream has lost them."`
--- a/internal/hostd/registration.go
+++ b/internal/hostd/registration.go
@@ -79,6 +79,7 @@
 	c.leaving = true
 	c.nextTick = now
 	c.announceChange(now)
+	c.leaveFlows(now)
 }
 
 // Busy returns the number of requests in progress.
@@ -110,19 +111,12 @@
 // in the order of a hash with the agent's address. If none answers, it returns all
 // known balancers and the seeds.
 func (r *registration) targets(self netip.AddrPort) []netip.AddrPort {
-	var addrs []netip.AddrPort
-	for a, n := range r.balancers {
-		if n == 0 {
-			addrs = append(addrs, a)
-		}
-	}
-	if len(addrs) == 0 {
-		return append(r.sorted(), r.seeds...)
-	}
-	slices.SortFunc(addrs, func(a, b netip.AddrPort) int {
-		return cmp.Compare(flow.KeyOf(self, a).Hash(), flow.KeyOf(self, b).Hash())
-	})
-	return addrs[:min(announceTargets, len(addrs))]
+	return r.some(self, announceTargets)
+}
+
+// compareHashes orders balancers by a hash with an agent's address.
+func compareHashes(self, a, b netip.AddrPort) int {
+	return cmp.Compare(flow.KeyOf(self, a).Hash(), flow.KeyOf(self, b).Hash())
 }
 
 // sorted returns the known balancers by address.
--- a/internal/hostd/trial.go
+++ b/internal/hostd/trial.go
@@ -165,11 +165,16 @@
 	delete(c.trials, k)
 	c.sendTaken(now, k, e.Balancer)
 	e = c.table.FromUpstream(now, k, p)
+	c.passAllKept(now, k, t)
+	return e
+}
+
+// passAllKept passes the waiting packets of a flow that is in the table now to the upstream.
+func (c *Core) passAllKept(now time.Duration, k flow.Key, t *trial) {
 	for _, b := range c.takeKept(t) {
 		if q, ok := c.codec.Decode(b.payload); ok {
 			c.table.FromCaller(now, k, &q, b.balancer)
 		}
 		c.ToUpstream(b.payload)
 	}
-	return e
 }
--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -118,6 +118,9 @@
 	// the upstream had started more than minRestartMillis (400 ms) before the agent, or it
 	// was a claim.
 	predatesAgent bool
+	// inherited is set once all flows that the upstream held when the earlier run of the agent
+	// stopped are in the table.
+	inherited bool
 }
 
 func (u *upstream) id() frame.ServiceID { return frame.ServiceIDOf(u.service) }
@@ -146,15 +149,17 @@
 // mayHoldOldFlows reports whether the upstream is running and may hold flows of an
 // earlier run of the agent.
 func (u *upstream) mayHoldOldFlows() bool {
-	if u.gone || u.down {
+	if u.gone || u.down || u.inherited {
 		return false
 	}
 	return u.predatesAgent || !u.reported && u.lastPacketAt > 0
 }
 
 // hasNoOldFlows reports whether the upstream certainly holds no flows of an
-// earlier run of the agent.
-func (u *upstream) hasNoOldFlows() bool { return u.gone || u.absent || u.reported && !u.predatesAgent }
+// earlier run of the agent that the table lacks.
+func (u *upstream) hasNoOldFlows() bool {
+	return u.gone || u.absent || u.inherited || u.reported && !u.predatesAgent
+}
 
 // stalled reports whether the upstream does not answer opening packets.
 func (u *upstream) stalled(now time.Duration) bool {
@@ -299,7 +304,11 @@
 	if !u.reported || restarted {
 		u.predatesAgent = u.contradictedBy(&r) || !c.startedWithAgent(u.firstSeq(&r), r.StartedMillis)
 	}
+	if !u.reported {
+		c.checkInherited(r.StartedMillis)
+	}
 	if restarted {
+		u.inherited = false
 		c.endRun(r.StartedMillis)
 	}
 	if u.reported && !restarted && u.reportAt > 0 {
