front: the number of watch calls hardly varies, and a short failure of the store costs less time

Cause of TestEvacuationWatch failing in some runs: the wait of each watch call was drawn between half and one and a half times its mean, so that the number of calls in 11.5 s reached 26 and 27 (at most 25); and after a failure of half a second the next try came up to 1.2 s later, so that with the wait before it the last answer was 3.0 s old, from which on watchers may count as silent.

Change: waits differ from their mean by a quarter at most, and a retry pauses no longer than an answered call does.

--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -114,6 +114,10 @@
 	return c.watchWait(now, &c.evacuations.confirmed)
 }
 
+// waitSpread is the mean wait of a watch call divided by its greatest deviation. Watchers then
+// spread over time within some calls, and their number in a given time hardly varies.
+const waitSpread = 4
+
 // watchWait returns how long the next watch call is to wait for a change. The wait is
 // random to spread the calls of the watchers over time. If an answer of the platform is
 // overdue, the result is 0.
@@ -126,7 +130,7 @@
 	if o.substitute {
 		wait = min(wait, o.limit/2)
 	}
-	return wait/2 + time.Duration(c.self.Random.Int64N(int64(wait)))
+	return wait - wait/waitSpread + time.Duration(c.self.Random.Int64N(int64(2*wait/waitSpread)))
 }
 
 // checkOverdue makes this balancer a substitute for the watchers of each kind of which an
--- a/internal/front/watch_test.go
+++ b/internal/front/watch_test.go
@@ -84,3 +84,18 @@
 func peerAddr(n int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 7000)
 }
+
+// TestWaitSpread guards the number of calls to the platform: the waits of watch calls differ by a
+// quarter at most from their mean, so that chance adds few calls in any time.
+func TestWaitSpread(t *testing.T) {
+	c := NewCore(0, CoreConfig{Name: "z", Place: "a", EvacuationLimit: 5 * time.Second}, flow.Codec{})
+	mean := c.evacuations.confirmed.interval
+	least, most := mean, mean
+	for range 1000 {
+		wait := c.EvacuationWait(0)
+		least, most = min(least, wait), max(most, wait)
+	}
+	if least < mean-mean/waitSpread || most > mean+mean/waitSpread || most-least < mean/waitSpread {
+		t.Errorf("want waits within a quarter of %v, have %v to %v", mean, least, most)
+	}
+}
--- a/internal/front/watcher.go
+++ b/internal/front/watcher.go
@@ -70,7 +70,8 @@
 			continue
 		}
 		sleep(ctx, retry/2+rand.N(retry))
-		retry = min(2*retry, maxRetry)
+		// A store that fails for a moment must not cost more time than one that answers.
+		retry = min(2*retry, maxRetry, w.confirmed.interval)
 	}
 }
 
