--- a/internal/front/search.go
+++ b/internal/front/search.go
@@ -321,7 +321,7 @@
 		return
 	}
 	c.decisionLog("flowLost", o.key, outcome).WithFields(logrus.Fields{
-		"seq": p.Seq, "size": p.Size, "repeatable": g.repeatable, "lacks": o.right.lack(g, c.resetGuards), "agents": g.known, "absentAgents": g.awaited,
+		"seq": p.Seq, "size": p.Size, "repeatable": g.repeatable, "settled": g.derived && g.complete, "unsure": g.up.countWithout(o.right.denied) > 0, "lacks": o.right.lack(g, c.resetGuards), "agents": g.known, "absentAgents": g.awaited,
 		"unsureAgents": g.up.countWithout(o.right.denied), "deniedBy": o.right.denied.countWithout(nil), "took": now - o.began,
 		"agreed": o.right.agreed, "unanswered": len(o.right.awaited), "disagreed": o.right.disagreed,
 	}).Info("no agent holds the flow")
--- a/internal/front/witness.go
+++ b/internal/front/witness.go
@@ -153,7 +153,7 @@
 			continue
 		}
 		if a.Heard && st.testimony.heardAt < st.downAt {
-			c.Log.WithFields(logrus.Fields{"event": "agentHeardByOther", "agent": a.Addr, "witness": from, "downFor": now - st.downAt}).Warn("agent answers another process")
+			c.Log.WithFields(logrus.Fields{"event": "agentHeardByOther", "agent": a.Addr, "balancer": from, "byAgent": byAgent, "downFor": now - st.downAt}).Warn("agent answers another process")
 		}
 		st.testimony.note(now, from, a.Heard, byAgent)
 	}
