hostd, front: a list of flows is complete only once all handshakes have ended

Found by reading: a flow whose handshake ends after its agent has left the list is open at the upstream and not in the list, and the next run would deny it.

--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -220,15 +220,17 @@
 	}
 }
 
-// OpenKeys returns the flows that are open, in no order.
-func (t *Table) OpenKeys() []Key {
-	var ks []Key
+// OpenKeys returns the flows that are open, in no order, and whether others are being opened.
+func (t *Table) OpenKeys() (ks []Key, opening bool) {
 	for k, e := range t.entries {
-		if e.open && !(e.callerClosed && e.upstreamClosed) {
+		switch {
+		case !e.open:
+			opening = true
+		case !e.callerClosed || !e.upstreamClosed:
 			ks = append(ks, k)
 		}
 	}
-	return ks
+	return ks, opening
 }
 
 // DropBefore removes the flows that were added before a time and returns their number.
--- a/internal/front/keep.go
+++ b/internal/front/keep.go
@@ -67,7 +67,7 @@
 	}
 	k.at, k.parts[l.Part] = now, append([]byte(nil), f.Payload...)
 	for _, key := range l.Keys {
-		if h, known := c.hints.Get(now, key); known && h.Agent == from && h.Confirmed {
+		if h, known := c.hints.Get(now, key); known && h.Confirmed {
 			continue
 		}
 		c.hints.Put(now, key, flow.Hint{Agent: from, Service: uint32(f.Service), Confirmed: true})
@@ -78,7 +78,7 @@
 // handBack sends the kept list of an agent to the next run of it.
 func (c *Core) handBack(now time.Duration, hop netip.AddrPort, run ident.Instance) {
 	k := c.kept.lists[hop]
-	if k == nil || run == 0 || run == k.instance {
+	if k == nil || run == 0 || run == k.instance || k.sent >= handBacks {
 		return
 	}
 	k.sent++
--- a/internal/hostd/core.go
+++ b/internal/hostd/core.go
@@ -364,7 +364,7 @@
 	}
 	c.witness.expire(now, c)
 	if c.leaving {
-		c.leaveFlows(now)
+		c.LeaveFlows(now)
 	}
 	c.registration.tick(now, c)
 }
--- a/internal/hostd/handover.go
+++ b/internal/hostd/handover.go
@@ -26,10 +26,12 @@
 // handover holds what passes from one run of an agent to the next one: the open flows of the
 // upstream. The next run then finds them without packets on trial, and can deny others.
 type handover struct {
-	// sum is the hash of the latest list that was sent, copies how often it was.
-	sum     uint64
-	copies  int
-	version uint16
+	// sum is the hash of the latest list that was sent, copies how often it was, and complete
+	// whether it had all flows.
+	sum      uint64
+	complete bool
+	copies   int
+	version  uint16
 	// from is the earlier run whose list was received, heard the version of that list and parts
 	// its parts that are here. keys are the flows taken over from it.
 	from  ident.Instance
@@ -40,20 +42,22 @@
 	startedMillis int64
 }
 
-// leaveFlows sends the list of open flows to some balancers, if it has changed.
-func (c *Core) leaveFlows(now time.Duration) {
+// LeaveFlows sends the list of open flows to some balancers, if it has changed.
+func (c *Core) LeaveFlows(now time.Duration) {
 	h := &c.handover
 	if c.upstream.hasEnded(now) {
 		return
 	}
-	keys := c.table.OpenKeys()
+	keys, opening := c.table.OpenKeys()
+	// A flow that is being opened may be open at the upstream before its next list.
+	complete := !opening && (c.upstream.hasNoOldFlows() || now-c.started >= c.self.FlowLifetime)
 	slices.SortFunc(keys, func(a, b flow.Key) int { return bytes.Compare(a[:], b[:]) })
 	sum := xxhash.New()
 	for _, k := range keys {
 		_, _ = sum.Write(k[:])
 	}
-	if s := sum.Sum64(); s != h.sum || h.version == 0 {
-		h.sum, h.copies = s, 0
+	if s := sum.Sum64(); s != h.sum || complete != h.complete || h.version == 0 {
+		h.sum, h.complete, h.copies = s, complete, 0
 		h.version++
 	}
 	if h.copies >= listCopies {
@@ -61,8 +65,7 @@
 	}
 	h.copies++
 	l := frame.FlowList{
-		Instance: c.self.Instance, Version: h.version, StartedMillis: c.upstream.last.StartedMillis, Keys: keys,
-		Complete: c.upstream.hasNoOldFlows() || now-c.started >= c.self.FlowLifetime,
+		Instance: c.self.Instance, Version: h.version, StartedMillis: c.upstream.last.StartedMillis, Keys: keys, Complete: complete,
 	}
 	for _, b := range l.Payloads() {
 		for _, a := range c.registration.some(c.self.Hop, keepers) {
--- a/internal/hostd/registration.go
+++ b/internal/hostd/registration.go
@@ -79,7 +79,7 @@
 	c.leaving = true
 	c.nextTick = now
 	c.announceChange(now)
-	c.leaveFlows(now)
+	c.LeaveFlows(now)
 }
 
 // Busy returns the number of requests in progress.
