--- a/internal/hostd/upstream.go
+++ b/internal/hostd/upstream.go
@@ -302,14 +302,7 @@
 	u := &c.upstream
 	beforeService := u.service
 	if !u.reported || restarted {
-		u.predatesAgent = u.contradictedBy(&r) || !c.startedWithAgent(u.firstSeq(&r), r.StartedMillis)
-	}
-	if !u.reported {
-		c.checkInherited(r.StartedMillis)
-	}
-	if restarted {
-		u.inherited = false
-		c.endRun(r.StartedMillis)
+		c.beginRun(&r, restarted)
 	}
 	if u.reported && !restarted && u.reportAt > 0 {
 		u.interval = now - u.reportAt
@@ -335,6 +328,19 @@
 	}
 }
 
+// beginRun records the first report of a run of the upstream.
+func (c *Core) beginRun(r *Report, restarted bool) {
+	u := &c.upstream
+	u.predatesAgent = u.contradictedBy(r) || !c.startedWithAgent(u.firstSeq(r), r.StartedMillis)
+	if !u.reported {
+		c.checkInherited(r.StartedMillis)
+	}
+	if restarted {
+		u.inherited = false
+		c.endRun(r.StartedMillis)
+	}
+}
+
 // noteWarmup records how much longer the upstream is slow after its start.
 func (c *Core) noteWarmup(now, left time.Duration) {
 	c.upstream.ramp.Report(now, left)
