front, hostd: the most recent list of flows counts; all of its parts are handed back

Found on reading the change: an older list that came first kept a more recent one out, and after the loss of a part the last one was not handed back.

--- a/internal/front/keep.go
+++ b/internal/front/keep.go
@@ -1,7 +1,9 @@
 package front
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/bramleycourse/bramleycourse/internal/flow"
@@ -46,7 +48,7 @@
 // them, so their packets wait for its next run and are tried at no other one.
 func (c *Core) handleFlows(now time.Duration, f *frame.Frame, from netip.AddrPort) {
 	l, ok := f.FlowList()
-	if !ok {
+	if !ok || c.agents.byAddr[from] == nil {
 		c.Counts.Foreign++
 		return
 	}
@@ -83,10 +85,8 @@
 	}
 	k.sent++
 	age := uint16(min((now-k.at)/time.Millisecond, keepTime/time.Millisecond))
-	for n := range uint8(len(k.parts)) {
-		if b := k.parts[n]; b != nil {
-			c.send(&frame.Frame{Kind: frame.Flows, Service: k.service, Balancer: c.self.Peer, AgeMillis: age, Payload: b}, hop)
-		}
+	for _, n := range slices.Sorted(maps.Keys(k.parts)) {
+		c.send(&frame.Frame{Kind: frame.Flows, Service: k.service, Balancer: c.self.Peer, AgeMillis: age, Payload: k.parts[n]}, hop)
 	}
 }
 
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -126,11 +127,12 @@
 // marked as gone.
 func (c *Core) earlierRuns(k view.Key) []view.Item {
 	var items []view.Item
-	for _, e := range c.view.Entries() {
+	for _, e := range c.view.EntriesUnsorted() {
 		if e.Key.Hop == k.Hop && e.Key != k && !e.Key.IsBalancer() {
 			e.State = view.Gone
 			items = append(items, view.Item{Entry: e})
 		}
 	}
+	slices.SortFunc(items, func(a, b view.Item) int { return cmp.Compare(a.Key.Instance, b.Key.Instance) })
 	return items
 }
--- a/internal/hostd/handover.go
+++ b/internal/hostd/handover.go
@@ -32,12 +32,13 @@
 	complete bool
 	copies   int
 	version  uint16
-	// from is the earlier run whose list was received, heard the version of that list and parts
-	// its parts that are here. keys are the flows taken over from it.
-	from  ident.Instance
-	heard uint16
-	parts map[uint8]bool
-	keys  []flow.Key
+	// from is the earlier run whose list was received, which was made at madeAt; heard is the
+	// version of that list and parts its parts that are here. keys are the flows taken over.
+	from   ident.Instance
+	madeAt time.Duration
+	heard  uint16
+	parts  map[uint8]bool
+	keys   []flow.Key
 	// startedMillis is the start time of the upstream that held them; 0 if it is not known.
 	startedMillis int64
 }
@@ -84,15 +85,16 @@
 	}
 	h, u := &c.handover, &c.upstream
 	age := time.Duration(f.AgeMillis) * time.Millisecond
+	sameRun := l.Instance == h.from
 	switch {
 	case l.Instance == c.self.Instance, u.gone, f.Service != u.id(), now-c.started >= c.self.FlowLifetime:
 		return
-	case u.reported && l.StartedMillis != u.last.StartedMillis, h.from != 0 && h.from != l.Instance, l.Version < h.heard:
+	case u.reported && l.StartedMillis != u.last.StartedMillis, sameRun && l.Version < h.heard, !sameRun && h.from != 0 && now-age <= h.madeAt:
 		return
-	case l.Version > h.heard:
+	case !sameRun || l.Version > h.heard:
 		h.heard, h.parts = l.Version, map[uint8]bool{}
 	}
-	h.from, h.startedMillis = l.Instance, l.StartedMillis
+	h.from, h.madeAt, h.startedMillis = l.Instance, now-age, l.StartedMillis
 	for _, k := range l.Keys {
 		c.inherit(now, k)
 	}
