hostd: the list of flows goes to up to 16 balancers, again each second and right before the exit

An unchanged list was not sent again during a drain of 5 s either.

Change: the list goes to 4 to 16 balancers, depending on its length, again each second of the drain, and once more right before the exit.

--- a/internal/hostd/handover.go
+++ b/internal/hostd/handover.go
@@ -15,9 +15,13 @@
 )
 
 const (
-	// keepers is the number of balancers with which an agent that stops leaves the list of its
-	// upstream's flows, and listCopies how often each list is sent to them.
-	keepers, listCopies = 4, 2
+	// minKeepers and maxKeepers bound the balancers with which an agent that stops leaves the list
+	// of its upstream's flows; maxListDatagrams is the number of datagrams from which on these are
+	// fewer. Many of them may be restarted at the same time, too.
+	minKeepers, maxKeepers, maxListDatagrams = 4, 16, 64
+	// Each list is sent listCopies times, and again after listInterval: a balancer that has
+	// started meanwhile has none.
+	listCopies, listInterval = 2, time.Second
 	// maxHandoverGap is the longest time from the last list of a run to the start of the next
 	// one. Another run in between would take longer.
 	maxHandoverGap = time.Second
@@ -31,6 +35,7 @@
 	sum      uint64
 	complete bool
 	copies   int
+	sentAt   time.Duration
 	version  uint16
 	// from is the earlier run whose list was received, which was made at madeAt; heard is the
 	// version of that list and parts its parts that are here. keys are the flows taken over.
@@ -61,20 +66,29 @@
 		h.sum, h.complete, h.copies = s, complete, 0
 		h.version++
 	}
-	if h.copies >= listCopies {
+	if h.copies >= listCopies && now-h.sentAt < listInterval {
 		return
 	}
 	h.copies++
+	h.sentAt = now
 	l := frame.FlowList{
 		Instance: c.self.Instance, Version: h.version, StartedMillis: c.upstream.last.StartedMillis, Keys: keys, Complete: complete,
 	}
-	for _, b := range l.Payloads() {
+	payloads := l.Payloads()
+	keepers := min(max(minKeepers, maxListDatagrams/len(payloads)), maxKeepers)
+	for _, b := range payloads {
 		for _, a := range c.registration.some(c.self.Hop, keepers) {
 			c.send(&frame.Frame{Kind: frame.Flows, Service: c.upstream.id(), Payload: b}, a)
 		}
 	}
 }
 
+// Depart sends the list once more, right before the agent exits.
+func (c *Core) Depart(now time.Duration) {
+	c.handover.copies = 0
+	c.LeaveFlows(now)
+}
+
 // handleFlows takes over flows of the run before this one. A balancer that missed a run in
 // between may send an older list, which is not complete any more.
 func (c *Core) handleFlows(now time.Duration, f *frame.Frame) {
--- a/internal/hostd/hostd.go
+++ b/internal/hostd/hostd.go
@@ -242,7 +242,7 @@
 		"event": "start", "place": a.settings.Place, "service": a.settings.Service, "hop": a.settings.Hop, "seeds": a.settings.Seeds,
 	}).Info("agent started")
 	a.control(signals, reload)
-	a.loop.Do(a.core.LeaveFlows)
+	a.loop.Do(a.core.Depart)
 	a.parts.Close()
 	a.log.WithField("event", "stop").WithField("counts", fmt.Sprintf("%+v", a.core.Counts)).Info("agent stopped")
 	return nil
